--- /dev/null
+++ b/messenger/window_test.go
@@ -0,0 +1,43 @@
+package messenger
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// rapidSeed makes every run draw the same cases.
+const rapidSeed = "20261203"
+
+func TestWindowTakesEachMessageOnce(t *testing.T) {
+	NewWithT(t).Expect(flag.Set("rapid.seed", rapidSeed)).To(Succeed())
+	rapid.Check(t, func(r *rapid.T) {
+		var w window
+		taken := map[[2]uint64]bool{}
+		for _, step := range rapid.SliceOfN(rapid.Uint64Range(1, 3*windowMessages), 1, 200).Draw(r, "steps") {
+			incarnation := rapid.Uint64Range(1, 3).Draw(r, "incarnation")
+			if !w.add(identifier.Incarnation(incarnation), identifier.Sequence(step)) {
+				continue
+			}
+			key := [2]uint64{incarnation, step}
+			if taken[key] {
+				r.Fatalf("message %v taken twice", key)
+			}
+			taken[key] = true
+		}
+	})
+}
+
+func TestWindowTakesLateMessagesAndNewStarts(t *testing.T) {
+	g := NewWithT(t)
+	var w window
+	g.Expect(w.add(1, 10)).To(BeTrue())
+	g.Expect(w.add(1, 9)).To(BeTrue())
+	g.Expect(w.add(1, 10)).To(BeFalse())
+	g.Expect(w.add(2, 1)).To(BeTrue())
+	g.Expect(w.add(1, 11)).To(BeFalse())
+}
