Read and check the settings of a VM

A wrong settings file must stop a VM before it takes callers.

Nine kinds of bad files each give their golden error; the example settings of both sites are accepted.

--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,70 @@
+package parser_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/parser"
+)
+
+const valid = `Deployment: himal
+VM: vm-1
+DataCentre: thamel-room
+Callers: {Address: "127.0.0.1:0"}
+VMs: {Address: "127.0.0.1:0"}
+Store: {Endpoints: ["http://127.0.0.1:2379"]}
+Keys: {Authorities: env:A, Certificate: env:B, Key: env:C}
+`
+
+func TestExamplesAreAccepted(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob("../examples/*/vm-*.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).To(HaveLen(2))
+	for _, file := range files {
+		s, err := parser.Load(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.VMs.Peers).To(HaveLen(6))
+	}
+}
+
+func TestErrorsNameTheLineTheValueAndWhatIsAllowed(t *testing.T) {
+	cases := map[string]string{
+		"unknown-key":    valid + "Colour: red\n",
+		"repeated-key":   valid + "VM: vm-2\n",
+		"bad-preference": valid + "Prefer: Speed\n",
+		"bad-duration":   strings.Replace(valid, `{Address: "127.0.0.1:0"}`, `{Address: "127.0.0.1:0", HeaderTimeout: soon}`, 1),
+		"short-timeout":  strings.Replace(valid, `{Address: "127.0.0.1:0"}`, "\n  Address: 127.0.0.1:0\n  HeaderTimeout: 1ms", 1),
+		"bad-address":    strings.Replace(valid, `{Address: "127.0.0.1:0"}`, "\n  Address: here", 1),
+		"missing-vm":     strings.Replace(valid, "VM: vm-1\n", "", 1),
+		"malformed":      valid + "  : : [\n",
+		"empty":          "\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := parser.Parse([]byte(text))
+			NewWithT(t).Expect(err).To(HaveOccurred())
+			goldie.New(t).Assert(t, name, []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+func TestPageIsFresh(t *testing.T) {
+	goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).
+		Assert(t, "SETTINGS", []byte(parser.Page()))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("Callers: [1, {}]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := parser.Parse(text)
+		if err == nil && s.VM == "" {
+			t.Fatal("settings without a VM were accepted")
+		}
+	})
+}
--- /dev/null
+++ b/parser/settings.go
@@ -0,0 +1,101 @@
+// Package parser reads the settings of one VM.
+//
+// Settings tell a process who it is, where it listens and where its
+// neighbours are. Classes, targets and upstreams are no settings: they are
+// kept by the platform's store and changed by operators.
+package parser
+
+import (
+	"time"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Settings are the settings of one VM.
+type Settings struct {
+	Deployment string                `yaml:"Deployment" validate:"required,hostname_rfc1123" doc:"Name of the deployment. VMs of another deployment are refused."`
+	VM         identifier.VM         `yaml:"VM" validate:"required,hostname_rfc1123" doc:"Name of this VM, as in its certificate."`
+	DataCentre identifier.DataCentre `yaml:"DataCentre" validate:"required" doc:"Data centre of this VM."`
+	Prefer     admitter.Prefer       `yaml:"Prefer" validate:"oneof=WastedPrefill Goodput" doc:"What weighs more where the two conflict: little wasted prefill, or more answers inside their targets."`
+	Callers    Callers               `yaml:"Callers" validate:"required" doc:"The listener for callers, behind the platform's balancer."`
+	VMs        VMs                   `yaml:"VMs" validate:"required" doc:"The listener for other VMs, and who they are."`
+	Operators  Operators             `yaml:"Operators" doc:"The listener for operators. Closed when Address is empty."`
+	Store      Store                 `yaml:"Store" validate:"required" doc:"The platform's key-value service."`
+	Keys       Keys                  `yaml:"Keys" validate:"required" doc:"Certificate and key of this VM. Each value is PEM text, env:NAME or file:PATH."`
+	Drain      Drain                 `yaml:"Drain" doc:"Graceful shutdown."`
+	Log        Log                   `yaml:"Log" doc:"The log on standard error, JSON lines."`
+}
+
+// Callers are the settings of the listener for callers.
+type Callers struct {
+	Address        string        `yaml:"Address" validate:"required,ip_port" doc:"IP and TCP port. Port 0 takes a free one."`
+	MaxBodyBytes   int64         `yaml:"MaxBodyBytes" validate:"min=1024,max=268435456" doc:"Largest body of a completion request, in bytes."`
+	MaxHeaderBytes int           `yaml:"MaxHeaderBytes" validate:"min=1024,max=1048576" doc:"Largest header of a request, in bytes."`
+	HeaderTimeout  time.Duration `yaml:"HeaderTimeout" validate:"min=100ms,max=1m" doc:"Longest time for a caller to send a request's header."`
+	BodyTimeout    time.Duration `yaml:"BodyTimeout" validate:"min=1s,max=10m" doc:"Longest time for a caller to send a completion request's body."`
+	WriteTimeout   time.Duration `yaml:"WriteTimeout" validate:"min=1s,max=10m" doc:"Longest time that a caller may leave one part of an answer unread."`
+	RequestTimeout time.Duration `yaml:"RequestTimeout" validate:"min=1s,max=24h" doc:"Longest time for a whole request."`
+	MaxRequests    int           `yaml:"MaxRequests" validate:"min=1,max=100000" doc:"Most requests in flight on this VM."`
+}
+
+// VMs are the settings of the listener for other VMs.
+type VMs struct {
+	Address string `yaml:"Address" validate:"required,ip_port" doc:"IP and UDP port. Port 0 takes a free one."`
+	Peers   []Peer `yaml:"Peers" validate:"max=1000,unique=VM,dive" doc:"The other VMs of the deployment."`
+}
+
+// Peer is one other VM.
+type Peer struct {
+	VM         identifier.VM         `yaml:"VM" validate:"required" doc:"Name of the VM, as in its certificate."`
+	DataCentre identifier.DataCentre `yaml:"DataCentre" validate:"required" doc:"Data centre of the VM."`
+	Address    string                `yaml:"Address" validate:"required,ip_port" doc:"IP and UDP port."`
+}
+
+// Operators are the settings of the listener for operators.
+type Operators struct {
+	Address string `yaml:"Address" validate:"omitempty,ip_port" doc:"IP and TCP port. An operator's certificate is demanded."`
+}
+
+// Store are the settings of the client of the platform's service.
+type Store struct {
+	Endpoints []string      `yaml:"Endpoints" validate:"required,min=1,max=16,dive,http_url" doc:"Addresses of the service, http:// or https://."`
+	Timeout   time.Duration `yaml:"Timeout" validate:"min=10ms,max=1m" doc:"Deadline of one call."`
+	Prefix    string        `yaml:"Prefix" validate:"required,startswith=/" doc:"First part of every key of this deployment."`
+}
+
+// Keys are the sources of this VM's keys.
+type Keys struct {
+	Authorities string `yaml:"Authorities" validate:"required" doc:"Certificates of the authorities that are trusted."`
+	Certificate string `yaml:"Certificate" validate:"required" doc:"Certificate of this VM."`
+	Key         string `yaml:"Key" validate:"required" doc:"Private key of this VM. It is never logged."`
+}
+
+// Drain are the settings of a graceful shutdown.
+type Drain struct {
+	Limit time.Duration `yaml:"Limit" validate:"min=0s,max=24h" doc:"Longest time for requests in flight to end after SIGTERM."`
+}
+
+// Log are the settings of the log.
+type Log struct {
+	Level string `yaml:"Level" validate:"oneof=debug info warn error" doc:"Least level that is written. Decisions are written at info."`
+}
+
+// Default returns the settings that hold where a file is silent.
+func Default() Settings {
+	return Settings{
+		Prefer: admitter.PreferGoodput,
+		Callers: Callers{
+			MaxBodyBytes:   8 << 20,
+			MaxHeaderBytes: 64 << 10,
+			HeaderTimeout:  5 * time.Second,
+			BodyTimeout:    30 * time.Second,
+			WriteTimeout:   30 * time.Second,
+			RequestTimeout: 15 * time.Minute,
+			MaxRequests:    4096,
+		},
+		Store: Store{Timeout: 500 * time.Millisecond, Prefix: "/figtrack"},
+		Drain: Drain{Limit: 10 * time.Minute},
+		Log:   Log{Level: "info"},
+	}
+}
