--- a/faker/engine.go
+++ b/faker/engine.go
@@ -29,6 +29,16 @@
 	LinkTokensPerSecond float64
 	// LoadLag is the age of a load report.
 	LoadLag time.Duration
+	// CacheLag is how late cache events come out.
+	CacheLag time.Duration
+	// CacheLoss is the share of cache events that get lost, from 0 to 1.
+	CacheLoss float64
+	// Jitter spreads the time of each prefill and decode step evenly by this
+	// share to both sides, from 0 to 1.
+	Jitter float64
+	// EdgeTokens makes a decode engine report only the first and the last
+	// token of each stream.
+	EdgeTokens bool
 	// ChecksFence says that orders with an old fencing number are refused.
 	ChecksFence bool
 }
@@ -49,6 +59,8 @@
 	Hold   identifier.Hold
 	Tokens identifier.Tokens
 	Pieces identifier.Pieces
+	// Delay is added to the transfer for the distance between the engines.
+	Delay time.Duration
 }
 
 // StartDecode runs a stream whose KV cache is imported.
@@ -62,6 +74,9 @@
 // idempotent. A prefill engine gets it when the export has ended.
 type Release struct{ Hold identifier.Hold }
 
+// StallLink stops the import link of a decode engine until a time.
+type StallLink struct{ Until time.Time }
+
 // Advance lets the engine act on what has become due.
 type Advance struct{}
 
@@ -69,6 +84,7 @@
 func (StartImport) engineEvent()  {}
 func (StartDecode) engineEvent()  {}
 func (Release) engineEvent()      {}
+func (StallLink) engineEvent()    {}
 func (Advance) engineEvent()      {}
 
 // EngineOutcome is what a stand-in engine does. The set is sealed.
@@ -81,18 +97,32 @@
 	Took   time.Duration
 }
 
+// PrefillRefused says that the prefill queue is full; nothing is held.
+type PrefillRefused struct{ Hold identifier.Hold }
+
+// PrefillStopped says that a Release broke off a running prefill.
+type PrefillStopped struct {
+	Hold identifier.Hold
+	// Spent is the engine's time that went into it.
+	Spent time.Duration
+}
+
 // ResultEvicted says that a prefill result is gone without use.
 type ResultEvicted struct{ Hold identifier.Hold }
 
 // ImportDone says that the KV cache is on the decode engine.
 type ImportDone struct {
 	Hold identifier.Hold
+	// Took is the time since StartImport, the link's queue included.
 	Took time.Duration
 }
 
 // ImportRefused says that the decode engine has no room; nothing is held.
 type ImportRefused struct{ Hold identifier.Hold }
 
+// DecodeRefused says that no KV cache of the attempt is on the engine.
+type DecodeRefused struct{ Hold identifier.Hold }
+
 // TokenMade is one token of a stream, numbered from 0.
 type TokenMade struct {
 	Hold  identifier.Hold
@@ -110,10 +140,13 @@
 // AdvanceAt asks for an Advance event at a time. A later one replaces it.
 type AdvanceAt struct{ At time.Time }
 
-func (PrefillDone) engineOutcome()   {}
-func (ResultEvicted) engineOutcome() {}
-func (ImportDone) engineOutcome()    {}
-func (ImportRefused) engineOutcome() {}
-func (TokenMade) engineOutcome()     {}
-func (CacheChanged) engineOutcome()  {}
-func (AdvanceAt) engineOutcome()     {}
+func (PrefillDone) engineOutcome()    {}
+func (PrefillRefused) engineOutcome() {}
+func (PrefillStopped) engineOutcome() {}
+func (DecodeRefused) engineOutcome()  {}
+func (ResultEvicted) engineOutcome()  {}
+func (ImportDone) engineOutcome()     {}
+func (ImportRefused) engineOutcome()  {}
+func (TokenMade) engineOutcome()      {}
+func (CacheChanged) engineOutcome()   {}
+func (AdvanceAt) engineOutcome()      {}
