--- /dev/null
+++ b/faker/answer.go
@@ -0,0 +1,34 @@
+package faker
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Answer returns the texts of the first n tokens of the answer to a prompt.
+// Each ends with a space.
+func Answer(prompt string, n identifier.Tokens) []string {
+	texts := make([]string, 0, n)
+	for i := range n {
+		texts = append(texts, tokenText(prompt, i))
+	}
+	return texts
+}
+
+// AnswerLength returns how many tokens the answer to a prompt has: from half
+// of max to max.
+func AnswerLength(prompt string, most identifier.Tokens) identifier.Tokens {
+	if most <= 1 {
+		return most
+	}
+	return most - identifier.Tokens(xxhash.Sum64String(prompt)%uint64(most/2+1))
+}
+
+func tokenText(prompt string, i identifier.Tokens) string {
+	seed := strconv.AppendUint(nil, xxhash.Sum64String(prompt), 36)
+	seed = strconv.AppendInt(append(seed, '/'), int64(i), 10)
+	return strconv.FormatUint(xxhash.Sum64(seed)&0xffffff, 36) + " "
+}
--- /dev/null
+++ b/faker/engine_life.go
@@ -0,0 +1,263 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+const (
+	// engineCalls is the calls that wait for the engine's goroutine.
+	engineCalls = 256
+	// maxCacheEvents is the cache events that can still be asked for.
+	maxCacheEvents = 4096
+	// streamLives is how long a finished stream can be read again.
+	streamLives = 10 * time.Second
+)
+
+// engineLife is an engine from its start to its death. One goroutine owns
+// all fields but calls and ctx.
+type engineLife struct {
+	*EngineServer
+	core        *Engine
+	incarnation identifier.Incarnation
+	calls       chan func()
+	ctx         context.Context
+	end         context.CancelFunc
+	timer       *time.Timer
+	jobs        map[identifier.Hold]*engineJob
+	// events is at most maxCacheEvents long.
+	events []driver.CacheEvent
+	serves driver.OrderResult
+}
+
+// engineJob is one attempt on the engine.
+type engineJob struct {
+	prompt string
+	most   identifier.Tokens
+	pieces identifier.Pieces
+	since  time.Time
+	// done says that the prefill or the import has ended.
+	done   bool
+	cached identifier.Tokens
+	took   time.Duration
+	// length is the length of the answer; zero before the stream starts.
+	length, made identifier.Tokens
+	refusal      *driver.Refusal
+	// changed is closed and replaced when something above has changed.
+	changed chan struct{}
+}
+
+func (j *engineJob) known() bool   { return true }
+func (j *engineJob) isDone() bool  { return j.done }
+func (j *engineJob) isEnded() bool { return j.length > 0 && j.made == j.length }
+
+func (j *engineJob) signal() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+func newEngineLife(s *EngineServer, core *Engine) *engineLife {
+	l := &engineLife{
+		EngineServer: s,
+		core:         core,
+		incarnation:  s.incarnation,
+		calls:        make(chan func(), engineCalls),
+		timer:        time.NewTimer(time.Hour),
+		jobs:         make(map[identifier.Hold]*engineJob),
+		serves:       driver.OrderResult{Role: s.cfg.Role},
+	}
+	l.ctx, l.end = context.WithCancel(context.Background())
+	go l.run()
+	return l
+}
+
+func (l *engineLife) run() {
+	defer l.timer.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case call := <-l.calls:
+			call()
+		case <-l.timer.C:
+			l.step(Advance{})
+		}
+	}
+}
+
+// do runs a function on the engine's goroutine. It returns false if the
+// caller or the engine was gone before.
+func (l *engineLife) do(ctx context.Context, call func()) bool {
+	done := make(chan struct{})
+	run := func() {
+		call()
+		close(done)
+	}
+	select {
+	case l.calls <- run:
+	case <-ctx.Done():
+		return false
+	case <-l.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+func (l *engineLife) step(event EngineEvent) {
+	for _, outcome := range l.core.Step(time.Now(), event) {
+		l.note(outcome)
+	}
+}
+
+func (l *engineLife) note(outcome EngineOutcome) {
+	switch o := outcome.(type) {
+	case AdvanceAt:
+		l.timer.Reset(time.Until(o.At))
+	case CacheChanged:
+		l.events = append(l.events, driver.CacheEvent(o))
+		l.events = l.events[max(0, len(l.events)-maxCacheEvents):]
+	case PrefillDone:
+		l.finish(o.Hold, o.Cached, o.Took)
+	case ImportDone:
+		l.finish(o.Hold, 0, o.Took)
+	case TokenMade:
+		l.made(o)
+	case PrefillRefused:
+		l.fail(o.Hold, driver.KindFull, "the prefill queue is full")
+	case ImportRefused:
+		l.fail(o.Hold, driver.KindFull, "no memory is free")
+	case ResultEvicted:
+		l.fail(o.Hold, driver.KindGone, "the prefill result was evicted")
+	case DecodeRefused:
+		l.fail(o.Hold, driver.KindGone, "no KV cache is here")
+	case PrefillStopped:
+	}
+}
+
+func (l *engineLife) finish(hold identifier.Hold, cached identifier.Tokens, took time.Duration) {
+	job := l.jobs[hold]
+	if job == nil || l.crash(job.prompt) {
+		return
+	}
+	job.done, job.cached, job.took = true, cached, took
+	job.signal()
+}
+
+func (l *engineLife) made(token TokenMade) {
+	job := l.jobs[token.Hold]
+	if job == nil || l.crash(job.prompt) {
+		return
+	}
+	job.made = token.Index + 1
+	job.signal()
+	if token.Last {
+		time.AfterFunc(streamLives, func() {
+			l.do(l.ctx, func() { l.fail(token.Hold, driver.KindGone, "the stream ended long ago") })
+		})
+	}
+}
+
+// crash kills the engine if the prompt is one that does so.
+func (l *engineLife) crash(prompt string) bool {
+	if !l.crashesOn(prompt) {
+		return false
+	}
+	l.Kill()
+	return true
+}
+
+// fail ends a job.
+func (l *engineLife) fail(hold identifier.Hold, kind driver.Kind, reason string) {
+	job := l.jobs[hold]
+	if job == nil {
+		return
+	}
+	delete(l.jobs, hold)
+	job.refusal = &driver.Refusal{Kind: kind, Reason: reason}
+	job.signal()
+}
+
+// start adds a job unless the attempt has one. It returns false if it has.
+func (l *engineLife) start(hold identifier.Hold, job engineJob) bool {
+	if l.jobs[hold] != nil {
+		return false
+	}
+	job.since = time.Now()
+	job.changed = make(chan struct{})
+	l.jobs[hold] = &job
+	return true
+}
+
+// await waits until a job is ready and returns a copy of it.
+func (l *engineLife) await(ctx context.Context, hold identifier.Hold, ready func(*engineJob) bool) (engineJob, *driver.Refusal) {
+	var job *engineJob
+	var view engineJob
+	look := func() {
+		if job == nil {
+			job = l.jobs[hold]
+		}
+		if job != nil {
+			view = *job
+		}
+	}
+	for l.do(ctx, look) {
+		switch {
+		case job == nil:
+			return view, &driver.Refusal{Kind: driver.KindGone, Reason: "the hold is not known"}
+		case view.refusal != nil || ready(&view):
+			return view, view.refusal
+		}
+		select {
+		case <-view.changed:
+		case <-ctx.Done():
+		case <-l.ctx.Done():
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// stream writes the tokens of a job from one on, as they are made.
+func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, hold identifier.Hold, from identifier.Tokens) {
+	lines := json.NewEncoder(w)
+	err := lines.Encode(driver.StreamLine{Hold: &hold})
+	for err == nil {
+		if err = http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		job, refusal := l.await(r.Context(), hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
+		if refusal != nil {
+			err = lines.Encode(driver.StreamLine{Refusal: refusal})
+			return
+		}
+		for ; from < job.made && err == nil; from++ {
+			err = lines.Encode(driver.StreamLine{Token: job.token(from)})
+		}
+		if job.isEnded() {
+			return
+		}
+	}
+}
+
+func (j *engineJob) token(i identifier.Tokens) *driver.Token {
+	token := driver.Token{Index: i, Text: tokenText(j.prompt, i)}
+	switch {
+	case i+1 < j.length:
+	case j.length == j.most:
+		token.Finish = "length"
+	default:
+		token.Finish = "stop"
+	}
+	return &token
+}
