Serve callers and run attempts through the shard's owner

The path from a caller to a decode engine needs its four parts: listener (OpenAI form, limits, refusals), dispatcher (owner of each shard), relayer (prefill, transfer, decode, retries) and registrar (upstreams, shards, owners).

--- /dev/null
+++ b/dispatcher/ticket.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Ticket is one attempt's connection to the owner of its shard.
+type Ticket struct {
+	d   *Dispatcher
+	key admitter.Key
+	ask admitter.Ask
+	// decisions is bounded; the owner sends at most a few for an attempt.
+	decisions chan admitter.Outcome
+
+	// The fields below belong to the dispatcher's loop.
+
+	shard identifier.Shard
+	owner identifier.VM
+	// answered says that a first decision has come.
+	answered bool
+	sentAt   time.Time
+}
+
+// Open asks for a placement. The decisions come on the ticket, which must be
+// closed. A nil ticket means that the ring is full and nothing was asked.
+func (d *Dispatcher) Open(ask admitter.Ask) *Ticket {
+	t := &Ticket{d: d, key: ask.Key, ask: ask, decisions: make(chan admitter.Outcome, ticketLength)}
+	select {
+	case d.ring <- openTicket{t}:
+		return t
+	default:
+		return nil
+	}
+}
+
+// Decisions gives Place, Move, Refuse and Abandon for this attempt.
+func (t *Ticket) Decisions() <-chan admitter.Outcome { return t.decisions }
+
+// Report tells the owner what became of the attempt.
+func (t *Ticket) Report(e admitter.Event) { t.d.put(report{t, e}) }
+
+// Close ends the ticket. What the attempt still holds must have been reported
+// as ended or withdrawn before.
+func (t *Ticket) Close() { t.d.put(closeTicket{t}) }
+
+func (t *Ticket) deliver(o admitter.Outcome) bool {
+	select {
+	case t.decisions <- o:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/relayer/attempt.go
@@ -0,0 +1,268 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/dispatcher"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// attempt is one attempt of a request.
+type attempt struct {
+	*run
+	key    admitter.Key
+	hold   identifier.Hold
+	ticket *dispatcher.Ticket
+	place  admitter.Place
+	// output is the number of tokens that this attempt has generated.
+	output identifier.Tokens
+}
+
+func (r *run) attempt(ctx context.Context, n identifier.Attempt) Result {
+	key := admitter.Key{Request: r.job.Request, Attempt: n}
+	ticket := r.dispatcher.Open(r.ask(key))
+	if ticket == nil {
+		return Refused{Reason: "Busy", RetryAfter: time.Second}
+	}
+	defer ticket.Close()
+	a := &attempt{run: r, key: key, hold: r.hold(n), ticket: ticket}
+	return a.decision(ctx)
+}
+
+func (r *run) ask(key admitter.Key) admitter.Ask {
+	return admitter.Ask{
+		Key:            key,
+		Class:          r.job.Class,
+		Workspace:      r.job.Workspace,
+		Model:          r.job.Model,
+		From:           r.vm,
+		FromDataCentre: r.dataCentre,
+		Prompt:         r.job.Tokens + r.written,
+		MaxOutput:      max(1, r.job.MaxOutput-r.written),
+		Prefix:         r.job.Prefix,
+		Arrived:        r.job.Arrived,
+		Excluded:       r.excluded,
+	}
+}
+
+// decision waits for the owner's first answer.
+func (a *attempt) decision(ctx context.Context) Result {
+	select {
+	case <-ctx.Done():
+		return a.withdraw()
+	case out := <-a.ticket.Decisions():
+		switch out := out.(type) {
+		case admitter.Place:
+			a.place = out
+			return a.prefill(ctx)
+		case admitter.Refuse:
+			return a.refused(out)
+		default:
+			return Failed{}
+		}
+	}
+}
+
+// refused ends a request on the owner's word. If an earlier attempt sent a
+// part of the answer, the answer stays unfinished.
+func (a *attempt) refused(out admitter.Refuse) Result {
+	if a.written > 0 {
+		return Broken{Reason: string(out.Reason)}
+	}
+	return Refused{Reason: string(out.Reason), RetryAfter: out.RetryAfter}
+}
+
+func (a *attempt) withdraw() Result {
+	a.ticket.Report(admitter.Withdraw{Key: a.key})
+	return Cancelled{}
+}
+
+// end reports a failed attempt.
+func (a *attempt) end() Result {
+	a.ticket.Report(admitter.Ended{Key: a.key, Output: a.output, Failed: true})
+	return Failed{}
+}
+
+// stop ends an attempt after an error of an upstream or of the caller.
+func (a *attempt) stop(ctx context.Context, u identifier.Upstream, err error) Result {
+	a.releaser.Release(u, a.hold)
+	if ctx.Err() != nil {
+		return a.withdraw()
+	}
+	a.fail(u, kindOf(err))
+	return a.end()
+}
+
+func kindOf(err error) driver.Kind {
+	var e *driver.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return driver.KindUnknown
+}
+
+func (a *attempt) prefill(ctx context.Context) Result {
+	engine, ok := a.registrar.Catalog().Engine(a.place.Prefill)
+	if !ok {
+		a.excluded = append(a.excluded, a.place.Prefill)
+		return a.end()
+	}
+	a.touched = true
+	result, err := engine.Prefill(ctx, driver.PrefillOrder{
+		Hold:      a.hold,
+		Model:     a.job.Model,
+		Prompt:    a.job.Prompt,
+		Generated: string(a.text),
+		Tokens:    a.job.Tokens + a.written,
+		Prefix:    a.job.Prefix,
+		MaxOutput: a.job.MaxOutput,
+	})
+	if err != nil {
+		return a.stop(ctx, a.place.Prefill, err)
+	}
+	a.health.Succeeded(a.place.Prefill)
+	a.ticket.Report(admitter.PrefillEnded{Key: a.key, Cached: result.Cached, Took: result.Took})
+	return a.transfer(ctx)
+}
+
+// transfer brings the KV cache to a decode engine, to another one where the
+// owner names it.
+func (a *attempt) transfer(ctx context.Context) Result {
+	for {
+		result, err := a.importOnce(ctx)
+		if err == nil {
+			a.releaser.Release(a.place.Prefill, a.hold)
+			a.health.Succeeded(a.place.Decode)
+			a.ticket.Report(admitter.TransferEnded{Key: a.key, Took: result.Took})
+			return a.decode(ctx)
+		}
+		if kindOf(err) == driver.KindGone {
+			return a.lost(ctx, err)
+		}
+		if !a.move(ctx, err) {
+			a.releaser.Release(a.place.Prefill, a.hold)
+			return a.afterMove(ctx)
+		}
+	}
+}
+
+// lost ends an attempt whose prefill result was evicted: no upstream failed.
+func (a *attempt) lost(ctx context.Context, _ error) Result {
+	a.releaser.Release(a.place.Prefill, a.hold)
+	if ctx.Err() != nil {
+		return a.withdraw()
+	}
+	return a.end()
+}
+
+func (a *attempt) importOnce(ctx context.Context) (driver.ImportResult, error) {
+	catalog := a.registrar.Catalog()
+	engine, ok := catalog.Engine(a.place.Decode)
+	from, known := catalog.Upstream(a.place.Prefill)
+	if !ok || !known {
+		return driver.ImportResult{}, errors.New("the upstream is not configured any more")
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.place.TransferWithin)
+	defer cancel()
+	return engine.Import(ctx, driver.ImportOrder{
+		Hold:   a.hold,
+		From:   from.Address,
+		Tokens: a.job.Tokens + a.written,
+		Pieces: a.place.Pieces,
+	})
+}
+
+// move asks the owner for another decode engine. It returns false where there
+// is none.
+func (a *attempt) move(ctx context.Context, err error) bool {
+	full := kindOf(err) == driver.KindFull
+	if !full {
+		a.releaser.Release(a.place.Decode, a.hold)
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if !full {
+		a.fail(a.place.Decode, kindOf(err))
+	}
+	a.ticket.Report(admitter.TransferFailed{Key: a.key, Full: full})
+	select {
+	case <-ctx.Done():
+		return false
+	case out := <-a.ticket.Decisions():
+		moved, ok := out.(admitter.Move)
+		if ok {
+			a.place.Decode = moved.Decode
+			a.place.Pieces = moved.Pieces
+			a.place.TransferWithin = moved.TransferWithin
+		}
+		return ok
+	}
+}
+
+// afterMove ends an attempt that found no decode engine.
+func (a *attempt) afterMove(ctx context.Context) Result {
+	if ctx.Err() != nil {
+		return a.withdraw()
+	}
+	return a.end()
+}
+
+func (a *attempt) decode(ctx context.Context) Result {
+	engine, ok := a.registrar.Catalog().Engine(a.place.Decode)
+	if !ok {
+		return a.end()
+	}
+	stream, err := engine.Decode(ctx, driver.DecodeOrder{
+		Hold:      a.hold,
+		From:      a.written,
+		MaxOutput: a.job.MaxOutput,
+		Stop:      a.job.Stop,
+	})
+	if err != nil {
+		return a.stop(ctx, a.place.Decode, err)
+	}
+	defer stream.Close()
+	return a.copy(ctx, stream)
+}
+
+// copy sends the stream's tokens to the caller.
+func (a *attempt) copy(ctx context.Context, stream driver.Stream) Result {
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			a.health.Succeeded(a.place.Decode)
+			a.ticket.Report(admitter.Ended{Key: a.key, Output: a.output})
+			return Answered{}
+		}
+		if err != nil {
+			return a.stop(ctx, a.place.Decode, err)
+		}
+		if token.Index < a.written {
+			continue
+		}
+		if token.Index > a.written {
+			return a.stop(ctx, a.place.Decode, errors.New("a token is missing"))
+		}
+		if a.sink.Token(token) != nil {
+			a.releaser.Release(a.place.Decode, a.hold)
+			return a.withdraw()
+		}
+		a.wrote(token)
+	}
+}
+
+func (a *attempt) wrote(token driver.Token) {
+	if a.output == 0 {
+		a.ticket.Report(admitter.FirstToken{Key: a.key})
+	}
+	a.output++
+	a.written++
+	a.text = append(a.text, token.Text...)
+}
