Forward calls to plain services and read the runners' load

A call that may not be repeated goes out on a connection of its own after its claim; only a proved failure to send lets it go to another instance.

--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,192 @@
+// Package forwarder brings callers' requests to plain services.
+//
+// A call runs at most once unless the configuration says that it may be
+// repeated. A call with an idempotency key is claimed before its first byte
+// goes to an upstream, so that no other VM sends it too.
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+const (
+	headerKey       = "Idempotency-Key"
+	headerWorkspace = "Figtrack-Workspace"
+	// maxKeyBytes is the largest length of an idempotency key.
+	maxKeyBytes = 255
+	// maxKeptBody is the largest body that is kept to be sent again, in bytes.
+	maxKeptBody = 64 << 10
+	// maxTries bounds the upstreams that one request is tried on.
+	maxTries = 3
+)
+
+// Claimer keeps the at-most-once record.
+type Claimer interface {
+	Claim(ctx context.Context, id claimer.Identity) claimer.Result
+}
+
+// Refuser sends a final answer that is not the service's own.
+type Refuser interface {
+	Refuse(w http.ResponseWriter, o Outcome)
+}
+
+// Transports reach the services.
+type Transports struct {
+	// Kept keeps its connections open.
+	Kept http.RoundTripper
+	// Fresh makes a connection for each call.
+	Fresh http.RoundTripper
+}
+
+// Forwarder serves the paths of plain services.
+type Forwarder struct {
+	registrar  *registrar.Registrar
+	claimer    Claimer
+	refuser    Refuser
+	transports Transports
+	// maxBody is the largest body of a keyed call, in bytes: it is hashed
+	// before the claim.
+	maxBody int64
+	timeout time.Duration
+	// turn spreads requests over the instances of a service.
+	turn atomic.Uint64
+	log  zerolog.Logger
+}
+
+// New returns a forwarder.
+func New(
+	r *registrar.Registrar, c Claimer, refuser Refuser, t Transports,
+	maxBody int64, timeout time.Duration, log zerolog.Logger,
+) *Forwarder {
+	return &Forwarder{
+		registrar:  r,
+		claimer:    c,
+		refuser:    refuser,
+		transports: t,
+		maxBody:    maxBody,
+		timeout:    timeout,
+		log:        log,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	pool, members, ok := f.registrar.Catalog().Service(r.URL.Path)
+	if !ok {
+		f.refuser.Refuse(w, NoRoute{Path: r.URL.Path})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), f.timeout)
+	defer cancel()
+	c := &call{Forwarder: f, pool: pool, r: r.WithContext(ctx), key: r.Header.Get(headerKey)}
+	if out := c.run(w, members); out != nil {
+		f.refuser.Refuse(w, out)
+	}
+}
+
+// call is one request to a service.
+type call struct {
+	*Forwarder
+	pool registrar.Pool
+	r    *http.Request
+	key  string
+	// body is nil for a request whose body is streamed.
+	body []byte
+}
+
+// run sends the call and returns nil once an answer has been begun.
+func (c *call) run(w http.ResponseWriter, members []registrar.Upstream) Outcome {
+	if len(c.key) > maxKeyBytes {
+		return BadKey{Length: len(c.key)}
+	}
+	repeatable := c.repeatable()
+	if out := c.prepare(repeatable); out != nil {
+		return out
+	}
+	tried := 0
+	for _, u := range c.order(members) {
+		if u.Leaving {
+			continue
+		}
+		tried++
+		result := c.send(w, u)
+		c.record(u, result)
+		if !c.again(result, repeatable) || tried == maxTries {
+			return result.outcome(c.pool.ID)
+		}
+	}
+	return NoUpstream{Pool: c.pool.ID}
+}
+
+// again says whether the call may go to another instance: always when it was
+// not sent, and after a failure only when it may run twice.
+func (c *call) again(result sent, repeatable bool) bool {
+	if c.r.Context().Err() != nil {
+		return false
+	}
+	switch result {
+	case sentNothing:
+		return c.body != nil || c.r.ContentLength == 0
+	case sentNoAnswer:
+		return repeatable && (c.body != nil || c.r.ContentLength == 0)
+	default:
+		return false
+	}
+}
+
+// prepare reads the body where it must be hashed or may be sent again, and
+// claims a keyed call that may not be repeated.
+func (c *call) prepare(repeatable bool) Outcome {
+	claimed := !repeatable && c.key != ""
+	if claimed || c.r.ContentLength > 0 && c.r.ContentLength <= maxKeptBody {
+		body, out := c.read()
+		if out != nil {
+			return out
+		}
+		c.body = body
+	}
+	if !claimed {
+		return nil
+	}
+	return c.claim()
+}
+
+func (c *call) claim() Outcome {
+	id := claimer.Identify(
+		identifier.Workspace(c.r.Header.Get(headerWorkspace)),
+		identifier.Request(c.key),
+		identity(c.r, c.body),
+	)
+	result := c.claimer.Claim(c.r.Context(), id)
+	if result.Granted() {
+		return nil
+	}
+	return NotClaimed{Result: result}
+}
+
+// order lists the instances from the next in turn.
+func (c *call) order(members []registrar.Upstream) []registrar.Upstream {
+	if len(members) == 0 {
+		return nil
+	}
+	first := int(c.turn.Add(1) % uint64(len(members)))
+	return append(append([]registrar.Upstream{}, members[first:]...), members[:first]...)
+}
+
+func (c *call) record(u registrar.Upstream, result sent) {
+	c.log.Info().
+		Str("Request", c.key).
+		Str("Pool", string(c.pool.ID)).
+		Str("Upstream", string(u.ID)).
+		Str("Result", string(result)).
+		Msg("Forward")
+}
--- /dev/null
+++ b/forwarder/sender.go
@@ -0,0 +1,152 @@
+package forwarder
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+// sent is how far one try came.
+type sent string
+
+const (
+	// sentNothing means that no byte of the call went to the upstream.
+	sentNothing sent = "NotSent"
+	// sentNoAnswer means that the call may have run.
+	sentNoAnswer sent = "NoAnswer"
+	// sentAnswered means that the answer was passed on to its end.
+	sentAnswered sent = "Answered"
+	// sentBrokenAnswer means that the answer broke off and the caller's
+	// connection was closed.
+	sentBrokenAnswer sent = "BrokenAnswer"
+)
+
+func (s sent) outcome(pool identifier.Pool) Outcome {
+	switch s {
+	case sentNothing:
+		return NoUpstream{Pool: pool}
+	case sentNoAnswer:
+		return NoAnswer{Pool: pool}
+	default:
+		return nil
+	}
+}
+
+// read takes the whole body of a call into memory.
+func (c *call) read() ([]byte, Outcome) {
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, c.maxBody+1))
+	if err != nil {
+		return nil, BadBody{Err: err}
+	}
+	if int64(len(body)) > c.maxBody {
+		return nil, BodyTooLarge{Limit: c.maxBody}
+	}
+	return body, nil
+}
+
+// send makes one try on an upstream.
+func (c *call) send(w http.ResponseWriter, u registrar.Upstream) sent {
+	var connected atomic.Bool
+	out := c.request(u, &connected)
+	answer, err := c.transport().RoundTrip(out)
+	if err != nil && connected.Load() {
+		return sentNoAnswer
+	}
+	if err != nil {
+		return sentNothing
+	}
+	defer answer.Body.Close()
+	return c.pass(w, answer)
+}
+
+// transport gives a call that may not be repeated a connection of its own: on
+// a kept one, a lost answer and a connection that had already ended look the
+// same.
+func (c *call) transport() http.RoundTripper {
+	if c.repeatable() {
+		return c.transports.Kept
+	}
+	return c.transports.Fresh
+}
+
+// request makes the request for an upstream. connected is set before the
+// first byte can be written.
+func (c *call) request(u registrar.Upstream, connected *atomic.Bool) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out := c.r.Clone(httptrace.WithClientTrace(c.r.Context(), trace))
+	out.RequestURI = ""
+	out.URL.Scheme = "http"
+	out.URL.Host = u.Address
+	out.Header = endToEnd(c.r.Header)
+	out.Close = false
+	// The transport repeats a request by itself where it has no body or can
+	// rewind it. Only this package decides on a second run, so every request
+	// gets a body that can't be rewound.
+	out.GetBody = nil
+	switch {
+	case c.body != nil:
+		out.Body = &onceBody{Reader: bytes.NewReader(c.body)}
+		out.ContentLength = int64(len(c.body))
+	case c.r.ContentLength == 0:
+		out.Body = &onceBody{Reader: bytes.NewReader(nil)}
+		out.ContentLength = -1
+	}
+	return out
+}
+
+// onceBody is a body that can't be rewound.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (*onceBody) Close() error { return nil }
+
+// pass copies the answer to the caller, with its trailers.
+func (c *call) pass(w http.ResponseWriter, answer *http.Response) sent {
+	addAll(w.Header(), endToEnd(answer.Header))
+	for name := range answer.Trailer {
+		w.Header().Add("Trailer", name)
+	}
+	w.WriteHeader(answer.StatusCode)
+	if err := copyFlushing(w, answer.Body); err != nil {
+		c.log.Warn().Err(err).Str("Pool", string(c.pool.ID)).Msg("AnswerBroken")
+		// The caller must see that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range answer.Trailer {
+		for _, v := range values {
+			w.Header().Add(http.TrailerPrefix+name, v)
+		}
+	}
+	return sentAnswered
+}
+
+const copyBuffer = 32 << 10
+
+// copyFlushing copies a body and flushes each part, so that a streamed answer
+// reaches the caller as it comes.
+func copyFlushing(w http.ResponseWriter, r io.Reader) error {
+	control := http.NewResponseController(w)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := r.Read(buffer)
+		if n > 0 {
+			if _, failed := w.Write(buffer[:n]); failed != nil {
+				return errors.Wrap(failed, "write to the caller")
+			}
+			_ = control.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read the answer")
+		}
+	}
+}
--- /dev/null
+++ b/poller/poller.go
@@ -0,0 +1,176 @@
+// Package poller reads load and cache events of the runners whose shards this
+// VM owns.
+package poller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+const (
+	// every is the pace of reading one runner.
+	every = 200 * time.Millisecond
+	// timeout bounds one call.
+	timeout = time.Second
+	// failures is how many readings in a row fail before a runner is down.
+	failures = 3
+)
+
+// Feeder takes what was read.
+type Feeder interface {
+	Feed(u identifier.Upstream, e admitter.Event)
+}
+
+// Poller has one goroutine for each runner that is read.
+type Poller struct {
+	registrar *registrar.Registrar
+	feeder    Feeder
+	log       zerolog.Logger
+
+	mu sync.Mutex
+	// readers has an entry for each runner of the shards that are owned.
+	readers map[identifier.Upstream]context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// New returns a poller that reads nothing yet.
+func New(r *registrar.Registrar, f Feeder, log zerolog.Logger) *Poller {
+	return &Poller{registrar: r, feeder: f, log: log, readers: make(map[identifier.Upstream]context.CancelFunc)}
+}
+
+// SetShards reads the runners of these shards and no others.
+func (p *Poller) SetShards(ctx context.Context, shards []registrar.Shard) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := make(map[identifier.Upstream]bool)
+	for _, s := range shards {
+		for _, u := range s.Upstreams {
+			wanted[u.ID] = true
+			p.start(ctx, u.ID)
+		}
+	}
+	for id, stop := range p.readers {
+		if !wanted[id] {
+			stop()
+			delete(p.readers, id)
+		}
+	}
+}
+
+func (p *Poller) start(ctx context.Context, id identifier.Upstream) {
+	if p.readers[id] != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(ctx)
+	p.readers[id] = stop
+	r := &reader{Poller: p, id: id, state: admitter.UpstreamUp}
+	p.wg.Go(func() { r.run(ctx) })
+}
+
+// Wait returns when all readers have ended, after the end of their context.
+func (p *Poller) Wait() { p.wg.Wait() }
+
+// reader reads one runner.
+type reader struct {
+	*Poller
+	id       identifier.Upstream
+	sequence identifier.Sequence
+	state    admitter.UpstreamState
+	// incarnation is the engine's start of the last reading.
+	incarnation identifier.Incarnation
+	failed      int
+}
+
+func (r *reader) run(ctx context.Context) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		r.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *reader) read(ctx context.Context) {
+	engine, ok := r.registrar.Catalog().Engine(r.id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	load, err := engine.Load(ctx)
+	if err != nil {
+		r.unread(ctx, err)
+		return
+	}
+	r.failed = 0
+	r.loaded(load)
+	if load.Role == identifier.RolePrefill {
+		r.cache(ctx, engine)
+	}
+}
+
+func (r *reader) unread(ctx context.Context, err error) {
+	r.failed++
+	if r.failed != failures || ctx.Err() == context.Canceled {
+		return
+	}
+	r.log.Warn().Err(err).Str("Upstream", string(r.id)).Msg("UpstreamDown")
+	r.change(admitter.UpstreamDown)
+}
+
+func (r *reader) loaded(load driver.Load) {
+	if r.incarnation != 0 && load.Incarnation != r.incarnation {
+		// The engine has restarted: what it held is gone.
+		r.change(admitter.UpstreamDown)
+		r.sequence = 0
+	}
+	r.incarnation = load.Incarnation
+	state := admitter.UpstreamUp
+	if load.Leaving {
+		state = admitter.UpstreamLeaving
+	}
+	r.change(state)
+	r.feeder.Feed(r.id, admitter.LoadReport{
+		Upstream:   r.id,
+		At:         load.At,
+		Running:    load.Running,
+		Queued:     load.Queued,
+		FreePieces: load.FreePieces,
+	})
+}
+
+func (r *reader) change(state admitter.UpstreamState) {
+	if r.state == state {
+		return
+	}
+	r.state = state
+	r.feeder.Feed(r.id, admitter.UpstreamChanged{Upstream: admitter.Upstream{ID: r.id, State: state}})
+}
+
+func (r *reader) cache(ctx context.Context, engine driver.Engine) {
+	events, err := engine.CacheEvents(ctx, r.sequence)
+	if err != nil {
+		return
+	}
+	for _, e := range events {
+		r.sequence = max(r.sequence, e.Sequence)
+		r.feeder.Feed(r.id, admitter.CacheReport{
+			Upstream: r.id,
+			Sequence: e.Sequence,
+			Added:    e.Added,
+			Removed:  e.Removed,
+		})
+	}
+}
