--- /dev/null
+++ b/outcomer/write.go
@@ -0,0 +1,59 @@
+package outcomer
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// The headers of a refusal.
+const (
+	HeaderRan     = "Figtrack-Ran"
+	HeaderRequest = "Figtrack-Request"
+)
+
+// Refusal is the body of a reply that is no answer.
+type Refusal struct {
+	Error Detail
+}
+
+// Detail says what became of a request.
+type Detail struct {
+	Reason  string
+	Ran     Ran
+	Message string
+	// Request is the key under which the request is logged.
+	Request identifier.Request
+	// RetryAfterSeconds is 0 where there is no use in waiting.
+	RetryAfterSeconds int
+}
+
+// NewRefusal returns the body for an outcome. It is also the last event of a
+// stream that ends early.
+func NewRefusal(request identifier.Request, o Outcome) Refusal {
+	r := Describe(o)
+	return Refusal{Error: Detail{
+		Reason:            r.Reason,
+		Ran:               r.Ran,
+		Message:           r.Meaning + " " + r.Advice,
+		Request:           request,
+		RetryAfterSeconds: int(RetryAfter(o) / time.Second),
+	}}
+}
+
+// Write sends an outcome as a whole reply. It must not be used once a byte
+// of an answer has been sent.
+func Write(w http.ResponseWriter, request identifier.Request, o Outcome) error {
+	r := Describe(o)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderRan, string(r.Ran))
+	w.Header().Set(HeaderRequest, string(request))
+	if r.RetryAfter {
+		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter(o)/time.Second)))
+	}
+	w.WriteHeader(r.Status)
+	return json.NewEncoder(w).Encode(NewRefusal(request, o))
+}
