--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/figtrack/figtrack/claimer"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -27,6 +29,8 @@
 	maxKeptBody = 64 << 10
 	// maxTries bounds the upstreams that one request is tried on.
 	maxTries = 3
+	// retryAfter is the wait that a caller is told when nothing was sent.
+	retryAfter = time.Second
 )
 
 // Claimer keeps the at-most-once record.
@@ -34,11 +38,6 @@
 	Claim(ctx context.Context, id claimer.Identity) claimer.Result
 }
 
-// Refuser sends a final answer that is not the service's own.
-type Refuser interface {
-	Refuse(w http.ResponseWriter, o Outcome)
-}
-
 // Transports reach the services.
 type Transports struct {
 	// Kept keeps its connections open.
@@ -64,7 +63,7 @@
 
 // New returns a forwarder.
 func New(
-	r *registrar.Registrar, c Claimer, refuser Refuser, t Transports,
+	r *registrar.Registrar, c Claimer, t Transports,
 	maxBody int64, timeout time.Duration, log zerolog.Logger,
 ) *Forwarder {
 	return &Forwarder{
@@ -82,14 +81,15 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	pool, members, ok := f.registrar.Catalog().Service(r.URL.Path)
 	if !ok {
-		f.refuser.Refuse(w, NoRoute{Path: r.URL.Path})
+		note := fmt.Sprintf("No service has a prefix of %q.", r.URL.Path)
+		_ = outcomer.Write(w, "", outcomer.UnknownRoute{}, note)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), f.timeout)
 	defer cancel()
 	c := &call{Forwarder: f, pool: pool, r: r.WithContext(ctx), key: r.Header.Get(headerKey)}
 	if out := c.run(w, members); out != nil {
-		f.refuser.Refuse(w, out)
+		_ = outcomer.Write(w, identifier.Request(c.key), out)
 	}
 }
 
@@ -104,9 +104,9 @@
 }
 
 // run sends the call and returns nil once an answer has been begun.
-func (c *call) run(w http.ResponseWriter, members []registrar.Upstream) Outcome {
+func (c *call) run(w http.ResponseWriter, members []registrar.Upstream) outcomer.Outcome {
 	if len(c.key) > maxKeyBytes {
-		return BadKey{Length: len(c.key)}
+		return outcomer.Malformed{}
 	}
 	repeatable := c.repeatable()
 	if out := c.prepare(repeatable); out != nil {
@@ -121,10 +121,10 @@
 		result := c.send(w, u)
 		c.record(u, result)
 		if !c.again(result, repeatable) || tried == maxTries {
-			return result.outcome(c.pool.ID)
+			return result.outcome()
 		}
 	}
-	return NoUpstream{Pool: c.pool.ID}
+	return noUpstream()
 }
 
 // again says whether the call may go to another instance: always when it was
@@ -145,7 +145,7 @@
 
 // prepare reads the body where it must be hashed or may be sent again, and
 // claims a keyed call that may not be repeated.
-func (c *call) prepare(repeatable bool) Outcome {
+func (c *call) prepare(repeatable bool) outcomer.Outcome {
 	claimed := !repeatable && c.key != ""
 	if claimed || c.r.ContentLength > 0 && c.r.ContentLength <= maxKeptBody {
 		body, out := c.read()
@@ -160,7 +160,7 @@
 	return c.claim()
 }
 
-func (c *call) claim() Outcome {
+func (c *call) claim() outcomer.Outcome {
 	id := claimer.Identify(
 		identifier.Workspace(c.r.Header.Get(headerWorkspace)),
 		identifier.Request(c.key),
@@ -170,7 +170,7 @@
 	if result.Granted() {
 		return nil
 	}
-	return NotClaimed{Result: result}
+	return outcomer.FromClaim(result, retryAfter)
 }
 
 // order lists the instances from the next in turn.
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -9,7 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -28,25 +29,30 @@
 	sentBrokenAnswer sent = "BrokenAnswer"
 )
 
-func (s sent) outcome(pool identifier.Pool) Outcome {
+// outcome is nil where the answer was begun.
+func (s sent) outcome() outcomer.Outcome {
 	switch s {
 	case sentNothing:
-		return NoUpstream{Pool: pool}
+		return noUpstream()
 	case sentNoAnswer:
-		return NoAnswer{Pool: pool}
+		return outcomer.UpstreamLost{}
 	default:
 		return nil
 	}
 }
 
+func noUpstream() outcomer.Outcome {
+	return outcomer.FromAdmission(admitter.ReasonNoUpstream, retryAfter)
+}
+
 // read takes the whole body of a call into memory.
-func (c *call) read() ([]byte, Outcome) {
+func (c *call) read() ([]byte, outcomer.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, c.maxBody+1))
 	if err != nil {
-		return nil, BadBody{Err: err}
+		return nil, outcomer.Malformed{}
 	}
 	if int64(len(body)) > c.maxBody {
-		return nil, BodyTooLarge{Limit: c.maxBody}
+		return nil, outcomer.TooLarge{}
 	}
 	return body, nil
 }
--- a/listener/completion.go
+++ b/listener/completion.go
@@ -16,8 +16,6 @@
 const (
 	HeaderClass     = "Figtrack-Class"
 	HeaderWorkspace = "Figtrack-Workspace"
-	HeaderRequest   = "Figtrack-Request"
-	HeaderRan       = "Figtrack-Ran"
 	HeaderKey       = "Idempotency-Key"
 )
 
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/relayer"
 )
 
@@ -30,16 +31,15 @@
 	defer l.leave()
 	body, err := l.read(c)
 	if err != nil {
-		refuse(c, bodyRefusal(err))
+		refuseBody(c, err)
 		return nil
 	}
-	job, bad := l.job(c, body, text)
-	if bad != nil {
-		refuse(c, *bad)
+	job, ok := l.job(c, body, text)
+	if !ok {
 		return nil
 	}
 	job.Arrived = arrived
-	c.Response().Header().Set(HeaderRequest, string(job.Request))
+	c.Response().Header().Set(outcomer.HeaderRequest, string(job.Request))
 	ctx, cancel := context.WithTimeout(c.Request().Context(), l.cfg.RequestTimeout)
 	defer cancel()
 	one := answer{form: f, request: job.Request, model: body.Model, created: arrived, prompt: job.Tokens}
@@ -59,44 +59,57 @@
 	return body, err
 }
 
-func bodyRefusal(err error) refusal {
+func refuseBody(c *echo.Context, err error) {
 	var large *http.MaxBytesError
-	if !errors.As(err, &large) {
-		return invalid(err.Error())
+	if errors.As(err, &large) {
+		note := fmt.Sprintf("The body is larger than %d bytes, the limit of Callers.MaxBodyBytes.", large.Limit)
+		refuse(c, "", outcomer.TooLarge{}, note)
+		return
 	}
-	r := invalid(fmt.Sprintf("the body is larger than %d bytes, the limit of Callers.MaxBodyBytes", large.Limit))
-	r.status = http.StatusRequestEntityTooLarge
-	r.reason = "BodyTooLarge"
-	return r
+	refuse(c, "", outcomer.Malformed{}, err.Error()+".")
+}
+
+func refuse(c *echo.Context, request identifier.Request, o outcomer.Outcome, notes ...string) {
+	_ = outcomer.Write(c.Response(), request, o, notes...)
 }
 
-// job makes the job of a request, or the refusal of one that can't be run.
-func (l *Listener) job(c *echo.Context, body completionBody, text func(completionBody) (string, error)) (relayer.Job, *refusal) {
+// job makes the job of a request. It returns false after the refusal of one
+// that can't be run.
+func (l *Listener) job(c *echo.Context, body completionBody, text func(completionBody) (string, error)) (relayer.Job, bool) {
+	class, ok := l.class(c, identifier.Model(body.Model))
+	if !ok {
+		return relayer.Job{}, false
+	}
+	job, err := newJob(c.Request(), body, text)
+	if err != nil {
+		refuseBody(c, err)
+		return job, false
+	}
+	job.Class = class
+	return job, true
+}
+
+func newJob(r *http.Request, body completionBody, text func(completionBody) (string, error)) (relayer.Job, error) {
 	prompt, err := text(body)
 	if err != nil {
-		return bad(err)
+		return relayer.Job{}, err
 	}
 	output, err := body.maxOutput()
 	if err != nil {
-		return bad(err)
+		return relayer.Job{}, err
 	}
 	stops, err := body.stops()
 	if err != nil {
-		return bad(err)
+		return relayer.Job{}, err
 	}
-	key, given, err := requestKey(c.Request())
+	key, given, err := requestKey(r)
 	if err != nil {
-		return bad(err)
-	}
-	class, refused := l.class(c, identifier.Model(body.Model))
-	if refused != nil {
-		return relayer.Job{}, refused
+		return relayer.Job{}, err
 	}
 	return relayer.Job{
 		Request:   key,
 		Keyed:     given,
-		Class:     class,
-		Workspace: workspaceOf(c.Request(), body),
+		Workspace: workspaceOf(r, body),
 		Model:     identifier.Model(body.Model),
 		Prompt:    prompt,
 		Tokens:    tokensOf(prompt),
@@ -106,41 +119,35 @@
 	}, nil
 }
 
-func bad(err error) (relayer.Job, *refusal) {
-	r := invalid(err.Error())
-	return relayer.Job{}, &r
-}
-
-// class takes the class of the header, else that of the model.
-func (l *Listener) class(c *echo.Context, m identifier.Model) (identifier.Class, *refusal) {
+// class takes the class of the header, else that of the model. It returns
+// false after a refusal.
+func (l *Listener) class(c *echo.Context, m identifier.Model) (identifier.Class, bool) {
 	models := l.classes.Models()
 	if !slices.Contains(models, m) {
-		r := invalid(fmt.Sprintf("model %q is not served; models: %v", m, models))
-		r.status = http.StatusNotFound
-		r.reason = "UnknownModel"
-		return "", &r
+		refuse(c, "", outcomer.UnknownModel{}, fmt.Sprintf("Model %q is not served; models: %v.", m, models))
+		return "", false
 	}
 	name := identifier.Class(c.Request().Header.Get(HeaderClass))
 	if name == "" {
 		name, _ = l.classes.ClassFor(m)
 	}
 	if _, ok := l.classes.Class(name); !ok {
-		r := invalid(fmt.Sprintf("class %q is unknown; set the header %s to one of %v", name, HeaderClass, l.classes.ClassNames()))
-		r.reason = "UnknownClass"
-		return "", &r
+		note := fmt.Sprintf("Class %q is unknown; set the header %s to one of %v.", name, HeaderClass, l.classes.ClassNames())
+		refuse(c, "", outcomer.UnknownModel{}, note)
+		return "", false
 	}
-	return name, nil
+	return name, true
 }
 
 func (l *Listener) collect(ctx context.Context, c *echo.Context, job relayer.Job, a answer) {
 	sink := &collector{answer: a}
-	result := l.runner.Run(ctx, job, sink)
-	if r := refusalOf(job.Request, result); r != nil {
-		refuse(c, *r)
-		return
-	}
-	if _, ok := result.(relayer.Answered); ok {
+	switch out := l.runner.Run(ctx, job, sink).(type) {
+	case outcomer.Answered:
 		_ = c.JSON(http.StatusOK, sink.body())
+	case outcomer.CallerGone:
+		l.timedOut(ctx, c, job)
+	default:
+		refuse(c, job.Request, out)
 	}
 }
 
@@ -152,42 +159,29 @@
 		writeTimeout: l.cfg.WriteTimeout,
 		includeUsage: includeUsage,
 	}
-	result := l.runner.Run(ctx, job, sink)
-	r := refusalOf(job.Request, result)
-	switch {
-	case r != nil && sink.started:
-		_ = sink.event(r.body())
-	case r != nil:
-		refuse(c, *r)
-	default:
-		if _, ok := result.(relayer.Answered); ok {
-			sink.finish()
+	out := l.runner.Run(ctx, job, sink)
+	switch out.(type) {
+	case outcomer.Answered:
+		sink.finish()
+		return
+	case outcomer.CallerGone:
+		if !sink.started {
+			l.timedOut(ctx, c, job)
+			return
 		}
+		out = outcomer.BrokenOff{}
 	}
+	if sink.started {
+		_ = sink.event(outcomer.NewRefusal(job.Request, out))
+		return
+	}
+	refuse(c, job.Request, out)
 }
 
-// refusalOf returns the refusal of a result, or nil for one that has none.
-func refusalOf(request identifier.Request, result relayer.Result) *refusal {
-	switch result := result.(type) {
-	case relayer.Refused:
-		return &refusal{
-			status:     http.StatusServiceUnavailable,
-			request:    request,
-			ran:        RanNo,
-			reason:     result.Reason,
-			message:    "the request was not run: " + result.Reason,
-			retryAfter: result.RetryAfter,
-		}
-	case relayer.Broken:
-		return &refusal{
-			status:  http.StatusBadGateway,
-			request: request,
-			ran:     RanUnknown,
-			reason:  result.Reason,
-			message: "the answer could not be finished: " + result.Reason,
-		}
-	default:
-		return nil
+// timedOut tells a caller who still waits that the request's time is over.
+func (l *Listener) timedOut(ctx context.Context, c *echo.Context, job relayer.Job) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refuse(c, job.Request, outcomer.UpstreamTimeout{})
 	}
 }
 
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -14,6 +14,7 @@
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/relayer"
 )
@@ -21,9 +22,12 @@
 // idleTimeout closes a caller's connection that carries no request.
 const idleTimeout = 2 * time.Minute
 
+// busyRetryAfter is the wait that a caller is told when the VM is full.
+const busyRetryAfter = time.Second
+
 // Runner runs a completion request to its end.
 type Runner interface {
-	Run(ctx context.Context, job relayer.Job, sink relayer.Sink) relayer.Result
+	Run(ctx context.Context, job relayer.Job, sink relayer.Sink) outcomer.Outcome
 }
 
 // Classes are the classes and models of the accepted configuration.
@@ -135,7 +139,7 @@
 	case l.slots <- struct{}{}:
 		return true
 	default:
-		refuse(c, busy("this VM has as many requests as its settings allow"))
+		refuse(c, "", outcomer.NewBusy(busyRetryAfter), "The limit is Callers.MaxRequests.")
 		return false
 	}
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,9 +10,11 @@
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
 )
 
-// attempt is one attempt of a request.
+// attempt is one attempt of a request. Its methods return nil where another
+// attempt may be made.
 type attempt struct {
 	*run
 	key    admitter.Key
@@ -24,11 +25,11 @@
 	output identifier.Tokens
 }
 
-func (r *run) attempt(ctx context.Context, n identifier.Attempt) Result {
+func (r *run) attempt(ctx context.Context, n identifier.Attempt) outcomer.Outcome {
 	key := admitter.Key{Request: r.job.Request, Attempt: n}
 	ticket := r.dispatcher.Open(r.ask(key))
 	if ticket == nil {
-		return Refused{Reason: "Busy", RetryAfter: time.Second}
+		return outcomer.NewBusy(retryAfter)
 	}
 	defer ticket.Close()
 	a := &attempt{run: r, key: key, hold: r.hold(n), ticket: ticket}
@@ -52,7 +53,7 @@
 }
 
 // decision waits for the owner's first answer.
-func (a *attempt) decision(ctx context.Context) Result {
+func (a *attempt) decision(ctx context.Context) outcomer.Outcome {
 	select {
 	case <-ctx.Done():
 		return a.withdraw()
@@ -62,35 +63,26 @@
 			a.place = out
 			return a.prefill(ctx)
 		case admitter.Refuse:
-			return a.refused(out)
+			return outcomer.FromAdmission(out.Reason, out.RetryAfter)
 		default:
-			return Failed{}
+			return nil
 		}
 	}
 }
 
-// refused ends a request on the owner's word. If an earlier attempt sent a
-// part of the answer, the answer stays unfinished.
-func (a *attempt) refused(out admitter.Refuse) Result {
-	if a.written > 0 {
-		return Broken{Reason: string(out.Reason)}
-	}
-	return Refused{Reason: string(out.Reason), RetryAfter: out.RetryAfter}
-}
-
-func (a *attempt) withdraw() Result {
+func (a *attempt) withdraw() outcomer.Outcome {
 	a.ticket.Report(admitter.Withdraw{Key: a.key})
-	return Cancelled{}
+	return outcomer.CallerGone{}
 }
 
 // end reports a failed attempt.
-func (a *attempt) end() Result {
+func (a *attempt) end() outcomer.Outcome {
 	a.ticket.Report(admitter.Ended{Key: a.key, Output: a.output, Failed: true})
-	return Failed{}
+	return nil
 }
 
 // stop ends an attempt after an error of an upstream or of the caller.
-func (a *attempt) stop(ctx context.Context, u identifier.Upstream, err error) Result {
+func (a *attempt) stop(ctx context.Context, u identifier.Upstream, err error) outcomer.Outcome {
 	a.releaser.Release(u, a.hold)
 	if ctx.Err() != nil {
 		return a.withdraw()
@@ -107,13 +99,12 @@
 	return driver.KindUnknown
 }
 
-func (a *attempt) prefill(ctx context.Context) Result {
+func (a *attempt) prefill(ctx context.Context) outcomer.Outcome {
 	engine, ok := a.registrar.Catalog().Engine(a.place.Prefill)
 	if !ok {
 		a.excluded = append(a.excluded, a.place.Prefill)
 		return a.end()
 	}
-	a.touched = true
 	result, err := engine.Prefill(ctx, driver.PrefillOrder{
 		Hold:      a.hold,
 		Model:     a.job.Model,
@@ -127,13 +118,14 @@
 		return a.stop(ctx, a.place.Prefill, err)
 	}
 	a.health.Succeeded(a.place.Prefill)
+	a.ran = outcomer.RanYes
 	a.ticket.Report(admitter.PrefillEnded{Key: a.key, Cached: result.Cached, Took: result.Took})
 	return a.transfer(ctx)
 }
 
 // transfer brings the KV cache to a decode engine, to another one where the
 // owner names it.
-func (a *attempt) transfer(ctx context.Context) Result {
+func (a *attempt) transfer(ctx context.Context) outcomer.Outcome {
 	for {
 		result, err := a.importOnce(ctx)
 		if err == nil {
@@ -153,7 +145,7 @@
 }
 
 // lost ends an attempt whose prefill result was evicted: no upstream failed.
-func (a *attempt) lost(ctx context.Context, _ error) Result {
+func (a *attempt) lost(ctx context.Context, _ error) outcomer.Outcome {
 	a.releaser.Release(a.place.Prefill, a.hold)
 	if ctx.Err() != nil {
 		return a.withdraw()
@@ -207,14 +199,14 @@
 }
 
 // afterMove ends an attempt that found no decode engine.
-func (a *attempt) afterMove(ctx context.Context) Result {
+func (a *attempt) afterMove(ctx context.Context) outcomer.Outcome {
 	if ctx.Err() != nil {
 		return a.withdraw()
 	}
 	return a.end()
 }
 
-func (a *attempt) decode(ctx context.Context) Result {
+func (a *attempt) decode(ctx context.Context) outcomer.Outcome {
 	engine, ok := a.registrar.Catalog().Engine(a.place.Decode)
 	if !ok {
 		return a.end()
@@ -233,13 +225,13 @@
 }
 
 // copy sends the stream's tokens to the caller.
-func (a *attempt) copy(ctx context.Context, stream driver.Stream) Result {
+func (a *attempt) copy(ctx context.Context, stream driver.Stream) outcomer.Outcome {
 	for {
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			a.health.Succeeded(a.place.Decode)
 			a.ticket.Report(admitter.Ended{Key: a.key, Output: a.output})
-			return Answered{}
+			return outcomer.Answered{}
 		}
 		if err != nil {
 			return a.stop(ctx, a.place.Decode, err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -20,6 +21,9 @@
 // may end it sooner.
 const maxAttempts = 3
 
+// retryAfter is the wait that a caller is told after failures of upstreams.
+const retryAfter = time.Second
+
 // Job is one completion request.
 type Job struct {
 	Request identifier.Request
@@ -92,18 +96,17 @@
 
 // Run runs a request to its end and returns what became of it. The tokens go
 // to sink; each is written once, whatever the number of attempts.
-func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) Result {
-	run := &run{Relayer: r, job: job, sink: sink}
+func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) outcomer.Outcome {
+	run := &run{Relayer: r, job: job, sink: sink, ran: outcomer.RanNo}
 	for n := identifier.Attempt(1); n <= maxAttempts; n++ {
-		result := run.attempt(ctx, n)
-		if _, again := result.(Failed); !again {
-			return result
+		if out := run.attempt(ctx, n); out != nil {
+			return run.final(out)
 		}
 		if ctx.Err() != nil {
-			return Cancelled{}
+			return outcomer.CallerGone{}
 		}
 	}
-	return run.exhausted()
+	return run.final(outcomer.FromUpstream(run.last, false, retryAfter))
 }
 
 // run is one request in progress. It belongs to one goroutine.
@@ -117,25 +120,35 @@
 	written identifier.Tokens
 	// text is what the caller has been sent.
 	text []byte
-	// touched says that an upstream may have run a part of this request.
-	touched bool
+	// ran is what is known of the attempts so far.
+	ran outcomer.Ran
+	// last is the kind of the last failure.
+	last driver.Kind
 }
 
-func (r *run) exhausted() Result {
-	if r.touched {
-		return Broken{Reason: "UpstreamsFailed"}
+// final is what the caller is told: an answer that was begun is broken off
+// whatever ended it, and no refusal denies the run of an earlier attempt.
+func (r *run) final(out outcomer.Outcome) outcomer.Outcome {
+	switch out.(type) {
+	case outcomer.Answered, outcomer.CallerGone:
+		return out
+	}
+	if r.written > 0 {
+		return outcomer.BrokenOff{}
 	}
-	return Refused{Reason: "UpstreamsFailed", RetryAfter: time.Second}
+	return outcomer.After(r.ran, out)
 }
 
 func (r *run) hold(n identifier.Attempt) identifier.Hold {
 	return identifier.Hold{VM: r.vm, Incarnation: r.incarnation, Request: r.job.Request, Attempt: n}
 }
 
+// fail keeps what a failed call says of the upstream and of the request.
 func (r *run) fail(u identifier.Upstream, kind driver.Kind) {
 	r.excluded = append(r.excluded, u)
 	r.health.Failed(u, kind)
-	if kind == driver.KindUnknown {
-		r.touched = true
+	r.last = kind
+	if kind == driver.KindUnknown && r.ran == outcomer.RanNo {
+		r.ran = outcomer.RanUnknown
 	}
 }
