--- /dev/null
+++ b/placer/score.go
@@ -0,0 +1,104 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/figtrack/figtrack/granter"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Request is what is placed.
+type Request struct {
+	Prompt   identifier.Tokens
+	Prefix   []identifier.Block
+	Excluded []identifier.Upstream
+	// PerToken is the target for the token pace; zero means none.
+	PerToken time.Duration
+}
+
+// Prefill is one candidate for the prefill.
+type Prefill struct {
+	granter.Engine
+	// Wait is the time until the prefill could start there, with all that is
+	// already meant for the engine.
+	Wait time.Duration
+	// Ready says that an order now finds the engine idle when it arrives.
+	Ready bool
+}
+
+// Choice is a scored prefill engine.
+type Choice struct {
+	// Index is the position among the candidates, or -1 if there is none.
+	Index int
+	// Cost is the predicted time of the prefill itself.
+	Cost time.Duration
+	// Expected is the believed length of the cached prefix.
+	Expected identifier.Tokens
+	// Total is wait and cost.
+	Total time.Duration
+}
+
+// Prefill returns the candidate with the shortest time to the end of the
+// prefill. Cached tokens count by the time that they save, so a long queue
+// outweighs a cache.
+func (c *Core) Prefill(now time.Time, r Request, from []Prefill) Choice {
+	best := Choice{Index: -1, Total: math.MaxInt64}
+	for i, p := range from {
+		if slices.Contains(r.Excluded, p.ID) {
+			continue
+		}
+		hit := min(c.Hit(now, p.ID, r.Prefix), r.Prompt)
+		cost := c.Cost(r.Prompt - hit)
+		if total := p.Wait + cost; total < best.Total {
+			best = Choice{Index: i, Cost: cost, Expected: hit, Total: total}
+		}
+	}
+	return best
+}
+
+// Decode is one candidate for the decode.
+type Decode struct {
+	granter.Engine
+	// Pace is the predicted time of a token with one more stream.
+	Pace time.Duration
+	// Transfer is the predicted time of the transfer without its queue.
+	Transfer time.Duration
+	// Freed is the memory expected to be free when the prefill has ended,
+	// for candidates without free memory now.
+	Freed float64
+}
+
+// Decode returns the index of the candidate with the shortest time from the
+// end of the prefill to the first token, or -1 if none keeps the token pace.
+// PaceWeight is the number of tokens over which a slower pace counts.
+func (c *Core) Decode(r Request, prefillEnds time.Time, from []Decode) (int, time.Duration) {
+	best, least := -1, time.Duration(math.MaxInt64)
+	for i, d := range from {
+		if slices.Contains(r.Excluded, d.ID) || d.Paused {
+			continue
+		}
+		if limit := strictest(r.PerToken, d.Strictest); d.Pace > limit {
+			continue
+		}
+		total := max(0, d.LinkFree.Sub(prefillEnds)) + d.Transfer + paceWeight*d.Pace
+		if total < least {
+			best, least = i, total
+		}
+	}
+	if best < 0 {
+		return -1, 0
+	}
+	return best, least - (paceWeight-1)*from[best].Pace
+}
+
+// paceWeight is the number of tokens by whose pace an engine is judged.
+const paceWeight = 8
+
+func strictest(a, b time.Duration) time.Duration {
+	if a <= 0 {
+		return b
+	}
+	return min(a, b)
+}
