Let streams of the stand-in engine outgrow their reservation

A reservation below the final length was free of consequence, so a core could cheat by reserving too little. A stream now takes a further piece when it outgrows its own and is dropped when none is free. go test ./faker passes.

--- a/faker/engine.go
+++ b/faker/engine.go
@@ -123,6 +123,10 @@
 // DecodeRefused says that no KV cache of the attempt is on the engine.
 type DecodeRefused struct{ Hold identifier.Hold }
 
+// StreamDropped says that a stream outgrew its reserved memory while none
+// was free; nothing is held.
+type StreamDropped struct{ Hold identifier.Hold }
+
 // TokenMade is one token of a stream, numbered from 0.
 type TokenMade struct {
 	Hold  identifier.Hold
@@ -147,6 +151,7 @@
 func (ResultEvicted) engineOutcome()  {}
 func (ImportDone) engineOutcome()     {}
 func (ImportRefused) engineOutcome()  {}
+func (StreamDropped) engineOutcome()  {}
 func (TokenMade) engineOutcome()      {}
 func (CacheChanged) engineOutcome()   {}
 func (AdvanceAt) engineOutcome()      {}
--- a/faker/engine_core_test.go
+++ b/faker/engine_core_test.go
@@ -56,6 +56,8 @@
 		b.see("Imported", outcome.Hold)
 	case faker.ImportRefused:
 		b.see("Refused", outcome.Hold)
+	case faker.StreamDropped:
+		b.see("Dropped", outcome.Hold)
 	case faker.DecodeRefused:
 		b.see("NoCache", outcome.Hold)
 	}
@@ -176,6 +178,22 @@
 	}))
 }
 
+func TestStreamsOutgrowTheirReservationWhileMemoryIsFree(t *testing.T) {
+	g := NewWithT(t)
+	cfg := faker.DefaultEngine(identifier.RoleDecode)
+	cfg.Pieces = 3
+	b := newBench(cfg)
+	b.tell(faker.StartImport{Hold: hold("a"), Tokens: 1998, Pieces: 1})
+	b.tell(faker.StartImport{Hold: hold("b"), Tokens: 1998, Pieces: 1})
+	b.runUntil(100 * time.Millisecond)
+	b.tell(faker.StartDecode{Hold: hold("a"), Output: 10})
+	b.tell(faker.StartDecode{Hold: hold("b"), Output: 4})
+	b.runUntil(time.Second)
+	g.Expect(b.last).To(HaveKey("Last a"))
+	g.Expect(b.last).To(HaveKey("Dropped b"))
+	g.Expect(b.Holds()).To(BeEmpty())
+}
+
 func TestLoadLags(t *testing.T) {
 	g := NewWithT(t)
 	cfg := faker.DefaultEngine(identifier.RoleDecode)
--- a/faker/engine_decode.go
+++ b/faker/engine_decode.go
@@ -71,6 +71,7 @@
 	if _, ok := d.jobs[event.Hold]; ok {
 		return
 	}
+	event.Pieces = max(event.Pieces, identifier.PiecesFor(event.Tokens))
 	if d.used+event.Pieces > d.cfg.Pieces || len(d.jobs) >= d.cfg.Streams {
 		d.emit(ImportRefused{Hold: event.Hold})
 		return
@@ -145,7 +146,7 @@
 func (d *decodeDuty) endStep(at time.Time) {
 	running := d.batch[:0]
 	for _, job := range d.batch {
-		if job.gone {
+		if job.gone || !d.grow(job) {
 			continue
 		}
 		last := job.made+1 == job.output
@@ -164,6 +165,22 @@
 	d.startStep(at)
 }
 
+// grow takes a further piece for a stream that outgrows its reservation. A
+// stream that finds none is dropped.
+func (d *decodeDuty) grow(job *decodeJob) bool {
+	if identifier.PiecesFor(job.Tokens+job.made+1) <= job.Pieces {
+		return true
+	}
+	if d.used == d.cfg.Pieces {
+		d.forget(job)
+		d.emit(StreamDropped{Hold: job.Hold})
+		return false
+	}
+	d.used++
+	job.Pieces++
+	return true
+}
+
 func (d *decodeDuty) release(now time.Time, hold identifier.Hold) {
 	job, ok := d.jobs[hold]
 	if !ok {
