--- a/granter/grant.go
+++ b/granter/grant.go
@@ -48,6 +48,8 @@
 	decode *engine
 	// prefill is nil once the prefill has ended.
 	prefill *engine
+	// queued says that the transfer was booked behind another.
+	queued bool
 	// transferEnds is the predicted end of the transfer.
 	transferEnds time.Time
 	// decoding is when the stream began; zero before.
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -147,7 +147,8 @@
 
 // book lines a transfer up on the link of a decode engine.
 func (c *Core) book(g *Grant, d *engine, from time.Time, took time.Duration) {
-	if d.linkFree.After(from) {
+	g.queued = d.linkFree.After(from)
+	if g.queued {
 		from = d.linkFree
 	}
 	g.transferEnds = from.Add(took)
@@ -182,7 +183,7 @@
 	if g == nil || g.Stage >= StageDecode || g.decode == nil {
 		return
 	}
-	if ev.Took > 0 {
+	if ev.Took > 0 && !g.queued {
 		x := float64(g.Prompt)
 		c.errs.Transfer.Observe(c.transfer.At(x), ev.Took.Seconds())
 		c.transfer.Observe(x, ev.Took.Seconds())
--- a/placer/score.go
+++ b/placer/score.go
@@ -65,18 +65,16 @@
 	Pace time.Duration
 	// Transfer is the predicted time of the transfer without its queue.
 	Transfer time.Duration
-	// Freed is the memory expected to be free when the prefill has ended,
-	// for candidates without free memory now.
-	Freed float64
 }
 
 // Decode returns the index of the candidate with the shortest time from the
-// end of the prefill to the first token, or -1 if none keeps the token pace.
-// PaceWeight is the number of tokens over which a slower pace counts.
-func (c *Core) Decode(r Request, prefillEnds time.Time, from []Decode) (int, time.Duration) {
+// end of the prefill to the first token, and that time. It returns -1 if no
+// candidate that has room keeps the token pace.
+func (c *Core) Decode(r Request, prefillEnds time.Time, from []Decode, room func(*Decode) bool) (int, time.Duration) {
 	best, least := -1, time.Duration(math.MaxInt64)
-	for i, d := range from {
-		if slices.Contains(r.Excluded, d.ID) || d.Paused {
+	for i := range from {
+		d := &from[i]
+		if d.Paused || !room(d) || slices.Contains(r.Excluded, d.ID) {
 			continue
 		}
 		if limit := strictest(r.PerToken, d.Strictest); d.Pace > limit {
