Record traces of both sites and replay them in virtual time

Decisions have to be judged by replay of traces against stated outcomes, and nothing could make or run one. tracer records seeded traces of six scenarios at both sites with a stated capacity formula and reads them with line numbers in errors. replayer drives a policy against the stand-in engines with one queue of events and a fixed delay a message, and compares with round robin, least reported load, power of two choices and a ledger without reservation, each also in a variant that refuses by the load reports.

--- /dev/null
+++ b/replayer/run_test.go
@@ -0,0 +1,46 @@
+package replayer_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/replayer"
+	"github.com/figtrack/figtrack/tracer"
+)
+
+func record(t *testing.T, plan tracer.Plan) *tracer.Trace {
+	t.Helper()
+	trace, err := tracer.Record(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+// TestBaselinesAccountForEveryRequest replays faults and cancels under every
+// baseline and checks that the measures add up and nothing stays held.
+func TestBaselinesAccountForEveryRequest(t *testing.T) {
+	for _, scenario := range tracer.Scenarios {
+		trace := record(t, tracer.Plan{Site: "himal", Scenario: scenario, Load: 1.5, Seed: 3})
+		for _, maker := range replayer.Baselines() {
+			t.Run(scenario+"/"+maker.Name, func(t *testing.T) {
+				g := NewWithT(t)
+				result := replayer.Run(trace, maker, 1)
+				whole := result.Whole
+				g.Expect(whole.Requests).To(Equal(len(trace.Arrivals)))
+				g.Expect(whole.Answered + whole.Refused + whole.Withdrawn + whole.Lost).To(Equal(whole.Requests))
+				g.Expect(whole.Good).To(BeNumerically("<=", whole.Answered))
+				g.Expect(result.HeldAfter).To(BeZero())
+			})
+		}
+	}
+}
+
+func TestReplayRepeats(t *testing.T) {
+	g := NewWithT(t)
+	trace := record(t, tracer.Plan{Site: "tafelbaai", Scenario: "death", Load: 1, Seed: 2})
+	for _, maker := range replayer.Baselines() {
+		g.Expect(replayer.Run(trace, maker, 5)).To(Equal(replayer.Run(trace, maker, 5)))
+	}
+}
--- /dev/null
+++ b/tracer/checker.go
@@ -0,0 +1,91 @@
+package tracer
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+func checkHeader(h Header) error {
+	switch {
+	case h.Time.IsZero():
+		return errors.New("Time is missing")
+	case len(h.VMs) == 0:
+		return errors.New("VMs is empty: name at least one entry VM")
+	case len(h.Classes) == 0:
+		return errors.New("Classes is empty: name at least one class with its targets")
+	case h.LoadEvery <= 0:
+		return errors.New("LoadEvery must be above 0")
+	case h.DelayInside < 0 || h.DelayBetween < 0:
+		return errors.New("DelayInside and DelayBetween must not be below 0")
+	}
+	if err := checkUpstreams(h.Upstreams); err != nil {
+		return err
+	}
+	for _, class := range h.Classes {
+		if class.Name == "" || class.FirstToken <= 0 || class.PerToken <= 0 {
+			return errors.Errorf("class %q needs a Name and targets FirstToken and PerToken above 0", class.Name)
+		}
+	}
+	return nil
+}
+
+func checkUpstreams(upstreams []Upstream) error {
+	roles := map[identifier.Role]int{}
+	seen := map[identifier.Upstream]bool{}
+	for _, u := range upstreams {
+		if seen[u.ID] {
+			return errors.Errorf("upstream %q is named twice", u.ID)
+		}
+		seen[u.ID] = true
+		roles[u.Role]++
+		if u.Role != identifier.RolePrefill && u.Role != identifier.RoleDecode {
+			return errors.Errorf("upstream %q has Role %q, allowed are Prefill and Decode", u.ID, u.Role)
+		}
+		if u.Role == identifier.RoleDecode && (u.Streams < 1 || u.Pieces < 1 || u.LinkTokensPerSecond <= 0) {
+			return errors.Errorf("upstream %q needs Streams, Pieces and LinkTokensPerSecond above 0", u.ID)
+		}
+	}
+	if roles[identifier.RolePrefill] == 0 || roles[identifier.RoleDecode] == 0 {
+		return errors.New("Upstreams needs at least one Prefill and one Decode engine")
+	}
+	return nil
+}
+
+func checkArrival(h Header, a Arrival) error {
+	switch {
+	case h.Kind == "":
+		return errors.New("no Header line before it")
+	case a.Request == "":
+		return errors.New("Request is missing")
+	case a.Prompt < 1 || a.Output < 1:
+		return errors.Errorf("Prompt %d and Output %d must be at least 1", a.Prompt, a.Output)
+	case a.MaxOutput < a.Output:
+		return errors.Errorf("MaxOutput %d is below Output %d", a.MaxOutput, a.Output)
+	case !slices.ContainsFunc(h.VMs, func(vm VM) bool { return vm.ID == a.VM }):
+		return errors.Errorf("VM %q is not in the Header", a.VM)
+	case !slices.ContainsFunc(h.Classes, func(c admitter.Class) bool { return c.Name == a.Class }):
+		return errors.Errorf("Class %q is not in the Header", a.Class)
+	}
+	return nil
+}
+
+func checkFault(h Header, f Fault) error {
+	if !slices.ContainsFunc(h.Upstreams, func(u Upstream) bool { return u.ID == f.Upstream }) {
+		return errors.Errorf("Upstream %q is not in the Header", f.Upstream)
+	}
+	switch f.Fault {
+	case FaultUpstreamDies, FaultUpstreamRestarts:
+		return nil
+	case FaultTransfersStall:
+		if !f.Until.After(f.Time) {
+			return errors.New("Until must be after Time")
+		}
+		return nil
+	default:
+		return errors.Errorf("Fault %q is not known, allowed are UpstreamDies, UpstreamRestarts, TransfersStall", f.Fault)
+	}
+}
--- /dev/null
+++ b/tracer/prefix.go
@@ -0,0 +1,40 @@
+package tracer
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Blocks returns the hashes of the prompt's whole blocks, first to last.
+func (a Arrival) Blocks() []identifier.Block {
+	if a.Prefix != nil {
+		return a.Prefix
+	}
+	own := xxhash.Sum64String(string(a.Request))
+	blocks := make([]identifier.Block, a.Prompt/identifier.BlockTokens)
+	for i := range blocks {
+		source := own
+		if identifier.Tokens(i+1)*identifier.BlockTokens <= a.Shared {
+			source = a.Chain
+		}
+		blocks[i] = block(source, uint64(i))
+	}
+	return blocks
+}
+
+// SharedBlocks returns the tokens of the shared prefix that whole blocks
+// hold.
+func (a Arrival) SharedBlocks() identifier.Tokens {
+	whole := min(a.Shared, a.Prompt) / identifier.BlockTokens
+	return whole * identifier.BlockTokens
+}
+
+func block(source, index uint64) identifier.Block {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], source)
+	binary.LittleEndian.PutUint64(b[8:], index)
+	return identifier.Block(xxhash.Sum64(b[:]))
+}
--- /dev/null
+++ b/tracer/tracer_test.go
@@ -0,0 +1,116 @@
+package tracer_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/tracer"
+)
+
+func record(t *testing.T, plan tracer.Plan) *tracer.Trace {
+	t.Helper()
+	trace, err := tracer.Record(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+func TestRecordedTracesReadBackAndRepeat(t *testing.T) {
+	for _, site := range tracer.Sites {
+		for _, scenario := range tracer.Scenarios {
+			t.Run(site+"/"+scenario, func(t *testing.T) {
+				g := NewWithT(t)
+				plan := tracer.Plan{Site: site, Scenario: scenario, Load: 1, Seed: 7}
+				trace := record(t, plan)
+				var file, again bytes.Buffer
+				g.Expect(tracer.Write(&file, trace)).To(Succeed())
+				g.Expect(tracer.Write(&again, record(t, plan))).To(Succeed())
+				g.Expect(again.Bytes()).To(Equal(file.Bytes()))
+				read, err := tracer.Read(&file)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(read).To(Equal(trace))
+			})
+		}
+	}
+}
+
+func TestPeakHasTheAskedRate(t *testing.T) {
+	g := NewWithT(t)
+	trace := record(t, tracer.Plan{Site: "himal", Scenario: "surge", Load: 3, Seed: 1})
+	header := trace.Header
+	peak := 0
+	for _, a := range trace.Arrivals {
+		if !a.Time.Before(header.PeakFrom) && a.Time.Before(header.PeakTo) {
+			peak++
+		}
+	}
+	want := 3 * header.Capacity.PerSecond * header.PeakTo.Sub(header.PeakFrom).Seconds()
+	g.Expect(float64(peak)).To(BeNumerically("~", want, 0.06*want))
+}
+
+func TestSharedPrefixGivesSharedBlocks(t *testing.T) {
+	g := NewWithT(t)
+	a := tracer.Arrival{Request: "a", Prompt: 1100, Chain: 9, Shared: 600}
+	b := tracer.Arrival{Request: "b", Prompt: 2000, Chain: 9, Shared: 600}
+	g.Expect(a.Blocks()).To(HaveLen(4))
+	g.Expect(a.Blocks()[:2]).To(Equal(b.Blocks()[:2]))
+	g.Expect(a.Blocks()[2]).NotTo(Equal(b.Blocks()[2]))
+	g.Expect(a.SharedBlocks()).To(Equal(identifier.Tokens(512)))
+}
+
+func TestReadNamesTheLineAndTheFault(t *testing.T) {
+	trace := record(t, tracer.Plan{Site: "himal", Scenario: "cancel", Load: 0.1, Seed: 1})
+	var file bytes.Buffer
+	NewWithT(t).Expect(tracer.Write(&file, trace)).To(Succeed())
+	lines := strings.SplitAfter(file.String(), "\n")
+	header, arrival := lines[0], lines[1]
+	for want, text := range map[string]string{
+		"no Header line":                   `{"Kind":"Placed","Time":"2026-12-01T08:00:00Z"}`,
+		"line 1: not a JSON object":        "hull notes",
+		"line 1: Header: ":                 `{"Kind":"Header","Time":"2026-12-01T08:00:00Z"}`,
+		"line 2: second Header line":       header + header,
+		"line 3: Arrival: Request":         header + arrival + arrival,
+		"line 1: Arrival of":               arrival,
+		"line 2: Cancel: Request \"x\"":    header + `{"Kind":"Cancel","Request":"x"}`,
+		"line 2: Fault: Upstream \"x\"":    header + `{"Kind":"Fault","Upstream":"x"}`,
+		"line 2: Fault: Fault \"Burns\"":   header + `{"Kind":"Fault","Upstream":"spec-desk-1","Fault":"Burns"}`,
+		"line 4: Time":                     header + arrival + lines[2] + strings.Replace(`{"Kind":"Fault","Upstream":"spec-desk-1","Fault":"UpstreamDies","Time":"T"}`, "T\"}", "2026-12-01T08:00:00Z\"}", 1),
+		"is not in the Header":             header + strings.Replace(arrival, `"VM":"`, `"VM":"no`, 1),
+		"must be at least 1":               header + strings.Replace(arrival, `"Prompt":`, `"Prompt":-`, 1),
+		"line 2: Arrival: json: cannot un": header + strings.Replace(arrival, `"Prompt":`, `"Prompt":"a","X":`, 1),
+	} {
+		t.Run(want, func(t *testing.T) {
+			_, err := tracer.Read(strings.NewReader(text))
+			NewWithT(t).Expect(err).To(MatchError(ContainSubstring(want)))
+		})
+	}
+}
+
+func TestReadSkipsOtherLinesOfADecisionLog(t *testing.T) {
+	g := NewWithT(t)
+	trace := record(t, tracer.Plan{Site: "himal", Scenario: "surge", Load: 0.1, Seed: 1})
+	var file bytes.Buffer
+	g.Expect(tracer.Write(&file, trace)).To(Succeed())
+	log := `{"Level":"info","Kind":"Started"}` + "\n" + file.String() + `{"Level":"info","Kind":"Placed"}`
+	read, err := tracer.Read(strings.NewReader(log))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read.Skipped).To(Equal(2))
+	g.Expect(read.Arrivals).To(Equal(trace.Arrivals))
+}
+
+func TestRecordRefusesUnknownPlans(t *testing.T) {
+	for want, plan := range map[string]tracer.Plan{
+		"unknown site":     {Site: "x", Scenario: "surge", Load: 1},
+		"unknown scenario": {Site: "himal", Scenario: "x", Load: 1},
+		"load 0":           {Site: "himal", Scenario: "surge"},
+	} {
+		_, err := tracer.Record(plan)
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(want)), fmt.Sprint(plan))
+	}
+}
