Join the duties of an entry VM

Adds the messages of placement, server (wiring, readiness, shutdown), recorder (metrics and one log line for each request) and the dispatcher's side of both. Arrival times travel as ages, since clocks of VMs differ. go test ./admitter: messages keep every field; go vet passes on the tree.

--- a/dispatcher/asker.go
+++ b/dispatcher/asker.go
@@ -63,18 +63,18 @@
 		}
 		return
 	}
-	p := admitter.EventToWire(e)
-	p.Shard = string(t.shard)
+	p := admitter.EventToWire(now, t.shard, e)
 	d.sender.Send(t.owner, &wire.Envelope{Body: &wire.Envelope_Placement{Placement: p}})
 }
 
 // receive takes an event for a shard of this VM or a decision for a ticket.
-func (d *Dispatcher) receive(now time.Time, _ identifier.VM, p *wire.Placement) {
-	if out, ok := admitter.OutcomeFromWire(p); ok {
-		d.decide(now, admitter.KeyOf(out), out)
+func (d *Dispatcher) receive(now time.Time, from identifier.VM, p *wire.Placement) {
+	if out, ok := admitter.OutcomeFromWire(d.self, p); ok {
+		key, _ := admitter.KeyOf(out)
+		d.decide(now, key, out)
 		return
 	}
-	e, ok := admitter.EventFromWire(p)
+	e, ok := admitter.EventFromWire(now, from, p)
 	if !ok {
 		return
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -50,7 +50,6 @@
 type Forwarder struct {
 	registrar  *registrar.Registrar
 	claimer    Claimer
-	refuser    Refuser
 	transports Transports
 	// maxBody is the largest body of a keyed call, in bytes: it is hashed
 	// before the claim.
@@ -69,7 +68,6 @@
 	return &Forwarder{
 		registrar:  r,
 		claimer:    c,
-		refuser:    refuser,
 		transports: t,
 		maxBody:    maxBody,
 		timeout:    timeout,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -119,6 +120,8 @@
 	}
 	a.health.Succeeded(a.place.Prefill)
 	a.ran = outcomer.RanYes
+	a.prefilled += result.Took
+	a.lastPrefill = result.Took
 	a.ticket.Report(admitter.PrefillEnded{Key: a.key, Cached: result.Cached, Took: result.Took})
 	return a.transfer(ctx)
 }
@@ -254,6 +257,10 @@
 	if a.output == 0 {
 		a.ticket.Report(admitter.FirstToken{Key: a.key})
 	}
+	a.lastAt = time.Now()
+	if a.written == 0 {
+		a.firstAt = a.lastAt
+	}
 	a.output++
 	a.written++
 	a.text = append(a.text, token.Text...)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -68,6 +68,7 @@
 	registrar   *registrar.Registrar
 	releaser    Releaser
 	health      Health
+	recorder    Recorder
 	log         zerolog.Logger
 }
 
@@ -80,7 +81,7 @@
 // New returns a relayer for one start of a VM.
 func New(
 	vm identifier.VM, dc identifier.DataCentre, incarnation identifier.Incarnation,
-	d Dispatcher, r *registrar.Registrar, releaser Releaser, health Health, log zerolog.Logger,
+	d Dispatcher, r *registrar.Registrar, releaser Releaser, health Health, recorder Recorder, log zerolog.Logger,
 ) *Relayer {
 	return &Relayer{
 		vm:          vm,
@@ -90,6 +91,7 @@
 		registrar:   r,
 		releaser:    releaser,
 		health:      health,
+		recorder:    recorder,
 		log:         log,
 	}
 }
@@ -98,15 +100,23 @@
 // to sink; each is written once, whatever the number of attempts.
 func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) outcomer.Outcome {
 	run := &run{Relayer: r, job: job, sink: sink, ran: outcomer.RanNo}
-	for n := identifier.Attempt(1); n <= maxAttempts; n++ {
-		if out := run.attempt(ctx, n); out != nil {
-			return run.final(out)
+	out := run.final(run.all(ctx))
+	r.recorder.Ended(run.record(out))
+	return out
+}
+
+// all makes attempts until one ends the request.
+func (r *run) all(ctx context.Context) outcomer.Outcome {
+	for r.attempts < maxAttempts {
+		r.attempts++
+		if out := r.attempt(ctx, r.attempts); out != nil {
+			return out
 		}
 		if ctx.Err() != nil {
 			return outcomer.CallerGone{}
 		}
 	}
-	return run.final(outcomer.FromUpstream(run.last, false, retryAfter))
+	return outcomer.FromUpstream(r.last, false, retryAfter)
 }
 
 // run is one request in progress. It belongs to one goroutine.
@@ -123,7 +133,12 @@
 	// ran is what is known of the attempts so far.
 	ran outcomer.Ran
 	// last is the kind of the last failure.
-	last driver.Kind
+	last     driver.Kind
+	attempts identifier.Attempt
+	// prefilled is the engine time of all prefills, lastPrefill of the last.
+	prefilled, lastPrefill time.Duration
+	// firstAt and lastAt are when the first and last token were written.
+	firstAt, lastAt time.Time
 }
 
 // final is what the caller is told: an answer that was begun is broken off
--- /dev/null
+++ b/server/configuration.go
@@ -0,0 +1,98 @@
+package server
+
+import (
+	"slices"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/dispatcher"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+// Configuration is one accepted configuration in the form that the duties
+// use.
+type Configuration struct {
+	Revision  identifier.Revision
+	Classes   []admitter.Class
+	Pools     []registrar.Pool
+	Upstreams []registrar.Upstream
+	// ModelClasses names the class of a model's requests that name none.
+	ModelClasses map[identifier.Model]identifier.Class
+}
+
+// SetConfiguration brings a configuration into force. One whose revision is
+// not higher than the present one is ignored.
+func (s *Server) SetConfiguration(c Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Revision <= s.configuration.Revision {
+		return
+	}
+	s.configuration = c
+	s.registrar.Replace(c.Pools, c.Upstreams)
+	s.Log.Info().Uint64("Revision", uint64(c.Revision)).Msg("ConfigurationInForce")
+	s.changed()
+}
+
+// SetLive replaces the live VMs.
+func (s *Server) SetLive(live []registrar.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(s.live, live) {
+		return
+	}
+	s.live = live
+	s.changed()
+}
+
+// changed tells the duties of the fleet and configuration. mu is held.
+func (s *Server) changed() {
+	catalog := s.registrar.Catalog()
+	s.dispatcher.SetView(dispatcher.View{
+		Live:    s.live,
+		Catalog: catalog,
+		Classes: s.configuration.Classes,
+	})
+	var own []registrar.Shard
+	for _, shard := range catalog.Shards() {
+		if shard.Owner(s.live) == s.self.ID {
+			own = append(own, shard)
+		}
+	}
+	s.poller.SetShards(s.ctx, own)
+}
+
+// Class implements listener.Classes.
+func (s *Server) Class(name identifier.Class) (admitter.Class, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.configuration.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return admitter.Class{}, false
+}
+
+// ClassFor implements listener.Classes.
+func (s *Server) ClassFor(m identifier.Model) (identifier.Class, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, ok := s.configuration.ModelClasses[m]
+	return name, ok
+}
+
+// ClassNames implements listener.Classes.
+func (s *Server) ClassNames() []identifier.Class {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]identifier.Class, 0, len(s.configuration.Classes))
+	for _, c := range s.configuration.Classes {
+		names = append(names, c.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Models implements listener.Classes.
+func (s *Server) Models() []identifier.Model { return s.registrar.Catalog().Models() }
--- /dev/null
+++ b/server/handler.go
@@ -0,0 +1,19 @@
+package server
+
+import (
+	"context"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// handle gives a message of another VM to its duty.
+func (s *Server) handle(ctx context.Context, from identifier.VM, e *wire.Envelope) *wire.Envelope {
+	switch body := e.GetBody().(type) {
+	case *wire.Envelope_Placement:
+		s.dispatcher.Receive(from, body.Placement)
+	case *wire.Envelope_Claim:
+		return s.claims.Handle(ctx, from, e)
+	}
+	return nil
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,215 @@
+// Package server joins the duties of one entry VM.
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/certifier"
+	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/dispatcher"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/forwarder"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/listener"
+	"github.com/figtrack/figtrack/messenger"
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/poller"
+	"github.com/figtrack/figtrack/recorder"
+	"github.com/figtrack/figtrack/registrar"
+	"github.com/figtrack/figtrack/relayer"
+)
+
+// Needs are what a server is built from. All are required.
+type Needs struct {
+	Settings    parser.Settings
+	Incarnation identifier.Incarnation
+	Keyring     *certifier.Keyring
+	Store       keeper.Store
+	Callers     net.Listener
+	VMs         net.PacketConn
+	// Dial opens connections to upstreams.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  zerolog.Logger
+}
+
+// Server is one entry VM.
+type Server struct {
+	Needs
+	self       registrar.VM
+	messenger  *messenger.Messenger
+	registrar  *registrar.Registrar
+	dispatcher *dispatcher.Dispatcher
+	relayer    *relayer.Relayer
+	cancels    *relayer.Cancels
+	poller     *poller.Poller
+	claims     *claimer.Shell
+	listener   *listener.Listener
+	metrics    *prometheus.Registry
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+
+	mu sync.Mutex
+	// configuration is the one in force; its revision only rises.
+	configuration Configuration
+	live          []registrar.VM
+	draining      bool
+}
+
+// New builds a server that does nothing yet.
+func New(n Needs) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		Needs:   n,
+		self:    registrar.VM{ID: n.Settings.VM, DataCentre: n.Settings.DataCentre},
+		metrics: prometheus.NewRegistry(),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	kept := n.transport(false)
+	engines := &http.Client{Transport: kept}
+	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
+		return driver.NewHTTP(u.ID, "http://"+u.Address, engines)
+	})
+	s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
+	s.cancels = relayer.NewCancels(s.registrar, n.Log)
+	s.poller = poller.New(s.registrar, s.dispatcher, n.Log)
+	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, health{s},
+		recorder.New(s, s.metrics, n.Log), n.Log)
+	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
+	services := forwarder.New(s.registrar, s.claims, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
+		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
+	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
+	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
+	return s
+}
+
+const (
+	// idleConnections is the most idle connections to one upstream.
+	idleConnections = 64
+	// idleFor closes a connection to an upstream that carried nothing.
+	idleFor = 90 * time.Second
+)
+
+func (n Needs) transport(fresh bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         n.Dial,
+		DisableKeepAlives:   fresh,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleFor,
+		DisableCompression:  true,
+	}
+}
+
+func (s *Server) newCore(shard identifier.Shard, rng *rand.Rand) dispatcher.Core {
+	return admitter.New(admitter.Settings{
+		Shard:      shard,
+		Prefer:     s.Settings.Prefer,
+		DataCentre: s.Settings.DataCentre,
+	}, rng)
+}
+
+// Start begins to serve VMs and callers.
+func (s *Server) Start() error {
+	if err := s.messenger.Start(s.handle, s.peers()); err != nil {
+		return err
+	}
+	s.live = s.everyone()
+	s.wg.Go(func() { s.dispatcher.Run(s.ctx.Done()) })
+	s.wg.Go(func() { s.cancels.Run(s.ctx) })
+	s.wg.Go(func() { s.claims.Run(s.ctx) })
+	s.wg.Go(func() {
+		if err := s.listener.Serve(s.Callers); err != nil {
+			s.Log.Error().Err(err).Msg("CallersNotServed")
+		}
+	})
+	s.Log.Info().
+		Str("VM", string(s.Settings.VM)).
+		Str("Callers", s.Callers.Addr().String()).
+		Str("VMs", s.VMs.LocalAddr().String()).
+		Msg("Started")
+	return nil
+}
+
+// Shutdown takes no new requests, waits for those in flight until ctx ends,
+// and stops. It returns the number of requests that were cut off.
+func (s *Server) Shutdown(ctx context.Context) int {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	err := s.listener.Shutdown(ctx)
+	cut := s.listener.InFlight()
+	s.cancel()
+	s.poller.Wait()
+	s.wg.Wait()
+	_ = s.messenger.Close()
+	s.Log.Info().Err(err).Int("Cut", cut).Msg("Stopped")
+	return cut
+}
+
+// Metrics returns the VM's metrics.
+func (s *Server) Metrics() prometheus.Gatherer { return s.metrics }
+
+// Ready implements listener.Readiness.
+func (s *Server) Ready() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return "the VM is stopping"
+	}
+	if s.configuration.Revision == 0 {
+		return "no configuration yet"
+	}
+	return ""
+}
+
+func (s *Server) peers() []messenger.Peer {
+	var peers []messenger.Peer
+	for _, p := range s.Settings.VMs.Peers {
+		peers = append(peers, messenger.Peer{VM: p.VM, Address: p.Address})
+	}
+	return peers
+}
+
+// everyone is this VM and all peers of the settings.
+func (s *Server) everyone() []registrar.VM {
+	vms := []registrar.VM{s.self}
+	for _, p := range s.Settings.VMs.Peers {
+		vms = append(vms, registrar.VM{ID: p.VM, DataCentre: p.DataCentre})
+	}
+	return vms
+}
+
+// claimLeaders names the VMs that should lead a shard of claims.
+func (s *Server) claimLeaders(shard claimer.Shard) []identifier.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []identifier.VM
+	for _, v := range s.live {
+		live = append(live, v.ID)
+	}
+	return claimer.Leaders(shard, live, claimer.MaxLeaders)
+}
+
+// health hears how calls to upstreams went.
+type health struct{ s *Server }
+
+// Succeeded implements relayer.Health.
+func (health) Succeeded(identifier.Upstream) {}
+
+// Failed implements relayer.Health.
+func (h health) Failed(u identifier.Upstream, kind driver.Kind) {
+	h.s.Log.Warn().Str("Upstream", string(u)).Str("Kind", string(kind)).Msg("UpstreamFailed")
+}
