Play a surge against a whole deployment in one process

Cause: the path had no run as a whole. It now answers once both engines are done.

Change: demonstrator and the commands demo and check; the stand-in's import.

--- a/commands.go
+++ b/commands.go
@@ -12,11 +12,45 @@
 	exitUsage  = 2
 )
 
+// command is one word that the program understands.
+type command struct {
+	name        string
+	description string
+	run         func(args []string, stdout, stderr io.Writer) int
+}
+
+// commands lists all commands in the order of the help text.
+func commands() []command {
+	return []command{
+		demoCommand,
+		checkCommand,
+	}
+}
+
 func run(args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
-		fmt.Fprintln(stderr, "figtrack: no command given, try figtrack --help")
+		usage(stderr)
 		return exitUsage
 	}
-	fmt.Fprintf(stdout, "figtrack: unknown command %q, try figtrack --help\n", args[0])
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(args[1:], stdout, stderr)
+		}
+	}
+	if args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
+		usage(stdout)
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "figtrack: unknown command %q; see figtrack --help\n", args[0])
 	return exitUsage
 }
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "figtrack routes requests to separate prefill and decode pools.")
+	fmt.Fprintln(w, "\nUsage: figtrack COMMAND [options]")
+	fmt.Fprintln(w, "\nCommands:")
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.description)
+	}
+	fmt.Fprintln(w, "\nfigtrack COMMAND --help tells more. Exit statuses: 0 done, 1 failed, 2 wrong usage or settings.")
+}
--- /dev/null
+++ b/demonstrator/fleet.go
@@ -0,0 +1,265 @@
+// Package demonstrator runs a whole deployment in one process: entry VMs,
+// stand-in engines, plain services and the platform's store, all on loopback
+// with free ports.
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/certifier"
+	"github.com/figtrack/figtrack/faker"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/registrar"
+	"github.com/figtrack/figtrack/server"
+)
+
+const (
+	deployment = "demo"
+	model      = identifier.Model("timber-7b")
+	engines    = identifier.Pool("spec-desk")
+	orders     = identifier.Pool("order-desk")
+	// keysLive is the life of the fleet's certificates.
+	keysLive = time.Hour
+)
+
+// The classes of the demonstration.
+const (
+	longReading  = identifier.Class("LongReading")
+	quickReplies = identifier.Class("QuickReplies")
+)
+
+// Shape is the size of a fleet.
+type Shape struct {
+	VMs, Prefill, Decode, Services int
+	DataCentres                    []identifier.DataCentre
+}
+
+// Himal is the size of Himal Kath Ghar: nine runners of spec-desk and three
+// instances of order-desk before seven VMs in three rooms.
+func Himal() Shape {
+	return Shape{
+		VMs:         7,
+		Prefill:     4,
+		Decode:      5,
+		Services:    3,
+		DataCentres: []identifier.DataCentre{"thamel-room", "lalitpur-room", "bhaktapur-room"},
+	}
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Servers  []*server.Server
+	Prefill  []*faker.EngineServer
+	Decode   []*faker.EngineServer
+	Services []*faker.Service
+	Store    *faker.Store
+	// Addresses are the callers' addresses of the VMs.
+	Addresses []string
+	shape     Shape
+	upstreams []registrar.Upstream
+	log       zerolog.Logger
+}
+
+// Start starts a fleet whose decision log goes to w.
+func Start(shape Shape, w io.Writer) (*Fleet, error) {
+	f := &Fleet{shape: shape, log: zerolog.New(w).With().Timestamp().Logger()}
+	steps := []func() error{f.startStore, f.startEngines, f.startServices, f.startVMs}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	for _, s := range f.Servers {
+		s.SetConfiguration(f.configuration())
+	}
+	return f, nil
+}
+
+func (f *Fleet) startStore() error {
+	store, err := faker.NewStore(faker.Loopback)
+	f.Store = store
+	return errors.Wrap(err, "start the store")
+}
+
+func (f *Fleet) startEngines() error {
+	for i := range f.shape.Prefill + f.shape.Decode {
+		role := identifier.RolePrefill
+		if i >= f.shape.Prefill {
+			role = identifier.RoleDecode
+		}
+		cfg := faker.DefaultEngine(role)
+		cfg.ID = identifier.Upstream(fmt.Sprintf("%s-%d", engines, i+1))
+		e, err := faker.NewEngineServer(cfg, faker.Loopback, http.DefaultClient)
+		if err != nil {
+			return errors.Wrap(err, "start an engine")
+		}
+		if role == identifier.RolePrefill {
+			f.Prefill = append(f.Prefill, e)
+		} else {
+			f.Decode = append(f.Decode, e)
+		}
+		f.add(cfg.ID, engines, role, e.Address(), cfg.Pieces, cfg.Streams)
+	}
+	return nil
+}
+
+func (f *Fleet) startServices() error {
+	for i := range f.shape.Services {
+		s, err := faker.NewService(faker.Loopback)
+		if err != nil {
+			return errors.Wrap(err, "start a service")
+		}
+		f.Services = append(f.Services, s)
+		id := identifier.Upstream(fmt.Sprintf("%s-%d", orders, i+1))
+		f.add(id, orders, identifier.RolePlain, s.Address(), 0, 0)
+	}
+	return nil
+}
+
+func (f *Fleet) add(id identifier.Upstream, pool identifier.Pool, role identifier.Role, address string, pieces identifier.Pieces, streams int) {
+	f.upstreams = append(f.upstreams, registrar.Upstream{
+		ID:         id,
+		Pool:       pool,
+		Role:       role,
+		DataCentre: f.dataCentre(len(f.upstreams)),
+		Address:    address,
+		Pieces:     pieces,
+		Streams:    streams,
+	})
+}
+
+func (f *Fleet) dataCentre(i int) identifier.DataCentre {
+	return f.shape.DataCentres[i%len(f.shape.DataCentres)]
+}
+
+// configuration is what operators would have accepted.
+func (f *Fleet) configuration() server.Configuration {
+	return server.Configuration{
+		Revision: 1,
+		Classes: []admitter.Class{
+			{Name: quickReplies, FirstToken: 380 * time.Millisecond, PerToken: 43 * time.Millisecond, Patience: time.Second},
+			{Name: longReading, FirstToken: 2500 * time.Millisecond, PerToken: 60 * time.Millisecond, Patience: 30 * time.Second},
+		},
+		Pools: []registrar.Pool{
+			{ID: engines, Models: []identifier.Model{model}},
+			{ID: orders, Prefix: "/orders", Repeatable: []string{"GET /stock"}},
+		},
+		Upstreams:    f.upstreams,
+		ModelClasses: map[identifier.Model]identifier.Class{model: quickReplies},
+	}
+}
+
+func (f *Fleet) startVMs() error {
+	authority, err := certifier.NewAuthority(deployment, time.Now(), keysLive)
+	if err != nil {
+		return err
+	}
+	sockets, peers, err := f.sockets()
+	if err != nil {
+		return err
+	}
+	for i, p := range peers {
+		if err := f.startVM(authority, p, peers, sockets[i]); err != nil {
+			return errors.Wrapf(err, "start %s", p.VM)
+		}
+	}
+	return nil
+}
+
+// sockets opens the sockets between VMs, so that every VM knows the ports of
+// all.
+func (f *Fleet) sockets() ([]net.PacketConn, []parser.Peer, error) {
+	var sockets []net.PacketConn
+	var peers []parser.Peer
+	for i := range f.shape.VMs {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "open a socket between VMs")
+		}
+		sockets = append(sockets, socket)
+		peers = append(peers, parser.Peer{
+			VM:         identifier.VM(fmt.Sprintf("vm-%d", i+1)),
+			DataCentre: f.dataCentre(i),
+			Address:    socket.LocalAddr().String(),
+		})
+	}
+	return sockets, peers, nil
+}
+
+func (f *Fleet) startVM(a *certifier.Authority, self parser.Peer, peers []parser.Peer, socket net.PacketConn) error {
+	pair, err := a.Issue(certifier.RoleVM, string(self.VM), time.Now(), keysLive)
+	if err != nil {
+		return err
+	}
+	ring, err := certifier.NewKeyring(deployment, pair, a.Pair().Certificate, time.Now)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	cfg := parser.Default()
+	cfg.Deployment = deployment
+	cfg.VM = self.VM
+	cfg.DataCentre = self.DataCentre
+	cfg.VMs.Peers = others(peers, self.VM)
+	cfg.Prefer = admitter.PreferWastedPrefill
+	store := keeper.New(keeper.Settings{Endpoints: []string{f.Store.URL()}}, keeper.NewMetrics())
+	s := server.New(server.Needs{
+		Settings:    cfg,
+		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
+		Keyring:     ring,
+		Store:       store,
+		Callers:     callers,
+		VMs:         socket,
+		Dial:        (&net.Dialer{}).DialContext,
+		Log:         f.log.With().Str("VM", string(self.VM)).Logger(),
+	})
+	f.Servers = append(f.Servers, s)
+	f.Addresses = append(f.Addresses, callers.Addr().String())
+	return s.Start()
+}
+
+func others(peers []parser.Peer, self identifier.VM) []parser.Peer {
+	var out []parser.Peer
+	for _, p := range peers {
+		if p.VM != self {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// closeWithin bounds the end of one VM.
+const closeWithin = 10 * time.Second
+
+// Close stops everything.
+func (f *Fleet) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	for _, s := range f.Servers {
+		s.Shutdown(ctx)
+	}
+	for _, e := range append(f.Prefill, f.Decode...) {
+		e.Close()
+	}
+	for _, s := range f.Services {
+		s.Close()
+	}
+	if f.Store != nil {
+		f.Store.Close()
+	}
+}
--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -134,7 +134,7 @@
 	if refusal != nil {
 		return reply, refusal
 	}
-	job, refusal := l.await(ctx, order.Hold, (*engineJob).isDone)
+	job, refusal := l.await(ctx, order.Hold, (*engineJob).isReleased)
 	reply.Hold, reply.Took = order.Hold, job.took
 	return reply, refusal
 }
@@ -159,7 +159,14 @@
 	}
 	if _, err := l.pullOnce(order, true); err != nil {
 		l.drop(order.Hold, err)
+		return
 	}
+	l.do(l.ctx, func() {
+		if job := l.jobs[order.Hold]; job != nil {
+			job.released = true
+			job.signal()
+		}
+	})
 }
 
 func (l *engineLife) drop(hold identifier.Hold, cause error) {
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -42,9 +42,11 @@
 	pieces identifier.Pieces
 	since  time.Time
 	// done says that the prefill or the import has ended.
-	done   bool
-	cached identifier.Tokens
-	took   time.Duration
+	done bool
+	// released says that the prefill engine has let go of an imported result.
+	released bool
+	cached   identifier.Tokens
+	took     time.Duration
 	// length is the length of the answer; zero before the stream starts.
 	length, made identifier.Tokens
 	refusal      *driver.Refusal
@@ -52,7 +54,11 @@
 	changed chan struct{}
 }
 
-func (j *engineJob) known() bool   { return true }
+func (j *engineJob) known() bool { return true }
+
+// isReleased says that an import has ended on both engines.
+func (j *engineJob) isReleased() bool { return j.released }
+
 func (j *engineJob) isDone() bool  { return j.done }
 func (j *engineJob) isEnded() bool { return j.length > 0 && j.made == j.length }
 
