Test the store client, the engine driver and the stand-ins

Change: tests run whole behaviours on virtual time inside an in-memory network: lost replies of a swap, outages, leases, watches, shares, the way of an answer from prefill to decode, resume, release, death, pauses, fencing. Results pass from the engine's goroutine by channel. A lost swap that another writer's first write follows is now settled without a read below revision 1.

--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -30,59 +30,50 @@
 	MaxOutput identifier.Tokens
 }
 
-func (l *engineLife) load(ctx context.Context, _ struct{}) (load driver.Load, _ *driver.Refusal) {
-	l.do(ctx, func() {
-		reading := l.core.Load(time.Now())
-		load = driver.Load{
-			Incarnation: l.incarnation,
-			At:          reading.At,
-			Running:     reading.Running,
-			Queued:      reading.Queued,
-			FreePieces:  reading.FreePieces,
-			Leaving:     l.isLeaving(),
-			Role:        l.serves.Role,
-			Models:      l.serves.Models,
-		}
-	})
-	return load, nil
+func (l *engineLife) load(struct{}) (driver.Load, *driver.Refusal) {
+	reading := l.core.Load(time.Now())
+	return driver.Load{
+		Incarnation: l.incarnation,
+		At:          reading.At,
+		Running:     reading.Running,
+		Queued:      reading.Queued,
+		FreePieces:  reading.FreePieces,
+		Leaving:     l.isLeaving(),
+		Role:        l.serves.Role,
+		Models:      l.serves.Models,
+	}, nil
 }
 
-func (l *engineLife) cacheEvents(ctx context.Context, query driver.CacheQuery) (events []driver.CacheEvent, _ *driver.Refusal) {
-	l.do(ctx, func() {
-		for _, event := range l.events {
-			if event.Sequence > query.After {
-				events = append(events, event)
-			}
+func (l *engineLife) cacheEvents(query driver.CacheQuery) ([]driver.CacheEvent, *driver.Refusal) {
+	events := make([]driver.CacheEvent, 0, len(l.events))
+	for _, event := range l.events {
+		if event.Sequence > query.After {
+			events = append(events, event)
 		}
-	})
+	}
 	return events, nil
 }
 
-func (l *engineLife) holds(ctx context.Context, _ struct{}) (holds driver.Holds, _ *driver.Refusal) {
-	l.do(ctx, func() {
-		holds.Incarnation = l.incarnation
-		for _, hold := range l.core.Holds() {
-			if job := l.jobs[hold]; job != nil {
-				holds.Holds = append(holds.Holds, driver.HoldState{Hold: hold, Pieces: job.pieces, Since: job.since})
-			}
+func (l *engineLife) holds(struct{}) (driver.Holds, *driver.Refusal) {
+	holds := driver.Holds{Incarnation: l.incarnation}
+	for _, hold := range l.core.Holds() {
+		if job := l.jobs[hold]; job != nil {
+			holds.Holds = append(holds.Holds, driver.HoldState{Hold: hold, Pieces: job.pieces, Since: job.since})
 		}
-	})
+	}
 	return holds, nil
 }
 
 // order applies an order. A new role starts an empty engine, so it is taken
 // only when nothing is held.
-func (l *engineLife) order(ctx context.Context, order driver.Order) (result driver.OrderResult, _ *driver.Refusal) {
-	l.do(ctx, func() {
-		if l.cfg.ChecksFence && order.Fence < l.serves.Highest {
-			result = l.serves
-			result.Refused = true
-			return
-		}
-		l.apply(order)
-		result = l.serves
-	})
-	return result, nil
+func (l *engineLife) order(order driver.Order) (driver.OrderResult, *driver.Refusal) {
+	if l.cfg.ChecksFence && order.Fence < l.serves.Highest {
+		refused := l.serves
+		refused.Refused = true
+		return refused, nil
+	}
+	l.apply(order)
+	return l.serves, nil
 }
 
 func (l *engineLife) apply(order driver.Order) {
@@ -103,40 +94,28 @@
 	}
 }
 
-func (l *engineLife) prefill(ctx context.Context, order driver.PrefillOrder) (reply driver.PrefillReply, refusal *driver.Refusal) {
-	l.do(ctx, func() {
-		if l.isLeaving() {
-			refusal = &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
-			return
-		}
-		if l.start(order.Hold, engineJob{prompt: order.Prompt, most: order.MaxOutput}) {
-			l.step(StartPrefill{Hold: order.Hold, Prompt: order.Tokens, Prefix: order.Prefix, Priority: order.Priority})
-		}
-	})
-	if refusal != nil {
-		return reply, refusal
+func (l *engineLife) prefill(order driver.PrefillOrder) *driver.Refusal {
+	if l.isLeaving() {
+		return leavingRefusal()
+	}
+	if l.start(order.Hold, engineJob{prompt: order.Prompt, most: order.MaxOutput}) {
+		l.step(StartPrefill{Hold: order.Hold, Prompt: order.Tokens, Prefix: order.Prefix, Priority: order.Priority})
 	}
-	job, refusal := l.await(ctx, order.Hold, (*engineJob).isDone)
-	reply.Hold, reply.Cached, reply.Took = order.Hold, job.cached, job.took
-	return reply, refusal
+	return nil
 }
 
-func (l *engineLife) importKV(ctx context.Context, order driver.ImportOrder) (reply driver.ImportReply, refusal *driver.Refusal) {
-	l.do(ctx, func() {
-		if l.isLeaving() {
-			refusal = &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
-			return
-		}
-		if l.start(order.Hold, engineJob{pieces: order.Pieces}) {
-			go l.pull(order)
-		}
-	})
-	if refusal != nil {
-		return reply, refusal
+func (l *engineLife) importKV(order driver.ImportOrder) *driver.Refusal {
+	if l.isLeaving() {
+		return leavingRefusal()
 	}
-	job, refusal := l.await(ctx, order.Hold, (*engineJob).isDone)
-	reply.Hold, reply.Took = order.Hold, job.took
-	return reply, refusal
+	if l.start(order.Hold, engineJob{pieces: order.Pieces}) {
+		go l.pull(order)
+	}
+	return nil
+}
+
+func leavingRefusal() *driver.Refusal {
+	return &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
 }
 
 // pull reserves memory and moves the KV cache, which must live from the
@@ -147,23 +126,29 @@
 		l.drop(order.Hold, err)
 		return
 	}
-	l.do(l.ctx, func() {
+	l.tell(func() {
 		if job := l.jobs[order.Hold]; job != nil {
 			job.prompt, job.most = kv.Prompt, kv.MaxOutput
 			l.step(StartImport{Hold: order.Hold, Tokens: order.Tokens, Pieces: order.Pieces})
 		}
 	})
-	defer func() { _ = recover() }()
-	if _, refusal := l.await(l.ctx, order.Hold, (*engineJob).isDone); refusal != nil {
+	if _, refusal := l.await(l.ctx, order.Hold, (*engineJob).hasArrived); refusal != nil {
 		return
 	}
 	if _, err := l.pullOnce(order, true); err != nil {
 		l.drop(order.Hold, err)
+		return
 	}
+	l.tell(func() {
+		if job := l.jobs[order.Hold]; job != nil {
+			job.done = true
+			job.signal()
+		}
+	})
 }
 
 func (l *engineLife) drop(hold identifier.Hold, cause error) {
-	l.do(l.ctx, func() {
+	l.tell(func() {
 		l.fail(hold, driver.KindGone, cause.Error())
 		l.step(Release{Hold: hold})
 	})
@@ -192,44 +177,34 @@
 	return kv, errors.WithStack(json.NewDecoder(reply.Body).Decode(&kv))
 }
 
-func (l *engineLife) export(ctx context.Context, order exportOrder) (kv exportReply, refusal *driver.Refusal) {
-	l.do(ctx, func() {
-		job := l.jobs[order.Hold]
-		if job == nil || !job.done {
-			refusal = &driver.Refusal{Kind: driver.KindGone, Reason: "no such result"}
-			return
-		}
-		kv = exportReply{Prompt: job.prompt, MaxOutput: job.most}
-		if order.Ended {
-			l.fail(order.Hold, driver.KindGone, "the result was exported")
-			l.step(Release{Hold: order.Hold})
-		}
-	})
-	return kv, refusal
+func (l *engineLife) export(order exportOrder) (exportReply, *driver.Refusal) {
+	job := l.jobs[order.Hold]
+	if job == nil || !job.done {
+		return exportReply{}, gone("no such result")
+	}
+	if order.Ended {
+		l.fail(order.Hold, driver.KindGone, "the result was exported")
+		l.step(Release{Hold: order.Hold})
+	}
+	return exportReply{Prompt: job.prompt, MaxOutput: job.most}, nil
 }
 
-func (l *engineLife) startDecode(ctx context.Context, order driver.DecodeOrder) *driver.Refusal {
-	job, refusal := l.await(ctx, order.Hold, (*engineJob).known)
-	if refusal != nil || !job.done {
-		return &driver.Refusal{Kind: driver.KindGone, Reason: "no KV cache is here"}
+func (l *engineLife) startDecode(order driver.DecodeOrder) *driver.Refusal {
+	job := l.jobs[order.Hold]
+	if job == nil || !job.done {
+		return gone("no KV cache is here")
 	}
-	l.do(ctx, func() {
-		job := l.jobs[order.Hold]
-		if job == nil || job.length > 0 {
-			return
-		}
+	if job.length == 0 {
 		job.most = order.MaxOutput
 		job.length = AnswerLength(job.prompt, order.MaxOutput)
 		l.step(StartDecode{Hold: order.Hold, Output: job.length})
-	})
+	}
 	return nil
 }
 
 // release drops what is held for an attempt, at any stage.
-func (l *engineLife) release(ctx context.Context, query driver.HoldQuery) (none struct{}, _ *driver.Refusal) {
-	l.do(ctx, func() {
-		l.fail(query.Hold, driver.KindGone, "the hold was released")
-		l.step(Release{Hold: query.Hold})
-	})
-	return none, nil
+func (l *engineLife) release(query driver.HoldQuery) (struct{}, *driver.Refusal) {
+	l.fail(query.Hold, driver.KindGone, "the hold was released")
+	l.step(Release{Hold: query.Hold})
+	return struct{}{}, nil
 }
--- a/faker/engine_http.go
+++ b/faker/engine_http.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -41,8 +40,8 @@
 	mux.HandleFunc(driver.PathCacheEvents, serve(s, (*engineLife).cacheEvents))
 	mux.HandleFunc(driver.PathHolds, serve(s, (*engineLife).holds))
 	mux.HandleFunc(driver.PathOrder, serve(s, (*engineLife).order))
-	mux.HandleFunc(driver.PathPrefill, serve(s, (*engineLife).prefill))
-	mux.HandleFunc(driver.PathImport, serve(s, (*engineLife).importKV))
+	mux.HandleFunc(driver.PathPrefill, s.prefill)
+	mux.HandleFunc(driver.PathImport, s.importKV)
 	mux.HandleFunc(driver.PathRelease, serve(s, (*engineLife).release))
 	mux.HandleFunc(pathExport, serve(s, (*engineLife).export))
 	mux.HandleFunc(driver.PathDecode, s.decode)
@@ -59,12 +58,16 @@
 }
 
 // Kill breaks all connections and loses the memory.
-func (s *EngineServer) Kill() {
+func (s *EngineServer) Kill() { s.kill(s.current()) }
+
+// kill ends a life unless it has ended before.
+func (s *EngineServer) kill(life *engineLife) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.life != nil {
-		s.life.end()
+	if life == nil || s.life != life {
+		return
 	}
+	life.end()
 	s.life = nil
 	s.Close()
 }
@@ -79,22 +82,22 @@
 	return s.start()
 }
 
-// Freeze stops the engine as a paused process, with its connections open.
+// Freeze stops the engine as a paused process, with its connections open,
+// until Thaw.
 func (s *EngineServer) Freeze() {
-	thaw := make(chan struct{})
 	s.mu.Lock()
-	life := s.life
-	s.thaw = thaw
-	s.mu.Unlock()
-	if life == nil {
+	defer s.mu.Unlock()
+	if s.thaw != nil || s.life == nil {
 		return
 	}
-	life.calls <- func() {
+	thaw, ended := make(chan struct{}), s.life.ctx.Done()
+	s.thaw = thaw
+	go s.life.tell(func() {
 		select {
 		case <-thaw:
-		case <-life.ctx.Done():
+		case <-ended:
 		}
-	}
+	})
 }
 
 // Thaw lets a frozen engine go on.
@@ -110,7 +113,7 @@
 // StallTransfers stops the engine's import link for a time.
 func (s *EngineServer) StallTransfers(d time.Duration) {
 	if l := s.current(); l != nil {
-		l.do(context.Background(), func() { l.step(StallLink{Until: time.Now().Add(d)}) })
+		l.tell(func() { l.step(StallLink{Until: time.Now().Add(d)}) })
 	}
 }
 
@@ -147,21 +150,32 @@
 	return s.life
 }
 
-// serve makes a handler of one call. A call that the engine did not live to
-// answer breaks its connection.
-func serve[Q, A any](s *EngineServer, call func(*engineLife, context.Context, Q) (A, *driver.Refusal)) http.HandlerFunc {
+// reply is the answer to a call that ran on the engine's goroutine.
+type reply[A any] struct {
+	answer  A
+	refusal *driver.Refusal
+}
+
+// serve makes a handler of a call that is answered at once.
+func serve[Q, A any](s *EngineServer, call func(*engineLife, Q) (A, *driver.Refusal)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		life, query := receive[Q](s, r)
-		reply, refusal := call(life, r.Context(), query)
-		switch {
-		case life.ctx.Err() != nil || r.Context().Err() != nil:
-			panic(http.ErrAbortHandler)
-		case refusal != nil:
-			answer(w, http.StatusConflict, refusal)
-		default:
-			answer(w, http.StatusOK, reply)
-		}
+		done, _ := do(r.Context(), life, func() (done reply[A]) {
+			done.answer, done.refusal = call(life, query)
+			return done
+		})
+		life.answer(w, r, done.answer, done.refusal)
+	}
+}
+
+// begun runs the start of a longer call. It returns false if it was refused.
+func begun[Q any](w http.ResponseWriter, r *http.Request, life *engineLife, query Q, start func(*engineLife, Q) *driver.Refusal) bool {
+	refusal, ok := do(r.Context(), life, func() *driver.Refusal { return start(life, query) })
+	if refusal != nil || !ok {
+		life.answer(w, r, nil, refusal)
+		return false
 	}
+	return true
 }
 
 // receive reads a request and returns the life that it reached.
@@ -174,19 +188,50 @@
 	return life, query
 }
 
-func (s *EngineServer) decode(w http.ResponseWriter, r *http.Request) {
-	life, order := receive[driver.DecodeOrder](s, r)
-	if refusal := life.startDecode(r.Context(), order); refusal != nil {
+// answer breaks the connection of a call that the engine did not live to
+// answer.
+func (l *engineLife) answer(w http.ResponseWriter, r *http.Request, reply any, refusal *driver.Refusal) {
+	if l.ctx.Err() != nil || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if refusal != nil {
 		answer(w, http.StatusConflict, refusal)
 		return
 	}
-	life.stream(w, r, order.Hold, 0)
+	answer(w, http.StatusOK, reply)
+}
+
+func (s *EngineServer) prefill(w http.ResponseWriter, r *http.Request) {
+	life, order := receive[driver.PrefillOrder](s, r)
+	if !begun(w, r, life, order, (*engineLife).prefill) {
+		return
+	}
+	job, refusal := life.await(r.Context(), order.Hold, (*engineJob).isDone)
+	result := driver.PrefillResult{Cached: job.cached, Took: job.took}
+	life.answer(w, r, driver.PrefillReply{Hold: order.Hold, PrefillResult: result}, refusal)
+}
+
+func (s *EngineServer) importKV(w http.ResponseWriter, r *http.Request) {
+	life, order := receive[driver.ImportOrder](s, r)
+	if !begun(w, r, life, order, (*engineLife).importKV) {
+		return
+	}
+	job, refusal := life.await(r.Context(), order.Hold, (*engineJob).isDone)
+	result := driver.ImportResult{Took: job.took}
+	life.answer(w, r, driver.ImportReply{Hold: order.Hold, ImportResult: result}, refusal)
+}
+
+func (s *EngineServer) decode(w http.ResponseWriter, r *http.Request) {
+	life, order := receive[driver.DecodeOrder](s, r)
+	if begun(w, r, life, order, (*engineLife).startDecode) {
+		life.stream(w, r, order.Hold, 0)
+	}
 }
 
 func (s *EngineServer) resume(w http.ResponseWriter, r *http.Request) {
 	life, query := receive[driver.HoldQuery](s, r)
 	if _, refusal := life.await(r.Context(), query.Hold, (*engineJob).known); refusal != nil {
-		answer(w, http.StatusConflict, refusal)
+		life.answer(w, r, nil, refusal)
 		return
 	}
 	life.stream(w, r, query.Hold, query.From)
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -41,10 +41,11 @@
 	most   identifier.Tokens
 	pieces identifier.Pieces
 	since  time.Time
-	// done says that the prefill or the import has ended.
-	done   bool
-	cached identifier.Tokens
-	took   time.Duration
+	// arrived says that the KV cache is here, and done that the prefill or
+	// the import has ended.
+	arrived, done bool
+	cached        identifier.Tokens
+	took          time.Duration
 	// length is the length of the answer; zero before the stream starts.
 	length, made identifier.Tokens
 	refusal      *driver.Refusal
@@ -52,9 +53,10 @@
 	changed chan struct{}
 }
 
-func (j *engineJob) known() bool   { return true }
-func (j *engineJob) isDone() bool  { return j.done }
-func (j *engineJob) isEnded() bool { return j.length > 0 && j.made == j.length }
+func (j *engineJob) known() bool      { return true }
+func (j *engineJob) isDone() bool     { return j.done }
+func (j *engineJob) hasArrived() bool { return j.arrived }
+func (j *engineJob) isEnded() bool    { return j.length > 0 && j.made == j.length }
 
 func (j *engineJob) signal() {
 	close(j.changed)
@@ -90,28 +92,33 @@
 	}
 }
 
-// do runs a function on the engine's goroutine. It returns false if the
-// caller or the engine was gone before.
-func (l *engineLife) do(ctx context.Context, call func()) bool {
-	done := make(chan struct{})
-	run := func() {
-		call()
-		close(done)
-	}
+// do runs a function on the engine's goroutine and returns its result, or
+// false if the caller or the engine was gone before. The function runs even
+// if its caller is gone by then.
+func do[T any](ctx context.Context, l *engineLife, call func() T) (T, bool) {
+	result := make(chan T, 1)
+	var none T
 	select {
-	case l.calls <- run:
+	case l.calls <- func() { result <- call() }:
 	case <-ctx.Done():
-		return false
+		return none, false
 	case <-l.ctx.Done():
-		return false
+		return none, false
 	}
 	select {
-	case <-done:
-		return true
+	case value := <-result:
+		return value, true
 	case <-ctx.Done():
-		return false
 	case <-l.ctx.Done():
-		return false
+	}
+	return none, false
+}
+
+// tell runs a function on the engine's goroutine as long as that lives.
+func (l *engineLife) tell(call func()) {
+	select {
+	case l.calls <- call:
+	case <-l.ctx.Done():
 	}
 }
 
@@ -129,9 +136,9 @@
 		l.events = append(l.events, driver.CacheEvent(o))
 		l.events = l.events[max(0, len(l.events)-maxCacheEvents):]
 	case PrefillDone:
-		l.finish(o.Hold, o.Cached, o.Took)
+		l.prefilled(o)
 	case ImportDone:
-		l.finish(o.Hold, 0, o.Took)
+		l.arrived(o)
 	case TokenMade:
 		l.made(o)
 	case PrefillRefused:
@@ -146,15 +153,22 @@
 	}
 }
 
-func (l *engineLife) finish(hold identifier.Hold, cached identifier.Tokens, took time.Duration) {
-	job := l.jobs[hold]
+func (l *engineLife) prefilled(o PrefillDone) {
+	job := l.jobs[o.Hold]
 	if job == nil || l.crash(job.prompt) {
 		return
 	}
-	job.done, job.cached, job.took = true, cached, took
+	job.done, job.cached, job.took = true, o.Cached, o.Took
 	job.signal()
 }
 
+func (l *engineLife) arrived(o ImportDone) {
+	if job := l.jobs[o.Hold]; job != nil {
+		job.arrived, job.took = true, o.Took
+		job.signal()
+	}
+}
+
 func (l *engineLife) made(token TokenMade) {
 	job := l.jobs[token.Hold]
 	if job == nil || l.crash(job.prompt) {
@@ -164,7 +178,7 @@
 	job.signal()
 	if token.Last {
 		time.AfterFunc(streamLives, func() {
-			l.do(l.ctx, func() { l.fail(token.Hold, driver.KindGone, "the stream ended long ago") })
+			l.tell(func() { l.fail(token.Hold, driver.KindGone, "the stream ended long ago") })
 		})
 	}
 }
@@ -174,7 +188,7 @@
 	if !l.crashesOn(prompt) {
 		return false
 	}
-	l.Kill()
+	l.kill(l)
 	return true
 }
 
@@ -200,23 +214,17 @@
 	return true
 }
 
-// await waits until a job is ready and returns a copy of it.
+// await waits until a job is ready and returns a copy of it. A job that
+// failed, or whose caller or engine is gone, comes with a refusal.
 func (l *engineLife) await(ctx context.Context, hold identifier.Hold, ready func(*engineJob) bool) (engineJob, *driver.Refusal) {
-	var job *engineJob
-	var view engineJob
-	look := func() {
-		if job == nil {
-			job = l.jobs[hold]
-		}
-		if job != nil {
-			view = *job
-		}
+	job, ok := do(ctx, l, func() *engineJob { return l.jobs[hold] })
+	if ok && job == nil {
+		return engineJob{}, gone("the hold is not known")
 	}
-	for l.do(ctx, look) {
-		switch {
-		case job == nil:
-			return view, &driver.Refusal{Kind: driver.KindGone, Reason: "the hold is not known"}
-		case view.refusal != nil || ready(&view):
+	for ok {
+		var view engineJob
+		view, ok = do(ctx, l, func() engineJob { return *job })
+		if ok && (view.refusal != nil || ready(&view)) {
 			return view, view.refusal
 		}
 		select {
@@ -225,20 +233,25 @@
 		case <-l.ctx.Done():
 		}
 	}
-	panic(http.ErrAbortHandler)
+	return engineJob{}, gone("the caller or the engine is gone")
+}
+
+func gone(reason string) *driver.Refusal {
+	return &driver.Refusal{Kind: driver.KindGone, Reason: reason}
 }
 
 // stream writes the tokens of a job from one on, as they are made.
 func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, hold identifier.Hold, from identifier.Tokens) {
 	lines := json.NewEncoder(w)
 	err := lines.Encode(driver.StreamLine{Hold: &hold})
-	for err == nil {
-		if err = http.NewResponseController(w).Flush(); err != nil {
-			return
-		}
+	for err == nil && http.NewResponseController(w).Flush() == nil {
 		job, refusal := l.await(r.Context(), hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
+		if l.ctx.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
 		if refusal != nil {
-			err = lines.Encode(driver.StreamLine{Refusal: refusal})
+			// An error means that the caller is gone.
+			_ = lines.Encode(driver.StreamLine{Refusal: refusal})
 			return
 		}
 		for ; from < job.made && err == nil; from++ {
--- a/faker/store.go
+++ b/faker/store.go
@@ -33,6 +33,8 @@
 	// LoseRequests is how many of the next writes lose their connection
 	// without any effect.
 	LoseRequests int
+	// OnLost is called after each such loss, before the connection breaks.
+	OnLost func()
 }
 
 // Store is the stand-in of the platform's service: the etcd v3 JSON gateway
@@ -202,28 +204,34 @@
 		if !ok {
 			panic(http.ErrAbortHandler)
 		}
-		status, reply, lost := s.perform(body, r.URL.Path, call)
-		if lost {
+		status, reply, onLost := s.perform(body, r.URL.Path, call)
+		if onLost != nil {
+			onLost()
 			panic(http.ErrAbortHandler)
 		}
 		answer(w, status, reply)
 	}
 }
 
-// perform makes a call and says whether its reply gets lost.
-func (s *Store) perform(body *json.Decoder, path string, call func(*json.Decoder) (int, object, bool)) (int, object, bool) {
+// perform makes a call. It returns what to do in place of the reply if that
+// gets lost.
+func (s *Store) perform(body *json.Decoder, path string, call func(*json.Decoder) (int, object, bool)) (int, object, func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	onLost := s.faults.OnLost
+	if onLost == nil {
+		onLost = func() {}
+	}
 	if s.faults.LoseRequests > 0 && path == storeTxnPath {
 		s.faults.LoseRequests--
-		return 0, nil, true
+		return 0, nil, onLost
 	}
 	status, reply, wrote := call(body)
 	if !wrote || s.faults.LoseReplies == 0 {
-		return status, reply, false
+		return status, reply, nil
 	}
 	s.faults.LoseReplies--
-	return 0, nil, true
+	return 0, nil, onLost
 }
 
 func refuseCall(status int, reason string) (int, object, bool) {
--- /dev/null
+++ b/keeper/client_test.go
@@ -0,0 +1,292 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/figtrack/figtrack/faker"
+	"github.com/figtrack/figtrack/keeper"
+)
+
+const purpose = keeper.PurposeConfiguration
+
+// site is a store and a client of it inside one virtual network.
+type site struct {
+	*WithT
+	*keeper.Client
+	ctx     context.Context
+	store   *faker.Store
+	metrics *keeper.Metrics
+}
+
+// onSite runs a test against a store on virtual time.
+func onSite(t *testing.T, change func(cfg *keeper.Settings), test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var network faker.Memory
+		transport := network.Client().Transport.(*http.Transport)
+		s := &site{WithT: NewWithT(t), metrics: keeper.NewMetrics()}
+		var err error
+		s.store, err = faker.NewStore(network.Listen)
+		s.Expect(err).NotTo(HaveOccurred())
+		cfg := keeper.Settings{
+			Endpoints: []string{"http://10.9.9.9:1", s.store.URL()},
+			Timeout:   time.Second,
+			Transport: transport,
+			Shares:    map[keeper.Purpose]keeper.Share{purpose: {1000, 1000, 1000, 1000}},
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		s.Client = keeper.New(cfg, s.metrics)
+		ctx, cancel := context.WithCancel(t.Context())
+		s.ctx = ctx
+		defer transport.CloseIdleConnections()
+		defer s.store.Close()
+		defer s.store.LapseLeases()
+		defer cancel()
+		test(s)
+	})
+}
+
+func (s *site) swap(key string, expected keeper.Version, value string) (keeper.Entry, bool) {
+	entry, written, err := s.Swap(s.ctx, purpose, key, expected, []byte(value))
+	s.Expect(err).NotTo(HaveOccurred())
+	return entry, written
+}
+
+func (s *site) get(key string) keeper.Entry {
+	entry, err := s.Get(s.ctx, purpose, key)
+	s.Expect(err).NotTo(HaveOccurred())
+	return entry
+}
+
+func kindOf(err error) keeper.Kind {
+	var e *keeper.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func TestSwapWritesOnlyOverTheExpectedVersion(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		s.Expect(s.get("/a")).To(Equal(keeper.Entry{Key: "/a"}))
+		first, written := s.swap("/a", 0, "1")
+		s.Expect(written).To(BeTrue())
+		other, written := s.swap("/a", 0, "2")
+		s.Expect(written).To(BeFalse())
+		s.Expect(other).To(Equal(first))
+		second, written := s.swap("/a", first.Version, "3")
+		s.Expect(written).To(BeTrue())
+		s.Expect(second.Version).To(BeNumerically(">", first.Version))
+		third, _ := s.swap("/a/b", 0, "")
+		s.swap("/b", 0, "4")
+		entries, err := s.List(s.ctx, purpose, "/a")
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(entries).To(Equal([]keeper.Entry{second, third}))
+	})
+}
+
+// TestLostRepliesAreSettledTruthfully loses a swap's reply or its request,
+// with another writer before, after or not at all.
+func TestLostRepliesAreSettledTruthfully(t *testing.T) {
+	for _, overwrites := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("written, then overwritten %d times", overwrites), func(t *testing.T) {
+			onSite(t, nil, func(s *site) {
+				s.store.SetFaults(faker.StoreFaults{LoseReplies: 1, OnLost: func() {
+					s.overwrite("/a", overwrites)
+				}})
+				entry, written := s.swap("/a", 0, "mine")
+				s.Expect(written).To(BeTrue())
+				s.Expect(entry).To(Equal(s.get("/a")))
+			})
+		})
+	}
+	t.Run("not written, another wrote", func(t *testing.T) {
+		onSite(t, nil, func(s *site) {
+			s.store.SetFaults(faker.StoreFaults{LoseRequests: 1, OnLost: func() {
+				s.overwrite("/a", 2)
+			}})
+			entry, written := s.swap("/a", 0, "mine")
+			s.Expect(written).To(BeFalse())
+			s.Expect(entry).To(Equal(s.get("/a")))
+		})
+	})
+	t.Run("not written, nobody wrote", func(t *testing.T) {
+		onSite(t, nil, func(s *site) {
+			s.store.SetFaults(faker.StoreFaults{LoseRequests: 1})
+			entry, written := s.swap("/a", 0, "mine")
+			s.Expect(written).To(BeTrue())
+			s.Expect(entry).To(Equal(s.get("/a")))
+		})
+	})
+	t.Run("nothing can be said", func(t *testing.T) {
+		onSite(t, nil, func(s *site) {
+			s.store.SetFaults(faker.StoreFaults{LoseReplies: 1, OnLost: s.store.Close})
+			_, _, err := s.Swap(s.ctx, purpose, "/a", 0, []byte("mine"))
+			s.Expect(kindOf(err)).To(Equal(keeper.KindUnknown))
+		})
+	})
+}
+
+// overwrite writes a key n times as another writer.
+func (s *site) overwrite(key string, n int) {
+	for i := range n {
+		entry := s.get(key)
+		s.swap(key, entry.Version, fmt.Sprintf("other %d", i))
+	}
+}
+
+// TestWriteThatLandsLateIsNotWrittenTwice has a service that is slower than
+// the deadline, so that the first try lands after its caller gave up on it.
+func TestWriteThatLandsLateIsNotWrittenTwice(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		s.store.SetFaults(faker.StoreFaults{Delay: 1500 * time.Millisecond})
+		time.AfterFunc(500*time.Millisecond, func() { s.store.SetFaults(faker.StoreFaults{}) })
+		entry, written := s.swap("/a", 0, "mine")
+		s.Expect(written).To(BeTrue())
+		time.Sleep(time.Minute)
+		s.Expect(s.get("/a")).To(Equal(entry))
+	})
+}
+
+func TestOutagesEndInsideTheDeadline(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		s.store.SetFaults(faker.StoreFaults{Hang: true})
+		began := time.Now()
+		_, err := s.Get(s.ctx, purpose, "/a")
+		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		s.Expect(time.Since(began)).To(Equal(time.Second))
+		_, _, err = s.Swap(s.ctx, purpose, "/a", 0, []byte("1"))
+		s.Expect(kindOf(err)).To(Equal(keeper.KindUnknown))
+		s.Expect(time.Since(began)).To(Equal(3 * time.Second))
+		_, err = s.Watch(s.ctx, purpose, "/", 0)
+		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		s.Expect(time.Since(began)).To(Equal(4 * time.Second))
+		s.Expect(s.store.Refuse(true)).To(Succeed())
+		_, _, err = s.Swap(s.ctx, purpose, "/a", 0, []byte("2"))
+		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		s.Expect(s.store.Refuse(false)).To(Succeed())
+		s.store.SetFaults(faker.StoreFaults{})
+		s.Expect(s.get("/a").Version).To(BeZero())
+	})
+}
+
+func TestLeasedValueGoesWithItsLease(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		lease, err := s.Grant(s.ctx, purpose, 3*time.Second)
+		s.Expect(err).NotTo(HaveOccurred())
+		_, written, err := s.SwapLeased(s.ctx, purpose, "/vm", 0, []byte("here"), lease)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(written).To(BeTrue())
+		time.Sleep(2 * time.Second)
+		s.Expect(s.KeepAlive(s.ctx, purpose, lease)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		s.Expect(s.get("/vm").Version).NotTo(BeZero())
+		time.Sleep(2 * time.Second)
+		s.Expect(s.get("/vm").Version).To(BeZero())
+		s.Expect(kindOf(s.KeepAlive(s.ctx, purpose, lease))).To(Equal(keeper.KindNotDone))
+		_, _, err = s.SwapLeased(s.ctx, purpose, "/vm", 0, []byte("back"), lease)
+		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+	})
+}
+
+func TestWatchSendsEveryChangeAfterItsVersion(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		first, _ := s.swap("/a/1", 0, "1")
+		second, _ := s.swap("/a/2", 0, "2")
+		s.swap("/b", 0, "3")
+		lease, err := s.Grant(s.ctx, purpose, time.Hour)
+		s.Expect(err).NotTo(HaveOccurred())
+		changes, err := s.Watch(s.ctx, purpose, "/a/", first.Version)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(<-changes).To(Equal(second))
+		leased, _, err := s.SwapLeased(s.ctx, purpose, "/a/3", 0, []byte("4"), lease)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(<-changes).To(Equal(leased))
+		s.store.LapseLeases()
+		gone := <-changes
+		s.Expect(gone.Key).To(Equal("/a/3"))
+		s.Expect(gone.Value).To(BeNil())
+		s.Expect(gone.Version).To(BeNumerically(">", leased.Version))
+		s.store.BreakWatches()
+		_, open := <-changes
+		s.Expect(open).To(BeFalse())
+	})
+}
+
+func TestWatchBehindTheHistoryStartsFromThePresent(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		first, _ := s.swap("/a", 0, "1")
+		second, _ := s.swap("/a", first.Version, "2")
+		s.store.Compact()
+		changes, err := s.Watch(s.ctx, purpose, "/", 0)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(<-changes).To(Equal(second))
+		third, _ := s.swap("/a", second.Version, "3")
+		s.Expect(<-changes).To(Equal(third))
+		began := time.Now()
+		_, open := <-changes
+		s.Expect(open).To(BeFalse())
+		s.Expect(time.Since(began)).To(Equal(keeper.DefaultWatchFor))
+	})
+}
+
+func TestCallsStayInsideTheirShareAndAreCounted(t *testing.T) {
+	small := func(cfg *keeper.Settings) {
+		cfg.Shares[purpose] = keeper.Share{ReadsPerSecond: 10, ReadBurst: 2, WritesPerSecond: 1, WriteBurst: 1}
+	}
+	onSite(t, small, func(s *site) {
+		began := time.Now()
+		for range 4 {
+			s.get("/a")
+		}
+		s.Expect(time.Since(began)).To(Equal(200 * time.Millisecond))
+		s.swap("/a", 0, "1")
+		_, _, err := s.Swap(s.ctx, purpose, "/a", 0, []byte("2"))
+		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		s.Expect(errors.Is(err, keeper.ErrOverShare)).To(BeTrue())
+		_, err = s.Get(s.ctx, keeper.PurposeFence, "/a")
+		s.Expect(errors.Is(err, keeper.ErrOverShare)).To(BeTrue())
+		s.Expect(time.Since(began)).To(Equal(200 * time.Millisecond))
+		_, err = s.Watch(s.ctx, purpose, "/", 0)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(s.store.Calls()).To(Equal(6))
+		s.Expect(s.gather()).To(Equal(map[string]float64{
+			"figtrack_store_calls_total Range Configuration":      4,
+			"figtrack_store_calls_total Swap Configuration":       1,
+			"figtrack_store_calls_total Watch Configuration":      1,
+			"figtrack_store_failures_total NotDone Configuration": 1,
+			"figtrack_store_failures_total NotDone Fence":         1,
+			"figtrack_store_watches Configuration":                1,
+		}))
+	})
+}
+
+// gather returns the values of all metrics by name and labels.
+func (s *site) gather() map[string]float64 {
+	registry := prometheus.NewRegistry()
+	s.Expect(registry.Register(s.metrics)).To(Succeed())
+	families, err := registry.Gather()
+	s.Expect(err).NotTo(HaveOccurred())
+	values := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.Metric {
+			name := family.GetName()
+			for _, label := range metric.Label {
+				name += " " + label.GetValue()
+			}
+			values[name] = metric.Counter.GetValue() + metric.Gauge.GetValue()
+		}
+	}
+	return values
+}
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -133,13 +133,15 @@
 func (s swap) settle(ctx context.Context, entry Entry) verdict {
 	for range maxStepsBack {
 		switch {
-		case entry.Version == s.expected:
+		case entry.Version == s.expected, entry.Version == 0:
 			return verdictOpen
-		case bytes.Equal(entry.Value, s.value) && entry.Version != 0:
+		case bytes.Equal(entry.Value, s.value):
 			return verdictWritten
+		case entry.Version-1 <= s.expected:
+			return verdictNotWritten
 		}
 		earlier, err := s.readAt(ctx, entry.Version-1)
-		if err != nil || entry.Version <= 1 {
+		if err != nil {
 			return verdictOpen
 		}
 		if earlier.Version <= s.expected {
