Send each request at most once

Cause: net/http takes a request with an Idempotency-Key and no body for one that it may send again when a reused connection breaks, and follows the redirects 307 and 308 of a POST. A payment could run twice. The check for 'nothing was sent' stood twice, in driver and in keeper. Change: package poster sends at most once, follows no redirect and says whether anything can have left; driver and keeper use it. A lease's renewal says NotDone only where the lease has lapsed. The stand-in engine's long calls share one handler. Conclusion: whatever relays calls that may not be repeated should use poster.Do.

--- a/driver/http.go
+++ b/driver/http.go
@@ -6,12 +6,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/poster"
 )
 
 // maxReplyBytes is the longest reply that is read, streams excepted.
@@ -98,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	defer body.Close()
+	defer poster.Drain(body)
 	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(reply); err != nil {
 		return e.fail(KindUnknown, errors.Wrap(err, "read the answer"))
 	}
@@ -125,15 +124,13 @@
 	if err != nil {
 		return nil, e.fail(KindNotRun, errors.Wrap(err, "encode the request"))
 	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, e.baseURL+path, bytes.NewReader(payload))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.baseURL+path, bytes.NewReader(payload))
 	if err != nil {
 		return nil, e.fail(KindNotRun, errors.Wrap(err, "build the request"))
 	}
 	r.Header.Set("Content-Type", "application/json")
-	answer, err := e.client.Do(r)
-	if err != nil && !sent.Load() {
+	answer, sent, err := poster.Do(e.client, r)
+	if err != nil && !sent {
 		return nil, e.fail(KindNotRun, errors.WithStack(err))
 	}
 	if err != nil {
--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -94,75 +94,97 @@
 	}
 }
 
-func (l *engineLife) prefill(order driver.PrefillOrder) *driver.Refusal {
-	if l.isLeaving() {
-		return leavingRefusal()
-	}
-	if l.start(order.Hold, engineJob{prompt: order.Prompt, most: order.MaxOutput}) {
+func (l *engineLife) prefill(order driver.PrefillOrder) (driver.HoldQuery, *driver.Refusal) {
+	query := driver.HoldQuery{Hold: order.Hold}
+	started, refusal := l.start(order.Hold, engineJob{prompt: order.Prompt, most: order.MaxOutput})
+	if started {
 		l.step(StartPrefill{Hold: order.Hold, Prompt: order.Tokens, Prefix: order.Prefix, Priority: order.Priority})
 	}
-	return nil
+	return query, refusal
 }
 
-func (l *engineLife) importKV(order driver.ImportOrder) *driver.Refusal {
-	if l.isLeaving() {
-		return leavingRefusal()
-	}
-	if l.start(order.Hold, engineJob{pieces: order.Pieces}) {
-		go l.pull(order)
+// importKV reserves memory and moves the KV cache, which must live from the
+// start of the transfer to its end.
+func (l *engineLife) importKV(order driver.ImportOrder) (driver.HoldQuery, *driver.Refusal) {
+	query := driver.HoldQuery{Hold: order.Hold}
+	started, refusal := l.start(order.Hold, engineJob{from: order.From, pieces: order.Pieces})
+	if started {
+		go l.pull(order.Hold, order.From, false, func(kv exportReply) {
+			job := l.jobs[order.Hold]
+			job.prompt, job.most = kv.Prompt, kv.MaxOutput
+			l.step(StartImport{Hold: order.Hold, Tokens: order.Tokens, Pieces: order.Pieces})
+		})
 	}
-	return nil
+	return query, refusal
 }
 
-func leavingRefusal() *driver.Refusal {
-	return &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
+func (l *engineLife) decode(order driver.DecodeOrder) (driver.HoldQuery, *driver.Refusal) {
+	query := driver.HoldQuery{Hold: order.Hold}
+	job := l.jobs[order.Hold]
+	if job == nil || !job.done {
+		return query, gone("no KV cache is here")
+	}
+	if job.length == 0 {
+		job.most = order.MaxOutput
+		job.length = AnswerLength(job.prompt, order.MaxOutput)
+		l.step(StartDecode{Hold: order.Hold, Output: job.length})
+	}
+	return query, nil
 }
 
-// pull reserves memory and moves the KV cache, which must live from the
-// start of the transfer to its end.
-func (l *engineLife) pull(order driver.ImportOrder) {
-	kv, err := l.pullOnce(order, false)
-	if err != nil {
-		l.drop(order.Hold, err)
-		return
+func (l *engineLife) resume(query driver.HoldQuery) (driver.HoldQuery, *driver.Refusal) {
+	if job := l.jobs[query.Hold]; job == nil || job.length == 0 {
+		return query, gone("no such stream is here")
 	}
-	l.tell(func() {
-		if job := l.jobs[order.Hold]; job != nil {
-			job.prompt, job.most = kv.Prompt, kv.MaxOutput
-			l.step(StartImport{Hold: order.Hold, Tokens: order.Tokens, Pieces: order.Pieces})
-		}
-	})
-	if _, refusal := l.await(l.ctx, order.Hold, (*engineJob).hasArrived); refusal != nil {
-		return
+	return query, nil
+}
+
+// release drops what is held for an attempt, at any stage.
+func (l *engineLife) release(query driver.HoldQuery) (struct{}, *driver.Refusal) {
+	l.drop(query.Hold, "the hold was released")
+	return struct{}{}, nil
+}
+
+func (l *engineLife) drop(hold identifier.Hold, reason string) {
+	l.fail(hold, driver.KindGone, reason)
+	l.step(Release{Hold: hold})
+}
+
+func (l *engineLife) export(order exportOrder) (exportReply, *driver.Refusal) {
+	job := l.jobs[order.Hold]
+	if job == nil || !job.done {
+		return exportReply{}, gone("no such result")
 	}
-	if _, err := l.pullOnce(order, true); err != nil {
-		l.drop(order.Hold, err)
-		return
+	if order.Ended {
+		l.drop(order.Hold, "the result was exported")
 	}
-	l.tell(func() {
-		if job := l.jobs[order.Hold]; job != nil {
-			job.done = true
-			job.signal()
-		}
-	})
+	return exportReply{Prompt: job.prompt, MaxOutput: job.most}, nil
 }
 
-func (l *engineLife) drop(hold identifier.Hold, cause error) {
+// pull asks a prefill engine for a result. Then it runs next on the engine's
+// goroutine, or drops the hold if there is no such result.
+func (l *engineLife) pull(hold identifier.Hold, from string, ended bool, next func(exportReply)) {
+	kv, err := l.ask(from, exportOrder{Hold: hold, Ended: ended})
 	l.tell(func() {
-		l.fail(hold, driver.KindGone, cause.Error())
-		l.step(Release{Hold: hold})
+		switch {
+		case l.jobs[hold] == nil:
+		case err != nil:
+			l.drop(hold, err.Error())
+		default:
+			next(kv)
+		}
 	})
 }
 
-func (l *engineLife) pullOnce(order driver.ImportOrder, ended bool) (exportReply, error) {
+func (l *engineLife) ask(from string, order exportOrder) (exportReply, error) {
 	var kv exportReply
-	payload, err := json.Marshal(exportOrder{Hold: order.Hold, Ended: ended})
+	payload, err := json.Marshal(order)
 	if err != nil {
 		return kv, errors.WithStack(err)
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, exportTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.From+pathExport, bytes.NewReader(payload))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+from+pathExport, bytes.NewReader(payload))
 	if err != nil {
 		return kv, errors.WithStack(err)
 	}
@@ -176,35 +198,3 @@
 	}
 	return kv, errors.WithStack(json.NewDecoder(reply.Body).Decode(&kv))
 }
-
-func (l *engineLife) export(order exportOrder) (exportReply, *driver.Refusal) {
-	job := l.jobs[order.Hold]
-	if job == nil || !job.done {
-		return exportReply{}, gone("no such result")
-	}
-	if order.Ended {
-		l.fail(order.Hold, driver.KindGone, "the result was exported")
-		l.step(Release{Hold: order.Hold})
-	}
-	return exportReply{Prompt: job.prompt, MaxOutput: job.most}, nil
-}
-
-func (l *engineLife) startDecode(order driver.DecodeOrder) *driver.Refusal {
-	job := l.jobs[order.Hold]
-	if job == nil || !job.done {
-		return gone("no KV cache is here")
-	}
-	if job.length == 0 {
-		job.most = order.MaxOutput
-		job.length = AnswerLength(job.prompt, order.MaxOutput)
-		l.step(StartDecode{Hold: order.Hold, Output: job.length})
-	}
-	return nil
-}
-
-// release drops what is held for an attempt, at any stage.
-func (l *engineLife) release(query driver.HoldQuery) (struct{}, *driver.Refusal) {
-	l.fail(query.Hold, driver.KindGone, "the hold was released")
-	l.step(Release{Hold: query.Hold})
-	return struct{}{}, nil
-}
--- a/faker/engine_http.go
+++ b/faker/engine_http.go
@@ -36,16 +36,16 @@
 	s := &EngineServer{cfg: cfg, client: client}
 	s.begin()
 	mux := http.NewServeMux()
-	mux.HandleFunc(driver.PathLoad, serve(s, (*engineLife).load))
-	mux.HandleFunc(driver.PathCacheEvents, serve(s, (*engineLife).cacheEvents))
-	mux.HandleFunc(driver.PathHolds, serve(s, (*engineLife).holds))
-	mux.HandleFunc(driver.PathOrder, serve(s, (*engineLife).order))
-	mux.HandleFunc(driver.PathPrefill, s.prefill)
-	mux.HandleFunc(driver.PathImport, s.importKV)
-	mux.HandleFunc(driver.PathRelease, serve(s, (*engineLife).release))
-	mux.HandleFunc(pathExport, serve(s, (*engineLife).export))
-	mux.HandleFunc(driver.PathDecode, s.decode)
-	mux.HandleFunc(driver.PathResume, s.resume)
+	mux.HandleFunc(driver.PathLoad, serve(s, (*engineLife).load, reply))
+	mux.HandleFunc(driver.PathCacheEvents, serve(s, (*engineLife).cacheEvents, reply))
+	mux.HandleFunc(driver.PathHolds, serve(s, (*engineLife).holds, reply))
+	mux.HandleFunc(driver.PathOrder, serve(s, (*engineLife).order, reply))
+	mux.HandleFunc(driver.PathRelease, serve(s, (*engineLife).release, reply))
+	mux.HandleFunc(pathExport, serve(s, (*engineLife).export, reply))
+	mux.HandleFunc(driver.PathPrefill, serve(s, (*engineLife).prefill, (*engineLife).finish))
+	mux.HandleFunc(driver.PathImport, serve(s, (*engineLife).importKV, (*engineLife).finish))
+	mux.HandleFunc(driver.PathDecode, serve(s, (*engineLife).decode, (*engineLife).stream))
+	mux.HandleFunc(driver.PathResume, serve(s, (*engineLife).resume, (*engineLife).stream))
 	var err error
 	s.endpoint, err = newEndpoint(listen, mux)
 	return s, err
@@ -150,89 +150,32 @@
 	return s.life
 }
 
-// reply is the answer to a call that ran on the engine's goroutine.
-type reply[A any] struct {
-	answer  A
-	refusal *driver.Refusal
-}
-
-// serve makes a handler of a call that is answered at once.
-func serve[Q, A any](s *EngineServer, call func(*engineLife, Q) (A, *driver.Refusal)) http.HandlerFunc {
+// serve makes a handler of a call that runs on the engine's goroutine, and of
+// what follows it if it is not refused. Where the engine did not live to
+// answer, the connection breaks.
+func serve[Q, A any](s *EngineServer, call func(*engineLife, Q) (A, *driver.Refusal), then func(*engineLife, http.ResponseWriter, *http.Request, A)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		life, query := receive[Q](s, r)
-		done, _ := do(r.Context(), life, func() (done reply[A]) {
-			done.answer, done.refusal = call(life, query)
-			return done
+		var query Q
+		life := s.current()
+		if err := json.NewDecoder(r.Body).Decode(&query); err != nil || life == nil {
+			panic(http.ErrAbortHandler)
+		}
+		var refusal *driver.Refusal
+		result, ok := do(r.Context(), life, func() (result A) {
+			result, refusal = call(life, query)
+			return result
 		})
-		life.answer(w, r, done.answer, done.refusal)
-	}
-}
-
-// begun runs the start of a longer call. It returns false if it was refused.
-func begun[Q any](w http.ResponseWriter, r *http.Request, life *engineLife, query Q, start func(*engineLife, Q) *driver.Refusal) bool {
-	refusal, ok := do(r.Context(), life, func() *driver.Refusal { return start(life, query) })
-	if refusal != nil || !ok {
-		life.answer(w, r, nil, refusal)
-		return false
-	}
-	return true
-}
-
-// receive reads a request and returns the life that it reached.
-func receive[Q any](s *EngineServer, r *http.Request) (*engineLife, Q) {
-	var query Q
-	life := s.current()
-	if err := json.NewDecoder(r.Body).Decode(&query); err != nil || life == nil {
-		panic(http.ErrAbortHandler)
-	}
-	return life, query
-}
-
-// answer breaks the connection of a call that the engine did not live to
-// answer.
-func (l *engineLife) answer(w http.ResponseWriter, r *http.Request, reply any, refusal *driver.Refusal) {
-	if l.ctx.Err() != nil || r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if refusal != nil {
-		answer(w, http.StatusConflict, refusal)
-		return
-	}
-	answer(w, http.StatusOK, reply)
-}
-
-func (s *EngineServer) prefill(w http.ResponseWriter, r *http.Request) {
-	life, order := receive[driver.PrefillOrder](s, r)
-	if !begun(w, r, life, order, (*engineLife).prefill) {
-		return
-	}
-	job, refusal := life.await(r.Context(), order.Hold, (*engineJob).isDone)
-	result := driver.PrefillResult{Cached: job.cached, Took: job.took}
-	life.answer(w, r, driver.PrefillReply{Hold: order.Hold, PrefillResult: result}, refusal)
-}
-
-func (s *EngineServer) importKV(w http.ResponseWriter, r *http.Request) {
-	life, order := receive[driver.ImportOrder](s, r)
-	if !begun(w, r, life, order, (*engineLife).importKV) {
-		return
-	}
-	job, refusal := life.await(r.Context(), order.Hold, (*engineJob).isDone)
-	result := driver.ImportResult{Took: job.took}
-	life.answer(w, r, driver.ImportReply{Hold: order.Hold, ImportResult: result}, refusal)
-}
-
-func (s *EngineServer) decode(w http.ResponseWriter, r *http.Request) {
-	life, order := receive[driver.DecodeOrder](s, r)
-	if begun(w, r, life, order, (*engineLife).startDecode) {
-		life.stream(w, r, order.Hold, 0)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		if refusal != nil {
+			answer(w, http.StatusConflict, refusal)
+			return
+		}
+		then(life, w, r, result)
 	}
 }
 
-func (s *EngineServer) resume(w http.ResponseWriter, r *http.Request) {
-	life, query := receive[driver.HoldQuery](s, r)
-	if _, refusal := life.await(r.Context(), query.Hold, (*engineJob).known); refusal != nil {
-		life.answer(w, r, nil, refusal)
-		return
-	}
-	life.stream(w, r, query.Hold, query.From)
+func reply[A any](_ *engineLife, w http.ResponseWriter, _ *http.Request, result A) {
+	answer(w, http.StatusOK, result)
 }
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -38,14 +38,15 @@
 // engineJob is one attempt on the engine.
 type engineJob struct {
 	prompt string
+	// from is the address of the prefill engine.
+	from   string
 	most   identifier.Tokens
 	pieces identifier.Pieces
 	since  time.Time
-	// arrived says that the KV cache is here, and done that the prefill or
-	// the import has ended.
-	arrived, done bool
-	cached        identifier.Tokens
-	took          time.Duration
+	// done says that the prefill or the import has ended.
+	done   bool
+	cached identifier.Tokens
+	took   time.Duration
 	// length is the length of the answer; zero before the stream starts.
 	length, made identifier.Tokens
 	refusal      *driver.Refusal
@@ -53,10 +54,8 @@
 	changed chan struct{}
 }
 
-func (j *engineJob) known() bool      { return true }
-func (j *engineJob) isDone() bool     { return j.done }
-func (j *engineJob) hasArrived() bool { return j.arrived }
-func (j *engineJob) isEnded() bool    { return j.length > 0 && j.made == j.length }
+func (j *engineJob) isDone() bool  { return j.done }
+func (j *engineJob) isEnded() bool { return j.length > 0 && j.made == j.length }
 
 func (j *engineJob) signal() {
 	close(j.changed)
@@ -154,19 +153,23 @@
 }
 
 func (l *engineLife) prefilled(o PrefillDone) {
-	job := l.jobs[o.Hold]
-	if job == nil || l.crash(job.prompt) {
-		return
+	if job := l.jobs[o.Hold]; job != nil && !l.crash(job.prompt) {
+		job.done, job.cached, job.took = true, o.Cached, o.Took
+		job.signal()
 	}
-	job.done, job.cached, job.took = true, o.Cached, o.Took
-	job.signal()
 }
 
+// arrived ends an import unless the prefill result was lost meanwhile.
 func (l *engineLife) arrived(o ImportDone) {
-	if job := l.jobs[o.Hold]; job != nil {
-		job.arrived, job.took = true, o.Took
-		job.signal()
+	job := l.jobs[o.Hold]
+	if job == nil {
+		return
 	}
+	job.took = o.Took
+	go l.pull(o.Hold, job.from, true, func(exportReply) {
+		job.done = true
+		job.signal()
+	})
 }
 
 func (l *engineLife) made(token TokenMade) {
@@ -203,19 +206,23 @@
 	job.signal()
 }
 
-// start adds a job unless the attempt has one. It returns false if it has.
-func (l *engineLife) start(hold identifier.Hold, job engineJob) bool {
+// start adds a job. It returns false if the attempt has one or if the engine
+// takes no new work.
+func (l *engineLife) start(hold identifier.Hold, job engineJob) (bool, *driver.Refusal) {
 	if l.jobs[hold] != nil {
-		return false
+		return false, nil
+	}
+	if l.isLeaving() {
+		return false, &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
 	}
 	job.since = time.Now()
 	job.changed = make(chan struct{})
 	l.jobs[hold] = &job
-	return true
+	return true, nil
 }
 
-// await waits until a job is ready and returns a copy of it. A job that
-// failed, or whose caller or engine is gone, comes with a refusal.
+// await waits until a job is ready and returns a copy of it. It breaks the
+// connection if the caller or the engine is gone before.
 func (l *engineLife) await(ctx context.Context, hold identifier.Hold, ready func(*engineJob) bool) (engineJob, *driver.Refusal) {
 	job, ok := do(ctx, l, func() *engineJob { return l.jobs[hold] })
 	if ok && job == nil {
@@ -233,22 +240,31 @@
 		case <-l.ctx.Done():
 		}
 	}
-	return engineJob{}, gone("the caller or the engine is gone")
+	panic(http.ErrAbortHandler)
 }
 
 func gone(reason string) *driver.Refusal {
 	return &driver.Refusal{Kind: driver.KindGone, Reason: reason}
 }
 
+// finish answers when a prefill or an import has ended.
+func (l *engineLife) finish(w http.ResponseWriter, r *http.Request, query driver.HoldQuery) {
+	job, refusal := l.await(r.Context(), query.Hold, (*engineJob).isDone)
+	if refusal != nil {
+		answer(w, http.StatusConflict, refusal)
+		return
+	}
+	result := driver.PrefillResult{Cached: job.cached, Took: job.took}
+	answer(w, http.StatusOK, driver.PrefillReply{Hold: query.Hold, PrefillResult: result})
+}
+
 // stream writes the tokens of a job from one on, as they are made.
-func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, hold identifier.Hold, from identifier.Tokens) {
+func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, query driver.HoldQuery) {
 	lines := json.NewEncoder(w)
-	err := lines.Encode(driver.StreamLine{Hold: &hold})
+	err := lines.Encode(driver.StreamLine{Hold: &query.Hold})
+	from := query.From
 	for err == nil && http.NewResponseController(w).Flush() == nil {
-		job, refusal := l.await(r.Context(), hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
-		if l.ctx.Err() != nil {
-			panic(http.ErrAbortHandler)
-		}
+		job, refusal := l.await(r.Context(), query.Hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
 		if refusal != nil {
 			// An error means that the caller is gone.
 			_ = lines.Encode(driver.StreamLine{Refusal: refusal})
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/poster"
 )
 
 const (
@@ -24,7 +25,6 @@
 	cfg     Settings
 	counter Counter
 	budget  budget
-	http    *http.Client
 	// preferred is the index of the endpoint that answered last.
 	preferred atomic.Int64
 }
@@ -38,7 +38,6 @@
 		cfg:     cfg,
 		counter: counter,
 		budget:  newBudget(cfg.Shares),
-		http:    &http.Client{Transport: cfg.Transport},
 	}
 }
 
@@ -68,7 +67,7 @@
 	if err != nil {
 		return c.failed(purpose, kind, err)
 	}
-	defer body.Close()
+	defer poster.Drain(body)
 	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(reply); err != nil {
 		return c.failed(purpose, call.lost(), errors.Wrap(err, "read the reply"))
 	}
@@ -136,16 +135,14 @@
 
 // post sends one request. It returns whether any of it may have been sent.
 func (c *Client) post(ctx context.Context, url string, payload []byte) (io.ReadCloser, bool, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(payload))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(payload))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "build the request")
 	}
 	r.Header.Set("Content-Type", "application/json")
-	reply, err := c.http.Do(r)
+	reply, sent, err := poster.Do(c.cfg.Client, r)
 	if err != nil {
-		return nil, sent.Load(), errors.WithStack(err)
+		return nil, sent, errors.WithStack(err)
 	}
 	if reply.StatusCode == http.StatusOK {
 		return reply.Body, true, nil
--- a/keeper/client_test.go
+++ b/keeper/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +31,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var network faker.Memory
-		transport := network.Client().Transport.(*http.Transport)
+		client := network.Client()
 		s := &site{WithT: NewWithT(t), metrics: keeper.NewMetrics()}
 		var err error
 		s.store, err = faker.NewStore(network.Listen)
@@ -40,7 +39,7 @@
 		cfg := keeper.Settings{
 			Endpoints: []string{"http://10.9.9.9:1", s.store.URL()},
 			Timeout:   time.Second,
-			Transport: transport,
+			Client:    client,
 			Shares:    map[keeper.Purpose]keeper.Share{purpose: {1000, 1000, 1000, 1000}},
 		}
 		if change != nil {
@@ -49,7 +48,7 @@
 		s.Client = keeper.New(cfg, s.metrics)
 		ctx, cancel := context.WithCancel(t.Context())
 		s.ctx = ctx
-		defer transport.CloseIdleConnections()
+		defer client.CloseIdleConnections()
 		defer s.store.Close()
 		defer s.store.LapseLeases()
 		defer cancel()
@@ -175,6 +174,7 @@
 		s.Expect(s.store.Refuse(true)).To(Succeed())
 		_, _, err = s.Swap(s.ctx, purpose, "/a", 0, []byte("2"))
 		s.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		s.Expect(kindOf(s.KeepAlive(s.ctx, purpose, 1))).To(Equal(keeper.KindUnknown))
 		s.Expect(s.store.Refuse(false)).To(Succeed())
 		s.store.SetFaults(faker.StoreFaults{})
 		s.Expect(s.get("/a").Version).To(BeZero())
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -52,8 +52,9 @@
 	KeepAlive(ctx context.Context, purpose Purpose, lease Lease) error
 	// SwapLeased is Swap with a value that goes when the lease lapses.
 	SwapLeased(ctx context.Context, purpose Purpose, key string, expected Version, value []byte, lease Lease) (Entry, bool, error)
-	// Watch sends the changes below prefix after a version until ctx ends or
-	// the watch breaks; then the channel is closed.
+	// Watch sends the changes below prefix after a version until ctx ends, the
+	// watch breaks or has lived for its longest time; then the channel is
+	// closed. A deletion comes with a nil Value and its own version.
 	Watch(ctx context.Context, purpose Purpose, prefix string, after Version) (<-chan Entry, error)
 }
 
--- a/keeper/settings.go
+++ b/keeper/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/figtrack/figtrack/poster"
 )
 
 // The defaults of Settings.
@@ -39,8 +41,9 @@
 	// Shares holds the rates by purpose. A purpose without a share may not
 	// make calls.
 	Shares map[Purpose]Share
-	// Transport carries the calls; nil means a transport of its own.
-	Transport http.RoundTripper
+	// Client carries the calls and has no timeout of its own; nil means a
+	// client of poster's.
+	Client *http.Client
 }
 
 // DefaultShares returns the rates of one VM in a deployment of up to ten.
@@ -66,16 +69,8 @@
 	if cfg.Shares == nil {
 		cfg.Shares = DefaultShares()
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-		}
+	if cfg.Client == nil {
+		cfg.Client = poster.NewClient()
 	}
 	return cfg
 }
-
-const (
-	maxIdleConnections = 8
-	idleTimeout        = 90 * time.Second
-)
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -160,14 +161,18 @@
 	return Lease(reply.ID), err
 }
 
-// KeepAlive renews a lease.
+// KeepAlive renews a lease. KindNotDone means only that the lease has
+// lapsed; every other failure is of KindUnknown.
 func (c *Client) KeepAlive(ctx context.Context, purpose Purpose, lease Lease) error {
 	var reply keepAliveReply
 	err := c.call(ctx, purpose, CallKeepAlive, "/v3/lease/keepalive", keepAliveRequest{ID: int64(lease)}, &reply)
-	if err != nil {
+	var r *refusal
+	switch {
+	case errors.As(err, &r) && r.status == http.StatusNotFound:
 		return err
-	}
-	if reply.Result.TTL <= 0 {
+	case err != nil:
+		return &Error{Kind: KindUnknown, Err: err}
+	case reply.Result.TTL <= 0:
 		return c.failed(purpose, KindNotDone, errors.New("the lease has lapsed"))
 	}
 	return nil
