Keep late requests off the memory that arriving work needs

Cause: in the surge trace late reading requests filled the decode memory. Change: they are placed only on what the demand of the last seconds leaves.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -35,6 +35,9 @@
 	// wakeAt is the last WakeAt that was sent.
 	wakeAt time.Time
 	firsts firstTokens
+	demand demand
+	// latePieces is the memory of the active attempts that were placed late.
+	latePieces identifier.Pieces
 	buf    buffers
 	out    []Outcome
 }
@@ -129,7 +132,7 @@
 	for _, o := range c.granter.Step(now, e) {
 		switch o := o.(type) {
 		case granter.Expired:
-			delete(c.active, Key(o.Key))
+			c.forget(Key(o.Key))
 		case granter.Stranded:
 			c.buf.stranded = append(c.buf.stranded, o)
 		}
@@ -137,6 +140,14 @@
 	c.stale = true
 }
 
+// forget drops an attempt that the ledger dropped or is about to drop.
+func (c *Core) forget(k Key) {
+	if a, ok := c.active[k]; ok && a.late {
+		c.latePieces -= a.pieces
+	}
+	delete(c.active, k)
+}
+
 func (c *Core) emit(o Outcome) { c.out = append(c.out, o) }
 
 func (c *Core) expire(now time.Time) {
@@ -161,7 +172,7 @@
 	if _, ok := c.active[k]; !ok {
 		return
 	}
-	delete(c.active, k)
+	c.forget(k)
 	c.ledger(now, granter.Release{Key: granter.Key(k)})
 }
 
@@ -195,7 +206,7 @@
 	if _, ok := c.active[e.Key]; !ok {
 		return
 	}
-	delete(c.active, e.Key)
+	c.forget(e.Key)
 	c.ledger(now, granter.Release{Key: granter.Key(e.Key), Output: e.Output, Whole: !e.Failed && e.Output > 0})
 }
 
--- a/admitter/ask.go
+++ b/admitter/ask.go
@@ -19,6 +19,7 @@
 	}
 	p.setTimes()
 	p.cost = c.leastCost(now, p)
+	c.countDemand(now, p)
 	if c.queue.len() >= c.cfg.QueueLimit && !c.makeRoom(now, p) {
 		c.refuse(p, ReasonQueueFull, c.backlog())
 		return
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -75,6 +75,9 @@
 			i++
 			continue
 		}
+		if p.late && !c.spare(now, p) {
+			return false
+		}
 		if !c.placeOn(now, p, choice) {
 			return false
 		}
@@ -142,6 +145,9 @@
 
 func (c *Core) reserve(now time.Time, p *pending, place Place, choice placer.Choice, reaches time.Time, transfer time.Duration) {
 	c.queue.remove(p)
+	if p.late {
+		c.latePieces += p.pieces
+	}
 	c.active[p.Key] = &active{pending: p, place: place, expected: choice.Expected}
 	c.ledger(now, granter.Reserve{
 		Key: granter.Key(p.Key), VM: p.From, Class: p.Class, Prefill: place.Prefill, Decode: place.Decode,
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -83,6 +83,7 @@
 
 // giveUp refuses a request, or lets it wait if late beats lost.
 func (c *Core) giveUp(now time.Time, p *pending, over time.Duration) {
+	c.demand.strained = now
 	if p.given.After(p.deadline) && p.given.After(now) {
 		c.queue.postpone(p)
 		return
--- a/estimator/lengths.go
+++ b/estimator/lengths.go
@@ -29,6 +29,7 @@
 	fresh       int
 	// table holds the lengths at equal steps of probability; it never falls.
 	table [tableSteps + 1]float64
+	mean  float64
 }
 
 // NewLengths returns a distribution whose prior is exponential with the
@@ -77,6 +78,7 @@
 		l.table[i] = float64(all.ValueAtQuantile(100 * float64(i) / tableSteps))
 	}
 	l.table[0] = 0
+	l.mean = all.Mean()
 }
 
 // Quantile returns the length that a share p of all lengths does not exceed.
@@ -86,6 +88,9 @@
 	return l.table[i] + (at-float64(i))*(l.table[i+1]-l.table[i])
 }
 
+// Mean returns the mean length.
+func (l *Lengths) Mean() float64 { return l.mean }
+
 // Below returns the share of lengths that do not exceed n.
 func (l *Lengths) Below(n float64) float64 {
 	if n >= l.table[tableSteps] {
