Let a replayed entry VM keep a prefill result when its decode engine dies

Cause: in the replay a decode engine that was dead before the import ended the whole attempt, and a Move that came during the prefill started the import at once, so that the prefill was wasted and engines were told to import twice. Change: a broken import fails the transfer; a Move before the end of the prefill only names the engine.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -38,8 +38,8 @@
 	demand demand
 	// latePieces is the memory of the active attempts that were placed late.
 	latePieces identifier.Pieces
-	buf    buffers
-	out    []Outcome
+	buf        buffers
+	out        []Outcome
 }
 
 // active is an attempt that was placed.
--- a/replayer/attempt.go
+++ b/replayer/attempt.go
@@ -17,6 +17,8 @@
 	within          time.Duration
 	// prompt includes the tokens that earlier attempts made.
 	prompt identifier.Tokens
+	// prefilled says that the entry VM knows of the end of the prefill.
+	prefilled bool
 	// live says that the prefill result lives on the prefill engine.
 	live bool
 	// importing is true from StartImport to its end, as the entry VM sees it.
@@ -43,7 +45,8 @@
 	})
 }
 
-func (a *attempt) prefilled(done faker.PrefillDone) {
+func (a *attempt) prefillEnded(done faker.PrefillDone) {
+	a.prefilled = true
 	a.report(admitter.PrefillEnded{Key: a.key(), Cached: done.Cached, Took: done.Took})
 	a.startImport()
 }
@@ -86,12 +89,16 @@
 	a.report(admitter.TransferFailed{Key: a.key(), Full: full})
 }
 
+// move takes another decode engine, for the transfer that starts now or at
+// the end of the prefill.
 func (a *attempt) move(m admitter.Move) {
 	if a.prefill == nil || a.importing || a.decoding {
 		return
 	}
 	a.decode, a.pieces, a.within = a.byID[m.Decode], m.Pieces, m.TransferWithin
-	a.startImport()
+	if a.prefilled {
+		a.startImport()
+	}
 }
 
 func (a *attempt) imported(took time.Duration) {
@@ -120,7 +127,12 @@
 }
 
 // fail ends an attempt that an upstream broke off and asks again without it.
+// A decode engine that breaks before the decode fails only the transfer.
 func (a *attempt) fail(e *engine) {
+	if e == a.decode && !a.decoding {
+		a.importFailed(e, false)
+		return
+	}
 	if (a.decoding && e == a.prefill) || (e != a.prefill && e != a.decode) {
 		return
 	}
--- a/replayer/engine.go
+++ b/replayer/engine.go
@@ -63,7 +63,7 @@
 	if a, ok := e.attempts[done.Hold]; ok {
 		a.live = true
 	}
-	e.toEntry(done.Hold, func(a *attempt) { a.prefilled(done) })
+	e.toEntry(done.Hold, func(a *attempt) { a.prefillEnded(done) })
 }
 
 func (e *engine) evicted(hold identifier.Hold) {
