--- a/tracer/record.go
+++ b/tracer/record.go
@@ -25,14 +25,6 @@
 	KindFault   Kind = "Fault"
 )
 
-// Prefer is what a deployment weighs more.
-type Prefer string
-
-// The preferences of a deployment.
-const (
-	PreferWastedPrefill Prefer = "WastedPrefill"
-	PreferGoodput       Prefer = "Goodput"
-)
 
 // Trace is a whole trace.
 type Trace struct {
@@ -53,7 +45,7 @@
 	Seed     uint64
 	// Load is the peak rate as a multiple of Capacity.PerSecond.
 	Load   float64
-	Prefer Prefer
+	Prefer admitter.Prefer
 	// PeakFrom and PeakTo bound the time at the full rate.
 	PeakFrom, PeakTo time.Time
 	Upstreams        []Upstream
--- a/tracer/scenario.go
+++ b/tracer/scenario.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
 )
 
@@ -56,7 +57,7 @@
 // prefill engine at the second. It comes back after ten seconds.
 func death(r *recorder) {
 	role := identifier.RoleDecode
-	if r.site.prefer == PreferGoodput {
+	if r.site.prefer == admitter.PreferGoodput {
 		role = identifier.RolePrefill
 	}
 	at := r.trace.Header.PeakFrom.Add(5 * time.Second)
--- a/tracer/site.go
+++ b/tracer/site.go
@@ -23,7 +23,7 @@
 	runners     int
 	dataCentres []identifier.DataCentre
 	vms         int
-	prefer      Prefer
+	prefer      admitter.Prefer
 	model       identifier.Model
 	workspaces  int
 	loads       []load
@@ -68,7 +68,7 @@
 		runners:     9,
 		dataCentres: []identifier.DataCentre{"thamel-room", "lalitpur-room", "bhaktapur-room"},
 		vms:         7,
-		prefer:      PreferWastedPrefill,
+		prefer:      admitter.PreferWastedPrefill,
 		model:       "kit-spec",
 		workspaces:  40,
 		loads: []load{
@@ -85,7 +85,7 @@
 		runners:     12,
 		dataCentres: []identifier.DataCentre{"saldanha", "hout-bay", "table-bay"},
 		vms:         7,
-		prefer:      PreferGoodput,
+		prefer:      admitter.PreferGoodput,
 		model:       "hull-notes",
 		workspaces:  120,
 		loads: []load{
