--- /dev/null
+++ b/replay.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/replayer"
+	"github.com/figtrack/figtrack/tracer"
+)
+
+type replayOptions struct {
+	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
+	Policy   string   `long:"policy" default:"figtrack" description:"policy that decides"`
+	Compare  []string `long:"compare" description:"further policy to replay beside it; all for each of them"`
+	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
+	JSON     bool     `long:"json" description:"print the measures as JSON"`
+	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
+	All      bool     `long:"all" description:"replay every policy on the recorded traces of both sites, without TRACE"`
+}
+
+// runReplay replays a trace and prints the measures.
+func runReplay(args []string, stdout, stderr io.Writer) int {
+	var options replayOptions
+	p := flags.NewNamedParser("figtrack replay", flags.HelpFlag|flags.PassDoubleDash)
+	p.Usage = "[OPTIONS] [TRACE]"
+	if _, err := p.AddGroup("Options", "", &options); err != nil {
+		panic(err)
+	}
+	rest, err := p.ParseArgs(args)
+	if status, done := usage(err, stdout, stderr); done {
+		return status
+	}
+	if err := replay(options, rest, stdout, stderr); err != nil {
+		fmt.Fprintf(stderr, "figtrack replay: %v\n", err)
+		return exitUsage
+	}
+	return exitOK
+}
+
+func replay(options replayOptions, rest []string, stdout, stderr io.Writer) error {
+	if options.All {
+		return replayAll(options, rest, stdout)
+	}
+	if len(rest) != 1 {
+		return errors.New("give one TRACE; figtrack record makes one")
+	}
+	makers, err := chosen(options)
+	if err != nil {
+		return err
+	}
+	trace, err := tracer.ReadFile(rest[0])
+	if err != nil {
+		return err
+	}
+	if trace.Skipped > 0 {
+		fmt.Fprintf(stderr, "figtrack replay: %d lines of other kinds skipped\n", trace.Skipped)
+	}
+	var results []replayer.Result
+	for _, maker := range makers {
+		results = append(results, replayer.Run(trace, maker, options.Seed))
+	}
+	if options.Plot != "" {
+		if err := replayer.WritePlot(options.Plot, results); err != nil {
+			return err
+		}
+	}
+	if options.JSON {
+		return printJSON(stdout, results)
+	}
+	replayer.WriteTable(stdout, results)
+	return nil
+}
+
+// chosen returns the policies that the options name.
+func chosen(options replayOptions) ([]replayer.Maker, error) {
+	first, err := replayer.Find(options.Policy)
+	if err != nil {
+		return nil, err
+	}
+	if options.Settings != "" {
+		settings, err := parser.Load(options.Settings)
+		if err != nil {
+			return nil, err
+		}
+		if options.Policy == replayer.Figtrack("").Name {
+			first = replayer.Figtrack(settings.Prefer)
+		}
+	}
+	makers := []replayer.Maker{first}
+	for _, name := range options.Compare {
+		if name == "all" {
+			makers = append(makers, replayer.Baselines()...)
+			continue
+		}
+		other, err := replayer.Find(name)
+		if err != nil {
+			return nil, err
+		}
+		makers = append(makers, other)
+	}
+	return makers, nil
+}
+
+func replayAll(options replayOptions, rest []string, stdout io.Writer) error {
+	if len(rest) > 0 {
+		return errors.Errorf("--all makes its own traces, leave out %q", rest[0])
+	}
+	results, err := replayer.RunAll(options.Seed)
+	if err != nil {
+		return err
+	}
+	if options.JSON {
+		return printJSON(stdout, results)
+	}
+	replayer.WriteSummary(stdout, results)
+	return nil
+}
+
+func printJSON(w io.Writer, results []replayer.Result) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(results), "print the measures")
+}
--- /dev/null
+++ b/replayer/all.go
@@ -0,0 +1,67 @@
+package replayer
+
+import (
+	"runtime"
+	"sync"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/tracer"
+)
+
+// Plans returns the recorded traces of both sites that measurements and
+// checks use.
+func Plans(seed uint64) []tracer.Plan {
+	var plans []tracer.Plan
+	for _, site := range tracer.Sites {
+		for _, load := range []float64{1, 1.5, 3} {
+			plans = append(plans, tracer.Plan{Site: site, Scenario: "surge", Load: load, Seed: seed})
+		}
+		for _, scenario := range tracer.Scenarios {
+			if scenario != "surge" {
+				plans = append(plans, tracer.Plan{Site: site, Scenario: scenario, Load: 1, Seed: seed})
+			}
+		}
+	}
+	return plans
+}
+
+// compared are the policies of a measurement.
+func compared() []Maker {
+	makers := []Maker{Figtrack(admitter.PreferWastedPrefill), Figtrack(admitter.PreferGoodput)}
+	return append(makers, Baselines()...)
+}
+
+// RunAll replays every policy on every plan, one after the other on each
+// core. The order of the results is that of the plans.
+func RunAll(seed uint64) ([]Result, error) {
+	makers := compared()
+	plans := Plans(seed)
+	results := make([]Result, len(plans)*len(makers))
+	jobs := make(chan func())
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for job := range jobs {
+				job()
+			}
+		})
+	}
+	err := runPlans(plans, makers, results, jobs)
+	close(jobs)
+	workers.Wait()
+	return results, err
+}
+
+func runPlans(plans []tracer.Plan, makers []Maker, results []Result, jobs chan<- func()) error {
+	for i, plan := range plans {
+		trace, err := tracer.Record(plan)
+		if err != nil {
+			return err
+		}
+		for j, maker := range makers {
+			at := i*len(makers) + j
+			jobs <- func() { results[at] = Run(trace, maker, plan.Seed) }
+		}
+	}
+	return nil
+}
--- a/replayer/book.go
+++ b/replayer/book.go
@@ -29,6 +29,9 @@
 	classOf map[identifier.Request]identifier.Class
 	// lastEnd is when the last request ended.
 	lastEnd time.Time
+	// arrivals and good count the first tries and the good answers by the
+	// second of the trace in which their try arrived.
+	arrivals, good []int
 }
 
 // fate is what became of a prefill.
@@ -90,12 +93,15 @@
 // close counts the end of a caller's request.
 func (b *book) close(c *caller) {
 	b.lastEnd = c.now
+	b.arrivals = b.countSecond(b.arrivals, c.Time)
 	t := b.classes[c.Class]
 	t.requests++
 	t.returns += c.try
 	switch c.end {
 	case endingAnswered:
-		t.answer(c, b.inPeak(c.arrived))
+		if t.answer(c, b.inPeak(c.arrived)) {
+			b.good = b.countSecond(b.good, c.arrived)
+		}
 	case endingRefused:
 		t.refused++
 		if c.placed {
@@ -112,7 +118,8 @@
 	return !t.Before(b.header.PeakFrom) && t.Before(b.header.PeakTo)
 }
 
-func (t *tally) answer(c *caller, inPeak bool) {
+// answer reports whether the answer met both targets.
+func (t *tally) answer(c *caller, inPeak bool) bool {
 	t.answered++
 	first, pace := c.latencies()
 	record(t.first, first)
@@ -120,12 +127,23 @@
 		record(t.pace, pace)
 	}
 	if first > t.class.FirstToken || pace > t.class.PerToken {
-		return
+		return false
 	}
 	t.good++
 	if inPeak {
 		t.goodInPeak++
 	}
+	return true
+}
+
+// countSecond adds one to the second of the trace that t is in.
+func (b *book) countSecond(counts []int, t time.Time) []int {
+	second := int(t.Sub(b.header.Time) / time.Second)
+	for len(counts) <= second {
+		counts = append(counts, 0)
+	}
+	counts[second]++
+	return counts
 }
 
 // latencies returns the time to the first token of the answered try and the
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -19,12 +19,15 @@
 	Whole    Measures
 	Classes  []Measures
 	// Capacity is the site's capacity in requests a second, Bound the goodput
-	// a second of the clairvoyant order over the time at the full rate.
+	// a second of Clairvoyant over the time at the full rate.
 	Capacity, Bound float64
 	// MessagesPerVM and BytesPerVM are means per second over the VMs;
 	// MessagesMax and BytesMax those of the busiest VM.
 	MessagesPerVM, BytesPerVM float64
 	MessagesMax, BytesMax     float64
+	// Arrivals and Good count the requests and the answers inside both
+	// targets for each second of the trace, by the arrival of the try.
+	Arrivals, Good []int
 	// HeldAfter counts the holds left on engines at the end. It must be 0.
 	HeldAfter int
 }
@@ -76,6 +79,8 @@
 		Policy: policy, Site: r.trace.Header.Site, Scenario: r.trace.Header.Scenario,
 		Load: r.trace.Header.Load, Seed: r.trace.Header.Seed,
 		Capacity: r.trace.Header.Capacity.PerSecond,
+		Bound:    Clairvoyant(r.trace).GoodputPerSecond,
+		Arrivals: r.book.arrivals, Good: r.book.good,
 	}
 	peak := r.trace.Header.PeakTo.Sub(r.trace.Header.PeakFrom)
 	for _, class := range r.trace.Header.Classes {
--- /dev/null
+++ b/replayer/table.go
@@ -0,0 +1,116 @@
+package replayer
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/jedib0t/go-pretty/v6/text"
+)
+
+// WriteTable prints results of one trace, each in at most 80 columns.
+func WriteTable(w io.Writer, results []Result) {
+	for i, r := range results {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		writeHead(w, r)
+		writeCounts(w, r)
+		writeTimes(w, r)
+	}
+}
+
+func writeHead(w io.Writer, r Result) {
+	fmt.Fprintf(w, "%s, %s, load %g, seed %d: %s\n", r.Site, r.Scenario, r.Load, r.Seed, r.Policy)
+	fmt.Fprintf(w, "at the full rate: goodput %.1f/s, capacity %.1f/s, clairvoyant %.1f/s\n",
+		r.Whole.GoodputPerSecond, r.Capacity, r.Bound)
+	fmt.Fprintf(w, "a VM: %.0f messages/s, %.1f KB/s; busiest %.0f/s, %.1f KB/s; held after: %d\n",
+		r.MessagesPerVM, r.BytesPerVM/1000, r.MessagesMax, r.BytesMax/1000, r.HeldAfter)
+}
+
+func writeCounts(w io.Writer, r Result) {
+	t := newTable(w)
+	t.AppendHeader(table.Row{
+		"Class", "Requests", "Good%", "Answered", "Refused", "Gone", "Lost", "Returns", "Waste%", "Cut%",
+	})
+	for _, m := range r.rows() {
+		t.AppendRow(table.Row{
+			m.Class, m.Requests, percent(m.Goodput), m.Answered, m.Refused, m.Withdrawn,
+			m.Lost, m.Returns, percent(m.Wasted), percent(m.Cut),
+		})
+	}
+	t.Render()
+}
+
+func writeTimes(w io.Writer, r Result) {
+	t := newTable(w)
+	t.AppendHeader(table.Row{
+		"Class", "First p50", "p95", "p99 ms", "Token p50", "p95", "p99 ms", "Good/s",
+	})
+	for _, m := range r.rows() {
+		t.AppendRow(table.Row{
+			m.Class, whole(m.FirstToken.P50), whole(m.FirstToken.P95), whole(m.FirstToken.P99),
+			tenth(m.PerToken.P50), tenth(m.PerToken.P95), tenth(m.PerToken.P99), tenth(m.GoodputPerSecond),
+		})
+	}
+	t.Render()
+}
+
+// rows are the classes and then all.
+func (r Result) rows() []Measures {
+	return append(append([]Measures(nil), r.Classes...), r.Whole)
+}
+
+// WriteSummary prints one line for each result, in at most 80 columns.
+func WriteSummary(w io.Writer, results []Result) {
+	t := newTable(w)
+	t.AppendHeader(table.Row{
+		"Policy", "Good%", "Worst%", "Good/s", "of cap%", "Waste%", "Refused", "Lost", "First95",
+	})
+	trace := ""
+	for _, r := range results {
+		if name := fmt.Sprintf("%s %s %gx", r.Site, r.Scenario, r.Load); name != trace {
+			trace = name
+			t.AppendSeparator()
+			t.AppendRow(table.Row{trace, "", "", tenth(r.Bound), percent(ratio(r.Bound, r.Capacity))})
+		}
+		t.AppendRow(table.Row{
+			r.Policy, percent(r.Whole.Goodput), percent(r.Worst()), tenth(r.Whole.GoodputPerSecond),
+			percent(ratio(r.Whole.GoodputPerSecond, r.Capacity)), percent(r.Whole.Wasted),
+			r.Whole.Refused, r.Whole.Lost, whole(r.Whole.FirstToken.P95),
+		})
+	}
+	t.Render()
+}
+
+// Worst is the lowest goodput of a class.
+func (r Result) Worst() float64 {
+	worst := 1.0
+	for _, m := range r.Classes {
+		worst = min(worst, m.Goodput)
+	}
+	return worst
+}
+
+func newTable(w io.Writer) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	style := table.StyleLight
+	style.Options = table.OptionsNoBordersAndSeparators
+	style.Options.SeparateHeader = true
+	style.Format.Header = text.FormatDefault
+	style.Box.PaddingLeft = ""
+	t.SetStyle(style)
+	columns := make([]table.ColumnConfig, 0, 9)
+	for n := 2; n <= 10; n++ {
+		columns = append(columns, table.ColumnConfig{Number: n, Align: text.AlignRight, AlignHeader: text.AlignRight})
+	}
+	t.SetColumnConfigs(columns)
+	return t
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.1f", 100*share) }
+
+func whole(x float64) string { return fmt.Sprintf("%.0f", x) }
+
+func tenth(x float64) string { return fmt.Sprintf("%.1f", x) }
--- a/tracer/record.go
+++ b/tracer/record.go
@@ -25,7 +25,6 @@
 	KindFault   Kind = "Fault"
 )
 
-
 // Trace is a whole trace.
 type Trace struct {
 	Header   Header
