Answer each request once and let callers read on elsewhere

Each run has a Request id of its own, so that no request and attempt are reused when a key comes again; readers are numbered, orders to yield name the question that they end.

--- /dev/null
+++ b/deduper/deduper_test.go
@@ -0,0 +1,290 @@
+package deduper_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/figtrack/figtrack/deduper"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
+)
+
+// steps is the least number of steps of a machine in CI.
+const steps = 10_000
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.checks", "150")
+	_ = flag.Set("rapid.steps", "600")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// answerLength is the number of tokens of every answer.
+const answerLength = 6
+
+// part is one token of the answer to a key, different for each key.
+func part(key deduper.Key, index identifier.Tokens) (string, string) {
+	finish := ""
+	if index == answerLength-1 {
+		finish = "stop"
+	}
+	return fmt.Sprintf("%s.%d ", key, index), finish
+}
+
+func text(key deduper.Key, n int) string {
+	all := ""
+	for i := range n {
+		s, _ := part(key, identifier.Tokens(i))
+		all += s
+	}
+	return all
+}
+
+// connection is one writer as its caller sees it.
+type connection struct {
+	key    deduper.Key
+	vm     int
+	got    string
+	closed bool
+}
+
+// reading is one reader of a stream.
+type reading struct {
+	vm      int
+	core    *deduper.Core
+	key     deduper.Key
+	request identifier.Request
+	attempt identifier.Attempt
+	reader  deduper.Reader
+	next    identifier.Tokens
+	started bool
+}
+
+type message struct {
+	// vm is the receiver, or the sender of a message to the home.
+	vm     int
+	start  deduper.Start
+	event  deduper.Event
+	toHome deduper.HomeEvent
+}
+
+// world is three VMs and the home of all keys.
+type world struct {
+	now     time.Time
+	cores   []*deduper.Core
+	starts  []deduper.Start
+	wakes   []time.Time
+	home    *deduper.Home
+	wake    time.Time
+	writers map[deduper.Writer]*connection
+	// keys gives the key of each run.
+	keys     map[identifier.Request]deduper.Key
+	readings []*reading
+	messages []message
+	// runs counts the attempts of requests that may not be repeated.
+	runs map[deduper.Key]int
+	// calm says that no message was lost and no home has crashed.
+	calm    bool
+	ids     int
+	steps   int
+	answers int
+}
+
+func repeatable(key deduper.Key) bool { return key[0] != 'p' }
+
+func newWorld(calm bool) *world {
+	w := &world{
+		now:     time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC),
+		home:    deduper.NewHome(),
+		writers: map[deduper.Writer]*connection{},
+		keys:    map[identifier.Request]deduper.Key{},
+		runs:    map[deduper.Key]int{},
+		calm:    calm,
+	}
+	for i := range 3 {
+		w.cores = append(w.cores, deduper.New())
+		w.starts = append(w.starts, deduper.Start{VM: identifier.VM(fmt.Sprint("vm", i)), Incarnation: 1})
+		w.wakes = append(w.wakes, time.Time{})
+	}
+	return w
+}
+
+func (w *world) step(t *rapid.T, vm int, e deduper.Event) {
+	for _, o := range w.cores[vm].Step(w.now, e) {
+		w.perform(t, vm, o)
+	}
+}
+
+func (w *world) perform(t *rapid.T, vm int, o deduper.Outcome) {
+	start := w.starts[vm]
+	tell := func(e deduper.HomeEvent) {
+		w.messages = append(w.messages, message{vm: vm, start: start, toHome: e})
+	}
+	switch o := o.(type) {
+	case deduper.StartAttempt:
+		w.started(t, vm, o)
+	case deduper.Attach:
+		if o.Place.Upstream == "" {
+			t.Fatalf("attach without a stream")
+		}
+		w.read(&reading{vm: vm, request: o.Request, attempt: o.Attempt, reader: o.Reader, next: o.From, started: true})
+	case deduper.Write:
+		w.write(t, o)
+	case deduper.CloseWriter:
+		w.close(t, o.Writer)
+	case deduper.Finish:
+		c := w.close(t, o.Writer)
+		if _, ok := o.Outcome.(outcomer.Answered); ok {
+			w.answers++
+			if c.got != text(c.key, answerLength) {
+				t.Fatalf("answer to %s is not whole: %q", c.key, c.got)
+			}
+		}
+	case deduper.AskHome:
+		tell(deduper.Asked{From: start, Key: o.Key, Serial: o.Serial})
+	case deduper.TellHome:
+		tell(deduper.Told{From: start, Serial: o.Serial, Record: o.Record})
+	case deduper.ForgetHome:
+		tell(deduper.Forgotten{From: start, Key: o.Key, Serial: o.Serial})
+	case deduper.Yielded:
+		tell(deduper.YieldAnswered{From: start, Key: o.Key, Serial: o.Serial, Running: o.Running})
+	case deduper.WakeAt:
+		w.wakes[vm] = o.At
+	}
+}
+
+func (w *world) started(t *rapid.T, vm int, o deduper.StartAttempt) {
+	key := w.keys[o.Request]
+	if o.Generated != text(key, int(o.From)) {
+		t.Fatalf("attempt of %s goes on from %d with %q", key, o.From, o.Generated)
+	}
+	if !repeatable(key) {
+		w.runs[key]++
+		if w.runs[key] > 1 {
+			t.Fatalf("%s runs twice", key)
+		}
+	}
+	w.read(&reading{vm: vm, request: o.Request, attempt: o.Attempt, reader: o.Reader, next: o.From})
+}
+
+func (w *world) read(r *reading) {
+	r.core, r.key = w.cores[r.vm], w.keys[r.request]
+	w.readings = append(w.readings, r)
+}
+
+func (w *world) write(t *rapid.T, o deduper.Write) {
+	c := w.writers[o.Writer]
+	if c.closed {
+		t.Fatalf("write to a closed connection of %s", c.key)
+	}
+	c.got += o.Text
+	if full := text(c.key, answerLength); len(c.got) > len(full) || full[:len(c.got)] != c.got {
+		t.Fatalf("connection of %s got %q", c.key, c.got)
+	}
+	for id, other := range w.writers {
+		if id != o.Writer && other.key == c.key && !other.closed && (other.vm == c.vm || w.calm) && other.got != "" {
+			t.Fatalf("two connections get the answer to %s", c.key)
+		}
+	}
+}
+
+func (w *world) close(t *rapid.T, id deduper.Writer) *connection {
+	c := w.writers[id]
+	if c.closed {
+		t.Fatalf("connection of %s is closed twice", c.key)
+	}
+	c.closed = true
+	return c
+}
+
+func (w *world) arrive(t *rapid.T, vm int, key deduper.Key) deduper.Writer {
+	w.ids++
+	writer, request := deduper.Writer(w.ids), identifier.Request(fmt.Sprint("r", w.ids))
+	w.writers[writer] = &connection{key: key, vm: vm}
+	w.keys[request] = key
+	w.step(t, vm, deduper.CallerArrived{Key: key, Request: request, Writer: writer, Repeatable: repeatable(key)})
+	return writer
+}
+
+func (w *world) deliver(t *rapid.T, m message) {
+	if m.toHome == nil {
+		if w.starts[m.vm] == m.start {
+			w.step(t, m.vm, m.event)
+		}
+		return
+	}
+	for _, o := range w.home.Step(w.now, m.toHome) {
+		w.performHome(o)
+	}
+}
+
+func (w *world) performHome(o deduper.HomeOutcome) {
+	switch o := o.(type) {
+	case deduper.AnswerVM:
+		w.send(o.To, o.Answer)
+	case deduper.YieldVM:
+		w.send(o.To, o.Order)
+	case deduper.HomeWakeAt:
+		w.wake = o.At
+	}
+}
+
+func (w *world) send(to deduper.Start, e deduper.Event) {
+	for i, start := range w.starts {
+		if start.VM == to.VM {
+			w.messages = append(w.messages, message{vm: i, start: to, event: e})
+		}
+	}
+}
+
+func (w *world) advance(t *rapid.T, d time.Duration) {
+	w.now = w.now.Add(d)
+	for i := range w.cores {
+		if !w.wakes[i].IsZero() && !w.now.Before(w.wakes[i]) {
+			w.wakes[i] = time.Time{}
+			w.step(t, i, deduper.Wake{})
+		}
+	}
+	if !w.wake.IsZero() && !w.now.Before(w.wake) {
+		w.wake = time.Time{}
+		for _, o := range w.home.Step(w.now, deduper.HomeWake{}) {
+			w.performHome(o)
+		}
+	}
+}
+
+// goOn lets a reading go one step on: its stream begins, or gives a token.
+func (w *world) goOn(t *rapid.T, r *reading) {
+	if w.cores[r.vm] != r.core {
+		return
+	}
+	if !r.started {
+		r.started = true
+		hold := identifier.Hold{VM: w.starts[r.vm].VM, Incarnation: 1, Request: r.request, Attempt: r.attempt}
+		w.step(t, r.vm, deduper.AttemptStarted{Request: r.request, Attempt: r.attempt, Place: deduper.Place{Hold: hold, Upstream: "d1"}})
+		return
+	}
+	if r.next == answerLength {
+		return
+	}
+	s, finish := part(r.key, r.next)
+	w.step(t, r.vm, deduper.TokenArrived{Request: r.request, Attempt: r.attempt, Reader: r.reader, Index: r.next, Text: s, Finish: finish})
+	r.next++
+}
+
+// drain delivers all messages in their order.
+func (w *world) drain(t *rapid.T) {
+	for len(w.messages) > 0 {
+		m := w.messages[0]
+		w.messages = w.messages[1:]
+		w.deliver(t, m)
+	}
+}
+
+func identifierOf(n int) identifier.Request { return identifier.Request(fmt.Sprint("r", n)) }
