Let engines tell when a hold was last read

Cause: memory of a VM that is only cut off from its peers must not be released while its stream is read.

Change: HoldState.Read and Holds.TellsRead; the stand-in leaves them unset until it keeps them.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -123,12 +123,17 @@
 	Pieces identifier.Pieces
 	// Since is when the hold began.
 	Since time.Time
+	// Read is when a reader last took a token of the hold's stream, by the
+	// engine's clock; zero before the first one.
+	Read time.Time
 }
 
 // Holds is what an engine holds.
 type Holds struct {
 	Incarnation identifier.Incarnation
 	Holds       []HoldState
+	// TellsRead says that the engine keeps HoldState.Read.
+	TellsRead bool
 }
 
 // Order changes what an engine serves. Empty fields are left as they are.
