Know the live VMs and the usable upstreams without a coordinator

Cause: owners of shards, spread of the configuration and leaving upstreams all rest on one view of which VMs live.

--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,171 @@
+package prober_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/prober"
+)
+
+// The targets of the membership.
+const (
+	detectWithin = 5 * time.Second
+	// bytesPerSecond leaves the larger part of a VM's 22 KB/s to others.
+	bytesPerSecond = 8_000
+)
+
+// TestDetectionTable prints, per fleet size under 5% loss, how soon every VM
+// misses a dead one and how often a running one is missed.
+func TestDetectionTable(t *testing.T) {
+	g := NewWithT(t)
+	fmt.Println("VMs  loss  joined   dead p50  dead p99  dead max  false/VM-hour  messages/VM/s  bytes/VM/s")
+	for _, n := range []int{7, 40, 320} {
+		f := newFleet(n, 0.05, uint64(n))
+		joined := f.untilAgreed(n, 10*time.Second)
+		g.Expect(f.agreed(n)).To(BeTrue())
+		missed, times := 0, []time.Duration(nil)
+		var victim identifier.VM
+		var died time.Time
+		f.onLive = func(_ identifier.VM, live map[identifier.VM]bool) {
+			for _, id := range f.vms {
+				if !live[id] && !f.nodes[id].down {
+					missed++
+				}
+			}
+			if victim != "" && !live[victim] {
+				times = append(times, f.now.Sub(died))
+			}
+		}
+		quiet := 30 * time.Second
+		f.run(20 * time.Second)
+		f.resetCounts()
+		f.run(quiet)
+		bytes, sent := f.counts()
+		for i := range 3 {
+			victim, died = f.vms[i], f.now
+			f.nodes[victim].down = true
+			f.run(10 * time.Second)
+			g.Expect(f.agreed(n - 1 - i)).To(BeTrue())
+		}
+		slices.Sort(times)
+		hours := float64(n) * (80 * time.Second).Hours()
+		fmt.Printf("%3d  5%%    %6.2fs  %7.2fs  %7.2fs  %7.2fs  %13.2f  %13.1f  %10.0f\n", n, joined.Seconds(),
+			at(times, 0.5), at(times, 0.99), at(times, 1), float64(missed)/hours,
+			float64(sent)/float64(n)/quiet.Seconds(), float64(bytes)/float64(n)/quiet.Seconds())
+		g.Expect(missed).To(BeZero())
+		g.Expect(at(times, 1)).To(BeNumerically("<", detectWithin.Seconds()))
+		g.Expect(float64(bytes) / float64(n) / quiet.Seconds()).To(BeNumerically("<", bytesPerSecond))
+	}
+}
+
+// TestSplitHeals cuts a fleet in two halves and joins them again.
+func TestSplitHeals(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(40, 0.05, 3)
+	f.run(10 * time.Second)
+	for i, id := range f.vms {
+		f.nodes[id].side = i % 2
+	}
+	f.run(10 * time.Second)
+	g.Expect(f.agreed(20)).To(BeTrue())
+	f.run(5 * time.Minute)
+	lowest := 40
+	f.onLive = func(_ identifier.VM, live map[identifier.VM]bool) { lowest = min(lowest, len(live)) }
+	for _, id := range f.vms {
+		f.nodes[id].side = 0
+	}
+	f.run(15 * time.Second)
+	g.Expect(f.agreed(40)).To(BeTrue())
+	g.Expect(lowest).To(BeNumerically(">=", 20), "no half may lose its own VMs while it heals")
+}
+
+// TestRestartAndPause restarts a VM under its id, pauses another one for
+// longer than every timeout and has a third leave.
+func TestRestartAndPause(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(7, 0.05, 4)
+	f.run(5 * time.Second)
+	f.start(vm(1), 2, 7)
+	f.run(3 * time.Second)
+	g.Expect(f.agreed(7)).To(BeTrue())
+	for _, m := range f.nodes[vm(0)].core.Live() {
+		if m.VM == vm(1) {
+			g.Expect(m.Incarnation).To(Equal(identifier.Incarnation(2)))
+		}
+	}
+
+	f.nodes[vm(2)].down = true
+	f.run(20 * time.Second)
+	g.Expect(f.agreed(6)).To(BeTrue())
+	lowest := 7
+	f.onLive = func(id identifier.VM, live map[identifier.VM]bool) {
+		if id == vm(2) {
+			lowest = min(lowest, len(live))
+		}
+	}
+	f.nodes[vm(2)].down = false
+	f.step(vm(2), prober.Wake{})
+	f.run(10 * time.Second)
+	g.Expect(f.agreed(7)).To(BeTrue())
+	g.Expect(lowest).To(Equal(7), "a VM that wakes from a pause may blame nobody for it")
+
+	f.step(vm(3), prober.Leave{})
+	f.run(time.Second)
+	g.Expect(f.agreed(6)).To(BeTrue())
+}
+
+// TestLeavingNoticeReachesAll starts a notice on one VM.
+func TestLeavingNoticeReachesAll(t *testing.T) {
+	g := NewWithT(t)
+	fmt.Println("VMs  loss  notice everywhere")
+	for _, n := range []int{7, 40, 320} {
+		f := newFleet(n, 0.05, 5)
+		f.run(10 * time.Second)
+		heard := map[identifier.VM]bool{}
+		last := f.now
+		f.onNotice = func(at identifier.VM, v prober.Notice) {
+			heard[at] = v.Leaving
+			last = f.now
+		}
+		begin := f.now
+		f.step(vm(0), prober.UpstreamLeaving{Upstream: "spec-desk-1", Leaving: true, Source: prober.SourceUpstream})
+		f.run(3 * time.Second)
+		fmt.Printf("%3d  5%%    %.2fs\n", n, last.Sub(begin).Seconds())
+		g.Expect(heard).To(HaveLen(n))
+	}
+}
+
+func (f *fleet) untilAgreed(n int, limit time.Duration) time.Duration {
+	begin := f.now
+	for !f.agreed(n) && f.now.Sub(begin) < limit {
+		f.run(10 * time.Millisecond)
+	}
+	return f.now.Sub(begin)
+}
+
+func (f *fleet) resetCounts() {
+	for _, n := range f.nodes {
+		n.bytes, n.sent = 0, 0
+	}
+}
+
+func (f *fleet) counts() (bytes, sent int) {
+	for _, n := range f.nodes {
+		bytes += n.bytes
+		sent += n.sent
+	}
+	return bytes, sent
+}
+
+// at returns a quantile of sorted times in seconds.
+func at(times []time.Duration, q float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	return times[int(q*float64(len(times)-1))].Seconds()
+}
--- /dev/null
+++ b/prober/shell.go
@@ -0,0 +1,100 @@
+package prober
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// RingEvents is the capacity of a shell's ring.
+const RingEvents = 1024
+
+// Sender sends one-way messages to other VMs. Loss is expected: false says
+// that nothing was sent.
+type Sender interface {
+	Send(to identifier.VM, e *wire.Envelope) bool
+}
+
+// Shell owns a Core: one goroutine, a bounded ring and a sender.
+type Shell struct {
+	core   *Core
+	sender Sender
+	// observe sees each outcome but Send and WakeAt, in order.
+	observe func(Outcome)
+	ring    chan Event
+	live    atomic.Pointer[[]Member]
+	dropped atomic.Int64
+}
+
+// NewShell returns a shell that does nothing before Run. Observe is called
+// on the shell's goroutine and must not block.
+func NewShell(core *Core, sender Sender, observe func(Outcome)) *Shell {
+	s := &Shell{core: core, sender: sender, observe: observe, ring: make(chan Event, RingEvents)}
+	s.live.Store(&[]Member{})
+	return s
+}
+
+// Offer queues an event. It returns false, with the event dropped and
+// counted, if the ring is full; later messages repeat what it said.
+func (s *Shell) Offer(e Event) bool {
+	select {
+	case s.ring <- e:
+		return true
+	default:
+		s.dropped.Add(1)
+		return false
+	}
+}
+
+// Dropped counts the events that found the ring full.
+func (s *Shell) Dropped() int64 { return s.dropped.Load() }
+
+// Live returns the present live set, sorted by VM. It must not be changed.
+func (s *Shell) Live() []Member { return *s.live.Load() }
+
+// Handle takes in a message of another VM. It never answers: answers are
+// messages of their own.
+func (s *Shell) Handle(_ context.Context, from identifier.VM, e *wire.Envelope) *wire.Envelope {
+	f, err := Decode(e.GetMembership())
+	if err == nil {
+		s.Offer(Received{From: from, Frame: f})
+	}
+	return nil
+}
+
+// Run drives the core until ctx ends.
+func (s *Shell) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.ring:
+			s.step(timer, e)
+		case <-timer.C:
+			s.step(timer, Wake{})
+		}
+	}
+}
+
+func (s *Shell) step(timer *time.Timer, e Event) {
+	now := time.Now()
+	for _, o := range s.core.Step(now, e) {
+		switch o := o.(type) {
+		case Send:
+			body := &wire.Envelope_Membership{Membership: Encode(o.Frame)}
+			s.sender.Send(o.To, &wire.Envelope{Body: body})
+		case WakeAt:
+			timer.Reset(max(0, o.At.Sub(now)))
+		case LiveChanged:
+			s.live.Store(&o.Live)
+			s.observe(o)
+		default:
+			s.observe(o)
+		}
+	}
+}
