--- a/commands.go
+++ b/commands.go
@@ -24,12 +24,14 @@
 	return []command{
 		demoCommand,
 		checkCommand,
+		recordCommand,
+		replayCommand,
 	}
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
-		usage(stderr)
+		printHelp(stderr)
 		return exitUsage
 	}
 	for _, c := range commands() {
@@ -38,14 +40,14 @@
 		}
 	}
 	if args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
-		usage(stdout)
+		printHelp(stdout)
 		return exitOK
 	}
 	fmt.Fprintf(stderr, "figtrack: unknown command %q; see figtrack --help\n", args[0])
 	return exitUsage
 }
 
-func usage(w io.Writer) {
+func printHelp(w io.Writer) {
 	fmt.Fprintln(w, "figtrack routes requests to separate prefill and decode pools.")
 	fmt.Fprintln(w, "\nUsage: figtrack COMMAND [options]")
 	fmt.Fprintln(w, "\nCommands:")
