Learn the live VMs and the usable upstreams in the server

Owners were chosen over all VMs of the settings, so a dead VM kept its shards. The server now runs the membership and the health of upstreams: live VMs choose owners, down and leaving runners get no placement, plain services that don't answer get no calls.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
@@ -38,6 +39,13 @@
 	Claim(ctx context.Context, id claimer.Identity) claimer.Result
 }
 
+// Health tells which instances may get calls and hears how calls went.
+type Health interface {
+	Usable(u identifier.Upstream) bool
+	Succeeded(u identifier.Upstream)
+	Failed(u identifier.Upstream, kind driver.Kind)
+}
+
 // Transports reach the services.
 type Transports struct {
 	// Kept keeps its connections open.
@@ -50,6 +58,7 @@
 type Forwarder struct {
 	registrar  *registrar.Registrar
 	claimer    Claimer
+	health     Health
 	transports Transports
 	// maxBody is the largest body of a keyed call, in bytes: it is hashed
 	// before the claim.
@@ -62,12 +71,13 @@
 
 // New returns a forwarder.
 func New(
-	r *registrar.Registrar, c Claimer, t Transports,
+	r *registrar.Registrar, c Claimer, h Health, t Transports,
 	maxBody int64, timeout time.Duration, log zerolog.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		registrar:  r,
 		claimer:    c,
+		health:     h,
 		transports: t,
 		maxBody:    maxBody,
 		timeout:    timeout,
@@ -112,9 +122,6 @@
 	}
 	tried := 0
 	for _, u := range c.order(members) {
-		if u.Leaving {
-			continue
-		}
 		tried++
 		result := c.send(w, u)
 		c.record(u, result)
@@ -171,16 +178,29 @@
 	return outcomer.FromClaim(result, retryAfter)
 }
 
-// order lists the instances from the next in turn.
+// order lists the usable instances from the next in turn.
 func (c *call) order(members []registrar.Upstream) []registrar.Upstream {
 	if len(members) == 0 {
 		return nil
 	}
 	first := int(c.turn.Add(1) % uint64(len(members)))
-	return append(append([]registrar.Upstream{}, members[first:]...), members[:first]...)
+	turned := append(append([]registrar.Upstream{}, members[first:]...), members[:first]...)
+	var usable []registrar.Upstream
+	for _, u := range turned {
+		if !u.Leaving && c.health.Usable(u.ID) {
+			usable = append(usable, u)
+		}
+	}
+	return usable
 }
 
 func (c *call) record(u registrar.Upstream, result sent) {
+	switch {
+	case result == sentAnswered:
+		c.health.Succeeded(u.ID)
+	case c.r.Context().Err() == nil:
+		c.health.Failed(u.ID, driver.KindUnknown)
+	}
 	c.log.Info().
 		Str("Request", c.key).
 		Str("Pool", string(c.pool.ID)).
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/admitter"
@@ -20,8 +21,6 @@
 	every = 200 * time.Millisecond
 	// timeout bounds one call.
 	timeout = time.Second
-	// failures is how many readings in a row fail before a runner is down.
-	failures = 3
 )
 
 // Feeder takes what was read.
@@ -29,10 +28,18 @@
 	Feed(u identifier.Upstream, e admitter.Event)
 }
 
+// Health hears how the readings went.
+type Health interface {
+	Succeeded(u identifier.Upstream)
+	Failed(u identifier.Upstream, kind driver.Kind)
+	Leaving(u identifier.Upstream, leaving bool)
+}
+
 // Poller has one goroutine for each runner that is read.
 type Poller struct {
 	registrar *registrar.Registrar
 	feeder    Feeder
+	health    Health
 	log       zerolog.Logger
 
 	mu sync.Mutex
@@ -42,8 +49,8 @@
 }
 
 // New returns a poller that reads nothing yet.
-func New(r *registrar.Registrar, f Feeder, log zerolog.Logger) *Poller {
-	return &Poller{registrar: r, feeder: f, log: log, readers: make(map[identifier.Upstream]context.CancelFunc)}
+func New(r *registrar.Registrar, f Feeder, h Health, log zerolog.Logger) *Poller {
+	return &Poller{registrar: r, feeder: f, health: h, log: log, readers: make(map[identifier.Upstream]context.CancelFunc)}
 }
 
 // SetShards reads the runners of these shards and no others.
@@ -71,7 +78,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	p.readers[id] = stop
-	r := &reader{Poller: p, id: id, state: admitter.UpstreamUp}
+	r := &reader{Poller: p, id: id}
 	p.wg.Go(func() { r.run(ctx) })
 }
 
@@ -83,10 +90,8 @@
 	*Poller
 	id       identifier.Upstream
 	sequence identifier.Sequence
-	state    admitter.UpstreamState
 	// incarnation is the engine's start of the last reading.
 	incarnation identifier.Incarnation
-	failed      int
 }
 
 func (r *reader) run(ctx context.Context) {
@@ -114,7 +119,6 @@
 		r.unread(ctx, err)
 		return
 	}
-	r.failed = 0
 	r.loaded(load)
 	if load.Role == identifier.RolePrefill {
 		r.cache(ctx, engine)
@@ -122,26 +126,24 @@
 }
 
 func (r *reader) unread(ctx context.Context, err error) {
-	r.failed++
-	if r.failed != failures || ctx.Err() == context.Canceled {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	r.log.Warn().Err(err).Str("Upstream", string(r.id)).Msg("UpstreamDown")
-	r.change(admitter.UpstreamDown)
+	kind := driver.KindUnknown
+	var e *driver.Error
+	if errors.As(err, &e) {
+		kind = e.Kind
+	}
+	r.health.Failed(r.id, kind)
 }
 
 func (r *reader) loaded(load driver.Load) {
+	r.health.Succeeded(r.id)
+	r.health.Leaving(r.id, load.Leaving)
 	if r.incarnation != 0 && load.Incarnation != r.incarnation {
-		// The engine has restarted: what it held is gone.
-		r.change(admitter.UpstreamDown)
-		r.sequence = 0
+		r.restarted()
 	}
 	r.incarnation = load.Incarnation
-	state := admitter.UpstreamUp
-	if load.Leaving {
-		state = admitter.UpstreamLeaving
-	}
-	r.change(state)
 	r.feeder.Feed(r.id, admitter.LoadReport{
 		Upstream:   r.id,
 		At:         load.At,
@@ -151,12 +153,13 @@
 	})
 }
 
-func (r *reader) change(state admitter.UpstreamState) {
-	if r.state == state {
-		return
+// restarted tells that what the engine held is gone.
+func (r *reader) restarted() {
+	r.log.Warn().Str("Upstream", string(r.id)).Msg("UpstreamRestarted")
+	r.sequence = 0
+	for _, state := range []admitter.UpstreamState{admitter.UpstreamDown, admitter.UpstreamUp} {
+		r.feeder.Feed(r.id, admitter.UpstreamChanged{Upstream: admitter.Upstream{ID: r.id, State: state}})
 	}
-	r.state = state
-	r.feeder.Feed(r.id, admitter.UpstreamChanged{Upstream: admitter.Upstream{ID: r.id, State: state}})
 }
 
 func (r *reader) cache(ctx context.Context, engine driver.Engine) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -104,6 +104,16 @@
 	return u, ok
 }
 
+// Upstreams returns all upstreams in the order of their ids.
+func (c *Catalog) Upstreams() []Upstream {
+	out := make([]Upstream, 0, len(c.upstreams))
+	for _, u := range c.upstreams {
+		out = append(out, u)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // Engine returns the client of a runner.
 func (c *Catalog) Engine(id identifier.Upstream) (driver.Engine, bool) {
 	e, ok := c.engines[id]
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -6,6 +6,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -60,6 +61,26 @@
 		}
 	}
 	s.poller.SetShards(s.ctx, own)
+	s.health.assign(assigned(catalog, own))
+	s.health.feedAll()
+}
+
+// assigned names all upstreams and those that this VM probes: plain services,
+// which every VM calls, and the runners of its own shards.
+func assigned(catalog *registrar.Catalog, own []registrar.Shard) prober.Assigned {
+	var out prober.Assigned
+	for _, u := range catalog.Upstreams() {
+		out.All = append(out.All, u.ID)
+		if u.Role == identifier.RolePlain {
+			out.Probed = append(out.Probed, u.ID)
+		}
+	}
+	for _, shard := range own {
+		for _, u := range shard.Upstreams {
+			out.Probed = append(out.Probed, u.ID)
+		}
+	}
+	return out
 }
 
 // Class implements listener.Classes.
--- a/server/handler.go
+++ b/server/handler.go
@@ -12,6 +12,8 @@
 	switch body := e.GetBody().(type) {
 	case *wire.Envelope_Placement:
 		s.dispatcher.Receive(from, body.Placement)
+	case *wire.Envelope_Membership:
+		return s.members.Handle(ctx, from, e)
 	case *wire.Envelope_Claim:
 		return s.claims.Handle(ctx, from, e)
 	}
--- /dev/null
+++ b/server/membership.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"math/rand/v2"
+
+	"github.com/figtrack/figtrack/prober"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+// newMembers makes the shell of the membership. The peers of the settings are
+// its hints.
+func (s *Server) newMembers() *prober.Shell {
+	self := prober.Record{
+		VM:          s.Settings.VM,
+		Address:     s.VMs.LocalAddr().String(),
+		DataCentre:  s.Settings.DataCentre,
+		Incarnation: s.Incarnation,
+	}
+	var hints []prober.Hint
+	for _, p := range s.Settings.VMs.Peers {
+		hints = append(hints, prober.Hint{VM: p.VM, Address: p.Address, DataCentre: p.DataCentre})
+	}
+	rng := rand.New(rand.NewPCG(uint64(s.Incarnation), 2))
+	return prober.NewShell(prober.New(self, hints, rng), s.messenger, s.observeMember)
+}
+
+// observeMember hears what the membership decides, on its goroutine.
+func (s *Server) observeMember(out prober.Outcome) {
+	switch out := out.(type) {
+	case prober.LiveChanged:
+		s.SetLive(liveVMs(out.Live))
+	case prober.MemberChanged:
+		s.Log.Info().
+			Str("Member", string(out.Record.VM)).
+			Stringer("State", out.Record.State).
+			Bool("Leaving", out.Record.Leaving).
+			Msg("MemberChanged")
+	case prober.NoticeChanged:
+		s.health.offer(prober.Noticed{
+			Upstream: out.Notice.Upstream,
+			Leaving:  out.Notice.Leaving,
+			Source:   out.Notice.Source,
+		})
+	case prober.Superseded:
+		s.Log.Error().Str("By", out.By.Address).Msg("AnotherProcessHasThisName")
+	}
+}
+
+func liveVMs(members []prober.Member) []registrar.VM {
+	vms := make([]registrar.VM, 0, len(members))
+	for _, m := range members {
+		vms = append(vms, registrar.VM{ID: m.VM, DataCentre: m.DataCentre})
+	}
+	return vms
+}
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/figtrack/figtrack/messenger"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
+	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/relayer"
@@ -54,6 +55,8 @@
 	cancels    *relayer.Cancels
 	poller     *poller.Poller
 	claims     *claimer.Shell
+	members    *prober.Shell
+	health     *health
 	listener   *listener.Listener
 	metrics    *prometheus.Registry
 	ctx        context.Context
@@ -84,12 +87,14 @@
 	})
 	s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
 	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
+	s.members = s.newMembers()
+	s.health = newHealth(s)
 	s.cancels = relayer.NewCancels(s.registrar, n.Log)
-	s.poller = poller.New(s.registrar, s.dispatcher, n.Log)
-	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, health{s},
+	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
+	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
-	services := forwarder.New(s.registrar, s.claims, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
+	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
 		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
 	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
@@ -126,8 +131,9 @@
 	if err := s.messenger.Start(s.handle, s.peers()); err != nil {
 		return err
 	}
-	s.live = s.everyone()
 	s.wg.Go(func() { s.dispatcher.Run(s.ctx.Done()) })
+	s.wg.Go(func() { s.members.Run(s.ctx) })
+	s.wg.Go(s.health.run)
 	s.wg.Go(func() { s.cancels.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
@@ -149,6 +155,7 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
+	s.members.Offer(prober.Leave{})
 	err := s.listener.Shutdown(ctx)
 	cut := s.listener.InFlight()
 	s.cancel()
@@ -183,15 +190,6 @@
 	return peers
 }
 
-// everyone is this VM and all peers of the settings.
-func (s *Server) everyone() []registrar.VM {
-	vms := []registrar.VM{s.self}
-	for _, p := range s.Settings.VMs.Peers {
-		vms = append(vms, registrar.VM{ID: p.VM, DataCentre: p.DataCentre})
-	}
-	return vms
-}
-
 // claimLeaders names the VMs that should lead a shard of claims.
 func (s *Server) claimLeaders(shard claimer.Shard) []identifier.VM {
 	s.mu.Lock()
@@ -202,14 +200,3 @@
 	}
 	return claimer.Leaders(shard, live, claimer.MaxLeaders)
 }
-
-// health hears how calls to upstreams went.
-type health struct{ s *Server }
-
-// Succeeded implements relayer.Health.
-func (health) Succeeded(identifier.Upstream) {}
-
-// Failed implements relayer.Health.
-func (h health) Failed(u identifier.Upstream, kind driver.Kind) {
-	h.s.Log.Warn().Str("Upstream", string(u)).Str("Kind", string(kind)).Msg("UpstreamFailed")
-}
