--- a/driver/http.go
+++ b/driver/http.go
@@ -1,7 +1,6 @@
 package driver
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -120,21 +119,12 @@
 // post sends a request and returns the body of a good answer. Until there is
 // a connection nothing was sent, so the engine did not act.
 func (e *httpEngine) post(ctx context.Context, path string, request any) (io.ReadCloser, error) {
-	payload, err := json.Marshal(request)
-	if err != nil {
-		return nil, e.fail(KindNotRun, errors.Wrap(err, "encode the request"))
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.baseURL+path, bytes.NewReader(payload))
-	if err != nil {
-		return nil, e.fail(KindNotRun, errors.Wrap(err, "build the request"))
-	}
-	r.Header.Set("Content-Type", "application/json")
-	answer, sent, err := poster.Do(e.client, r)
+	answer, sent, err := poster.JSON(ctx, e.client, e.baseURL+path, request)
 	if err != nil && !sent {
-		return nil, e.fail(KindNotRun, errors.WithStack(err))
+		return nil, e.fail(KindNotRun, err)
 	}
 	if err != nil {
-		return nil, e.fail(KindUnknown, errors.WithStack(err))
+		return nil, e.fail(KindUnknown, err)
 	}
 	if answer.StatusCode == http.StatusOK {
 		return answer.Body, nil
--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/poster"
 )
 
 // exportTimeout is the deadline of a call from engine to engine.
@@ -178,21 +178,13 @@
 
 func (l *engineLife) ask(from string, order exportOrder) (exportReply, error) {
 	var kv exportReply
-	payload, err := json.Marshal(order)
-	if err != nil {
-		return kv, errors.WithStack(err)
-	}
 	ctx, cancel := context.WithTimeout(l.ctx, exportTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+from+pathExport, bytes.NewReader(payload))
-	if err != nil {
-		return kv, errors.WithStack(err)
-	}
-	reply, err := l.client.Do(r)
+	reply, _, err := poster.JSON(ctx, l.client, "http://"+from+pathExport, order)
 	if err != nil {
-		return kv, errors.WithStack(err)
+		return kv, err
 	}
-	defer reply.Body.Close()
+	defer poster.Drain(reply.Body)
 	if reply.StatusCode != http.StatusOK {
 		return kv, errors.New("the prefill engine has no such result")
 	}
--- a/faker/engine_http.go
+++ b/faker/engine_http.go
@@ -68,7 +68,7 @@
 		return
 	}
 	life.end()
-	s.life = nil
+	s.life, s.thaw = nil, nil
 	s.Close()
 }
 
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -62,8 +61,7 @@
 func (c *Client) send(ctx context.Context, purpose Purpose, call Call, path string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	c.counter.Called(purpose, call)
-	body, kind, err := c.open(ctx, call, path, request)
+	body, kind, err := c.open(ctx, purpose, call, path, request)
 	if err != nil {
 		return c.failed(purpose, kind, err)
 	}
@@ -88,31 +86,42 @@
 }
 
 // open sends a request to the first endpoint that can be reached and returns
-// the body of its reply.
-func (c *Client) open(ctx context.Context, call Call, path string, request any) (io.ReadCloser, Kind, error) {
-	payload, err := json.Marshal(request)
-	if err != nil {
-		return nil, KindNotDone, errors.Wrap(err, "encode the request")
-	}
+// the body of its reply. A write that was sent is not sent to another one.
+func (c *Client) open(ctx context.Context, purpose Purpose, call Call, path string, request any) (io.ReadCloser, Kind, error) {
 	first := int(c.preferred.Load())
 	kind, err := KindNotDone, errors.New("no endpoints")
-	for i := range c.cfg.Endpoints {
+	for i := range c.tries(call) {
 		n := (first + i) % len(c.cfg.Endpoints)
 		var body io.ReadCloser
 		var sent bool
-		body, sent, err = c.post(ctx, c.cfg.Endpoints[n]+path, payload)
+		body, sent, err = c.post(ctx, c.cfg.Endpoints[n]+path, request)
+		if sent {
+			c.counter.Called(purpose, call)
+		}
 		if err == nil {
 			c.preferred.Store(int64(n))
 			return body, "", nil
 		}
+		c.preferred.Store(int64((n + 1) % len(c.cfg.Endpoints)))
 		if sent {
-			c.preferred.Store(int64((n + 1) % len(c.cfg.Endpoints)))
-			return nil, kindOf(call, err), err
+			kind = kindOf(call, err)
+		}
+		if sent && (call.writes() || refused(err)) || ctx.Err() != nil {
+			break
 		}
 	}
 	return nil, kind, err
 }
 
+// tries is how often a call is sent at most. A read has one more than there
+// are endpoints, as its first connection may have ended unseen while idle.
+func (c *Client) tries(call Call) int {
+	if call.writes() || len(c.cfg.Endpoints) == 0 {
+		return len(c.cfg.Endpoints)
+	}
+	return len(c.cfg.Endpoints) + 1
+}
+
 // refusal is the service's own answer that it did not do as asked.
 type refusal struct {
 	status int
@@ -126,23 +135,22 @@
 // kindOf says what is known after a request that was sent. A client error is
 // the service's statement that it did nothing; a server error is none.
 func kindOf(call Call, err error) Kind {
-	var r *refusal
-	if errors.As(err, &r) && r.status < http.StatusInternalServerError {
+	if refused(err) {
 		return KindNotDone
 	}
 	return call.lost()
 }
 
+func refused(err error) bool {
+	var r *refusal
+	return errors.As(err, &r) && r.status < http.StatusInternalServerError
+}
+
 // post sends one request. It returns whether any of it may have been sent.
-func (c *Client) post(ctx context.Context, url string, payload []byte) (io.ReadCloser, bool, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(payload))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "build the request")
-	}
-	r.Header.Set("Content-Type", "application/json")
-	reply, sent, err := poster.Do(c.cfg.Client, r)
+func (c *Client) post(ctx context.Context, url string, request any) (io.ReadCloser, bool, error) {
+	reply, sent, err := poster.JSON(ctx, c.cfg.Client, url, request)
 	if err != nil {
-		return nil, sent, errors.WithStack(err)
+		return nil, sent, err
 	}
 	if reply.StatusCode == http.StatusOK {
 		return reply.Body, true, nil
--- a/keeper/watcher.go
+++ b/keeper/watcher.go
@@ -58,8 +58,7 @@
 func (w *watch) start(ctx context.Context, after Version) error {
 	deadline := time.AfterFunc(w.cfg.Timeout, w.cancel)
 	defer deadline.Stop()
-	w.counter.Called(w.purpose, CallWatch)
-	body, _, err := w.open(ctx, CallWatch, "/v3/watch", w.request(after))
+	body, _, err := w.open(ctx, w.purpose, CallWatch, "/v3/watch", w.request(after))
 	if err != nil {
 		return err
 	}
--- a/poster/poster.go
+++ b/poster/poster.go
@@ -3,6 +3,9 @@
 package poster
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -52,6 +57,21 @@
 	return reply, connected.Load(), err
 }
 
+// JSON posts a JSON document as Do does.
+func JSON(ctx context.Context, client *http.Client, url string, request any) (reply *http.Response, sent bool, err error) {
+	payload, err := json.Marshal(request)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "encode the request")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(payload))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "build the request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	reply, sent, err = Do(client, r)
+	return reply, sent, errors.WithStack(err)
+}
+
 // Drain closes the body of a reply. It first reads a rest that is short, so
 // that the connection can be used again.
 func Drain(body io.ReadCloser) {
