Tell when a hold was last read

Cause: reclaimer needs HoldState.Read to spare streams of a VM that is cut off; the stand-in left it unset. Change: the stand-in engine notes each writing of tokens to a reader. A freeze is forgotten when the engine dies. Conclusion: the field can be used in the demo and in tests.

--- a/driver/http_test.go
+++ b/driver/http_test.go
@@ -143,7 +143,12 @@
 		first, err := read(stream, 7)
 		s.Expect(err).NotTo(HaveOccurred())
 		s.Expect(stream.Close()).To(Succeed())
+		closed := time.Now()
 		time.Sleep(300 * time.Millisecond)
+		holds, err := s.decode.Holds(s.ctx)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(holds.Holds).To(HaveLen(1))
+		s.Expect(holds.Holds[0].Read).To(BeTemporally("~", closed, 20*time.Millisecond))
 		stream, err = s.decode.Resume(s.ctx, hold("a"), 7)
 		s.Expect(err).NotTo(HaveOccurred())
 		rest, err := read(stream, 1000)
@@ -216,7 +221,7 @@
 		s.Expect(s.decodeServer.Restart()).To(Succeed())
 		holds, err := s.decode.Holds(s.ctx)
 		s.Expect(err).NotTo(HaveOccurred())
-		s.Expect(holds).To(Equal(driver.Holds{Incarnation: 2}))
+		s.Expect(holds).To(Equal(driver.Holds{Incarnation: 2, TellsRead: true}))
 	})
 }
 
--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -55,10 +55,10 @@
 }
 
 func (l *engineLife) holds(struct{}) (driver.Holds, *driver.Refusal) {
-	holds := driver.Holds{Incarnation: l.incarnation}
+	holds := driver.Holds{Incarnation: l.incarnation, TellsRead: true}
 	for _, hold := range l.core.Holds() {
 		if job := l.jobs[hold]; job != nil {
-			holds.Holds = append(holds.Holds, driver.HoldState{Hold: hold, Pieces: job.pieces, Since: job.since})
+			holds.Holds = append(holds.Holds, driver.HoldState{Hold: hold, Pieces: job.pieces, Since: job.since, Read: job.read})
 		}
 	}
 	return holds, nil
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -43,6 +43,8 @@
 	most   identifier.Tokens
 	pieces identifier.Pieces
 	since  time.Time
+	// read is when a reader last took a token; zero before the first one.
+	read time.Time
 	// done says that the prefill or the import has ended.
 	done   bool
 	cached identifier.Tokens
@@ -273,12 +275,19 @@
 		for ; from < job.made && err == nil; from++ {
 			err = lines.Encode(driver.StreamLine{Token: job.token(from)})
 		}
+		l.tell(func() { l.wasRead(query.Hold) })
 		if job.isEnded() {
 			return
 		}
 	}
 }
 
+func (l *engineLife) wasRead(hold identifier.Hold) {
+	if job := l.jobs[hold]; job != nil {
+		job.read = time.Now()
+	}
+}
+
 func (j *engineJob) token(i identifier.Tokens) *driver.Token {
 	token := driver.Token{Index: i, Text: tokenText(j.prompt, i)}
 	switch {
