--- a/replayer/clairvoyant.go
+++ b/replayer/clairvoyant.go
@@ -17,7 +17,8 @@
 // Clairvoyant returns what an order by deadline reaches that knows the length
 // of each answer and has the engines of each role as one: no message takes
 // time, no memory is split between engines, every prefix that was seen is
-// cached, and no request is started that can't meet its target.
+// cached, and no request is started that can't meet its target or whose caller
+// goes away.
 func Clairvoyant(trace *tracer.Trace) Measures {
 	o := newOracle(trace)
 	last := trace.Header.Time
@@ -37,7 +38,8 @@
 	targets map[identifier.Class]admitter.Class
 	left    []tracer.Arrival
 	faults  []tracer.Fault
-	gone    map[identifier.Request]bool
+	// gone says when a caller goes away.
+	gone    map[identifier.Request]time.Time
 	waiting *btree.BTreeG[wish]
 	// up says which upstreams run.
 	up              map[identifier.Upstream]bool
@@ -71,7 +73,7 @@
 		targets: make(map[identifier.Class]admitter.Class),
 		left:    trace.Arrivals,
 		faults:  trace.Faults,
-		gone:    make(map[identifier.Request]bool),
+		gone:    make(map[identifier.Request]time.Time),
 		up:      make(map[identifier.Upstream]bool),
 		seen:    make(map[uint64]bool),
 		waiting: btree.NewBTreeG(func(a, b wish) bool {
@@ -100,7 +102,7 @@
 		}
 	}
 	for _, c := range trace.Cancels {
-		o.gone[c.Request] = true
+		o.gone[c.Request] = c.Time
 	}
 	return o
 }
@@ -156,21 +158,21 @@
 		return false
 	}
 	o.waiting.Delete(w)
+	ends := now.Add(prefill + transfer + step/2 + time.Duration(w.Output)*step)
+	if gone, ok := o.gone[w.Request]; ok && gone.Before(ends) {
+		o.total.gone++
+		return true
+	}
 	o.seen[w.Chain] = true
 	o.credit -= prefill
 	o.pieces += pieces
 	o.streams++
-	ends := now.Add(prefill + transfer + step/2 + time.Duration(w.Output)*step)
 	o.frees.Set(freeing{at: ends, request: w.Request, pieces: pieces})
 	o.note(w)
 	return true
 }
 
 func (o *oracle) note(w wish) {
-	if o.gone[w.Request] {
-		o.total.gone++
-		return
-	}
 	o.total.good++
 	header := o.trace.Header
 	if !w.Time.Before(header.PeakFrom) && w.Time.Before(header.PeakTo) {
