Give the in-process network a package of its own

A test reads through breaking and silent watches. Conclusion: tests of clients and servers on virtual time use piper.Network.

--- a/driver/http_test.go
+++ b/driver/http_test.go
@@ -15,6 +15,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/piper"
 )
 
 // site is a prefill and a decode engine inside one virtual network.
@@ -31,7 +32,7 @@
 func onSite(t *testing.T, change func(prefill, decode *faker.EngineSettings), test func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		var network faker.Memory
+		var network piper.Network
 		s := &site{WithT: NewWithT(t), client: network.Client()}
 		prefill, decode := faker.DefaultEngine(identifier.RolePrefill), faker.DefaultEngine(identifier.RoleDecode)
 		if change != nil {
--- a/faker/service_test.go
+++ b/faker/service_test.go
@@ -11,13 +11,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figtrack/figtrack/faker"
+	"github.com/figtrack/figtrack/piper"
 )
 
 // onService runs a test against a plain service on virtual time.
 func onService(t *testing.T, test func(g *WithT, s *faker.Service, call func(method, path, body string) (*http.Response, error))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		var network faker.Memory
+		var network piper.Network
 		client := network.Client()
 		g := NewWithT(t)
 		s, err := faker.NewService(network.Listen)
--- a/keeper/client_test.go
+++ b/keeper/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/piper"
 )
 
 const purpose = keeper.PurposeConfiguration
@@ -30,7 +31,7 @@
 func onSite(t *testing.T, change func(cfg *keeper.Settings), test func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		var network faker.Memory
+		var network piper.Network
 		client := network.Client()
 		s := &site{WithT: NewWithT(t), metrics: keeper.NewMetrics()}
 		var err error
--- a/keeper/property_test.go
+++ b/keeper/property_test.go
@@ -125,3 +125,53 @@
 		return "NotWritten"
 	}
 }
+
+// TestBrokenWatchesMissNothing reads through watches that break and go silent
+// while a writer writes, and starts each one where the last one ended.
+func TestBrokenWatchesMissNothing(t *testing.T) {
+	const writes = 60
+	onSite(t, func(cfg *keeper.Settings) { cfg.WatchFor = 3 * time.Second }, func(s *site) {
+		var written []keeper.Entry
+		var writer sync.WaitGroup
+		writer.Go(func() {
+			for i := range writes {
+				entry, _ := s.swap(fmt.Sprintf("/a/%d", i%7), s.get(fmt.Sprintf("/a/%d", i%7)).Version, fmt.Sprint(i))
+				written = append(written, entry)
+				time.Sleep(100 * time.Millisecond)
+				if i%9 == 8 {
+					s.store.BreakWatches()
+				}
+				if i%20 == 19 {
+					s.silence(3500 * time.Millisecond)
+				}
+			}
+		})
+		var read []keeper.Entry
+		after := keeper.Version(0)
+		watches := 0
+		for len(read) < writes {
+			changes, err := s.Watch(s.ctx, purpose, "/a/", after)
+			if err != nil {
+				continue
+			}
+			watches++
+			for entry := range changes {
+				read = append(read, entry)
+				after = entry.Version
+				if len(read) == writes {
+					break
+				}
+			}
+		}
+		writer.Wait()
+		s.Expect(read).To(Equal(written))
+		s.Expect(watches).To(BeNumerically(">", writes/9))
+	})
+}
+
+// silence leaves calls and watches without replies for a time.
+func (s *site) silence(d time.Duration) {
+	s.store.SetFaults(faker.StoreFaults{Hang: true})
+	time.Sleep(d)
+	s.store.SetFaults(faker.StoreFaults{})
+}
