Promise memory by engine, and let placed requests keep their turn

Cause: promises counted the memory of all decode engines together, though a request needs its pieces on one; results that waited for memory lost it to small new requests; attempts after the first were held back or refused as late. Change: a promise needs 98 (WastedPrefill) or 80 (Goodput) in 100 that one engine frees enough by the end of the prefill; waiting results earmark memory; later attempts stay in the order of deadlines.

--- a/admitter/ask.go
+++ b/admitter/ask.go
@@ -78,9 +78,6 @@
 		return false
 	}
 	last := c.queue.late[n-1]
-	if last.Attempt > 1 {
-		return false
-	}
 	c.queue.remove(last)
 	c.refuse(last, ReasonQueueFull, c.backlog())
 	return true
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -48,6 +48,7 @@
 	for _, e := range b.engines {
 		b.decodes = append(b.decodes, placer.Decode{Engine: e, Pace: c.granter.Pace(e.Streams + 1)})
 	}
+	c.earmark(now)
 	return true
 }
 
@@ -126,7 +127,7 @@
 	}
 	d := &b.decodes[i]
 	first := ends.Add(after + c.messages(p, target.DataCentre, d.DataCentre))
-	if !p.late && first.Add(c.safety()).After(p.deadline) {
+	if !p.late && first.Add(c.safety()).After(p.due(now)) {
 		c.giveUp(now, p, first.Sub(p.deadline))
 		return true
 	}
--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// safeDeviations and likelyDeviations are the standard deviations taken
-	// off the memory that is expected to become free.
-	safeDeviations   = 2
-	likelyDeviations = 0.5
+	// safeChance and likelyChance are the least probabilities of memory on
+	// which a prefill is started.
+	safeChance   = 0.98
+	likelyChance = 0.8
 	// promiseShare is the share of a prefill result's life in which promised
 	// memory may still come.
-	promiseShare = 0.25
+	promiseShare = 0.0
 )
 
 // decodeFor chooses a decode engine for a prefill that ends at a time. It
@@ -35,36 +35,64 @@
 	return i, true, after
 }
 
-// promising says whether the pool is expected to free enough memory by the
-// time that a prefill ends, beside what is promised already.
+// promising says whether some decode engine is expected to free enough
+// memory by the time that a prefill ends, beside what is promised already.
+// A request needs all its pieces on one engine.
 func (c *Core) promising(now time.Time, p *pending, ends time.Time) bool {
-	b := &c.buf
-	mean, variance := 0.0, 0.0
 	by := ends.Add(c.slackOfPromise())
-	for i := range b.decodes {
-		d := &b.decodes[i]
+	none := 1.0
+	for i := range c.buf.decodes {
+		d := &c.buf.decodes[i]
+		if d.Paused || p.excludes(d.ID) {
+			continue
+		}
 		f := c.granter.FreedBy(now, by, d.ID)
-		mean += f.Pieces + float64(min(d.Free, 0))
-		variance += f.Variance
+		none *= 1 - chance(float64(d.Free)+f.Pieces-float64(p.pieces), f.Variance)
 	}
-	c.granter.EachParked(func(g *grant) bool {
-		mean -= float64(g.Pieces)
-		return true
-	})
-	return mean-c.deviations()*math.Sqrt(variance) >= float64(p.pieces)
+	return 1-none >= c.needed()
 }
 
-func (c *Core) deviations() float64 {
+// chance is the probability that a normal value with a mean and a variance
+// is not below zero.
+func chance(mean, variance float64) float64 {
+	if variance <= 0 {
+		variance = 1e-9
+	}
+	return 0.5 * math.Erfc(-mean/math.Sqrt(2*variance))
+}
+
+func (c *Core) needed() float64 {
 	if c.cfg.Prefer == PreferWastedPrefill {
-		return safeDeviations
+		return safeChance
 	}
-	return likelyDeviations
+	return likelyChance
 }
 
 func (c *Core) slackOfPromise() time.Duration {
 	return time.Duration(promiseShare * float64(c.cfg.ResultLives))
 }
 
+// earmark keeps memory for the parked prefill results: each claims the
+// decode engine with most room until it can be moved there.
+func (c *Core) earmark(now time.Time) {
+	b := &c.buf
+	c.granter.EachParked(func(g *grant) bool {
+		best, most := -1, math.Inf(-1)
+		for i := range b.decodes {
+			d := &b.decodes[i]
+			room := float64(d.Free) + c.granter.FreedBy(now, c.lifeEnds(g), d.ID).Pieces
+			if d.Pieces >= g.Pieces && room > most {
+				best, most = i, room
+			}
+		}
+		if best >= 0 {
+			b.decodes[best].Free -= g.Pieces
+			b.decodes[best].Room--
+		}
+		return true
+	})
+}
+
 // bestPromise returns the decode engine expected to have most room.
 func (c *Core) bestPromise(now time.Time, p *pending, ends time.Time) (int, time.Duration) {
 	b := &c.buf
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -42,7 +42,7 @@
 	s := c.newSchedule(now)
 	for i, p := range c.queue.due {
 		first := s.serve(now, p).Add(c.safety())
-		if !first.After(p.deadline) {
+		if !first.After(p.due(now)) {
 			continue
 		}
 		c.giveUp(now, c.victim(now, i), first.Sub(p.deadline))
@@ -81,10 +81,18 @@
 	return c.queue.due[i]
 }
 
+// due is the time by which the first token has to come.
+func (p *pending) due(now time.Time) time.Time {
+	if p.accepted() && now.Before(p.given) {
+		return p.given
+	}
+	return p.deadline
+}
+
 // giveUp refuses a request, or lets it wait if late beats lost.
 func (c *Core) giveUp(now time.Time, p *pending, over time.Duration) {
 	c.demand.strained = now
-	if p.given.After(p.deadline) && p.given.After(now) {
+	if !p.accepted() && p.given.After(p.deadline) && p.given.After(now) {
 		c.queue.postpone(p)
 		return
 	}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -111,8 +111,12 @@
 func (p *pending) setTimes() {
 	p.deadline = p.Arrived.Add(p.class.FirstToken)
 	patience := p.class.Patience
-	if p.Attempt > 1 {
+	if p.accepted() {
 		patience = max(patience, acceptedPatience)
 	}
 	p.given = p.deadline.Add(patience)
 }
+
+// accepted says that the request was placed before. It keeps its place in
+// the order of deadlines when its own has passed.
+func (p *pending) accepted() bool { return p.Attempt > 1 }
