--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -28,7 +28,7 @@
 	if i, after := c.placer.Decode(p.request(), ends, b.decodes, held); i >= 0 {
 		return i, false, after
 	}
-	if !c.promising(now, p, ends) {
+	if c.granter.Parked() > 0 || !c.promising(now, p, ends) {
 		return -1, false, 0
 	}
 	i, after := c.bestPromise(now, p, ends)
