--- /dev/null
+++ b/admitter/message.go
@@ -0,0 +1,133 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/wire"
+)
+
+const (
+	// maxTokens bounds the lengths that are taken from the wire.
+	maxTokens = 1 << 24
+	// maxDuration bounds the times that are taken from the wire.
+	maxDuration = 24 * time.Hour
+)
+
+// EventToWire returns the message of an event that an entry VM sends to the
+// owner of a shard. It returns nil for events that don't travel.
+func EventToWire(now time.Time, shard identifier.Shard, e Event) *wire.Placement {
+	switch e := e.(type) {
+	case Ask:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_Ask{Ask: askToWire(now, e)}
+		return m
+	case Withdraw:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_Withdraw{Withdraw: &wire.Withdraw{}}
+		return m
+	case PrefillEnded:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_PrefillEnded{PrefillEnded: &wire.PrefillEnded{Cached: int64(e.Cached), Took: int64(e.Took)}}
+		return m
+	case TransferEnded:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_TransferEnded{TransferEnded: &wire.TransferEnded{Took: int64(e.Took)}}
+		return m
+	case TransferFailed:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_TransferFailed{TransferFailed: &wire.TransferFailed{Full: e.Full}}
+		return m
+	case FirstToken:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_FirstToken{FirstToken: &wire.FirstToken{}}
+		return m
+	case Ended:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_Ended{Ended: &wire.Ended{Output: int64(e.Output), Failed: e.Failed}}
+		return m
+	}
+	return nil
+}
+
+func message(shard identifier.Shard, k Key) *wire.Placement {
+	return &wire.Placement{Shard: string(shard), Request: string(k.Request), Attempt: uint32(k.Attempt)}
+}
+
+func askToWire(now time.Time, e Ask) *wire.Ask {
+	return &wire.Ask{
+		Class:          string(e.Class),
+		Workspace:      string(e.Workspace),
+		Model:          string(e.Model),
+		FromDataCentre: string(e.FromDataCentre),
+		Prompt:         int64(e.Prompt),
+		MaxOutput:      int64(e.MaxOutput),
+		Prefix:         convert[uint64](e.Prefix),
+		Waited:         int64(now.Sub(e.Arrived)),
+		Excluded:       namesOf[string](e.Excluded),
+	}
+}
+
+// EventFromWire returns the event in a message of an entry VM. Its error
+// says what is wrong with the message.
+func EventFromWire(now time.Time, from identifier.VM, m *wire.Placement) (Event, error) {
+	k, err := keyOf(m)
+	if err != nil {
+		return nil, err
+	}
+	switch b := m.GetBody().(type) {
+	case *wire.Placement_Ask:
+		return askFromWire(now, from, k, b.Ask)
+	case *wire.Placement_Withdraw:
+		return Withdraw{k}, nil
+	case *wire.Placement_PrefillEnded:
+		e := PrefillEnded{Key: k, Cached: identifier.Tokens(b.PrefillEnded.GetCached()), Took: time.Duration(b.PrefillEnded.GetTook())}
+		return e, checkAll(checkTokens("Cached", e.Cached), checkDuration("Took", e.Took))
+	case *wire.Placement_TransferEnded:
+		e := TransferEnded{Key: k, Took: time.Duration(b.TransferEnded.GetTook())}
+		return e, checkDuration("Took", e.Took)
+	case *wire.Placement_TransferFailed:
+		return TransferFailed{Key: k, Full: b.TransferFailed.GetFull()}, nil
+	case *wire.Placement_FirstToken:
+		return FirstToken{k}, nil
+	case *wire.Placement_Ended:
+		e := Ended{Key: k, Output: identifier.Tokens(b.Ended.GetOutput()), Failed: b.Ended.GetFailed()}
+		return e, checkTokens("Output", e.Output)
+	}
+	return nil, errors.New("message holds no event")
+}
+
+func askFromWire(now time.Time, from identifier.VM, k Key, a *wire.Ask) (Event, error) {
+	waited := time.Duration(a.GetWaited())
+	e := Ask{
+		Key:            k,
+		Class:          identifier.Class(a.GetClass()),
+		Workspace:      identifier.Workspace(a.GetWorkspace()),
+		Model:          identifier.Model(a.GetModel()),
+		From:           from,
+		FromDataCentre: identifier.DataCentre(a.GetFromDataCentre()),
+		Prompt:         identifier.Tokens(a.GetPrompt()),
+		MaxOutput:      identifier.Tokens(a.GetMaxOutput()),
+		Prefix:         convert[identifier.Block](a.GetPrefix()),
+		Arrived:        now.Add(-waited),
+		Excluded:       namesOf[identifier.Upstream](a.GetExcluded()),
+	}
+	err := checkAll(
+		checkTokens("Prompt", e.Prompt),
+		checkTokens("MaxOutput", e.MaxOutput),
+		checkDuration("Waited", waited),
+		checkCount("Prefix", len(e.Prefix), maxTokens/int(identifier.BlockTokens)),
+		checkCount("Excluded", len(e.Excluded), maxUpstreams),
+	)
+	return e, err
+}
+
+func keyOf(m *wire.Placement) (Key, error) {
+	k := Key{Request: identifier.Request(m.GetRequest()), Attempt: identifier.Attempt(m.GetAttempt())}
+	if k.Request == "" || k.Attempt < 1 {
+		return k, errors.New("message has no Request or no Attempt")
+	}
+	return k, nil
+}
