--- a/dispatcher/asker.go
+++ b/dispatcher/asker.go
@@ -69,13 +69,13 @@
 
 // receive takes an event for a shard of this VM or a decision for a ticket.
 func (d *Dispatcher) receive(now time.Time, from identifier.VM, p *wire.Placement) {
-	if out, ok := admitter.OutcomeFromWire(d.self, p); ok {
-		key, _ := admitter.KeyOf(out)
-		d.decide(now, key, out)
+	if out, err := admitter.OutcomeFromWire(d.self, p); err == nil {
+		d.decide(now, keyFromWire(p), out)
 		return
 	}
-	e, ok := admitter.EventFromWire(now, from, p)
-	if !ok {
+	e, err := admitter.EventFromWire(now, from, p)
+	if err != nil {
+		d.log.Warn().Err(err).Str("Peer", string(from)).Msg("PlacementNotUnderstood")
 		return
 	}
 	if o := d.owned[identifier.Shard(p.Shard)]; o != nil {
@@ -91,3 +91,10 @@
 		}
 	}
 }
+
+func keyFromWire(p *wire.Placement) admitter.Key {
+	return admitter.Key{
+		Request: identifier.Request(p.GetRequest()),
+		Attempt: identifier.Attempt(p.GetAttempt()),
+	}
+}
