--- a/prober/health_test.go
+++ b/prober/health_test.go
@@ -56,12 +56,15 @@
 	out := c.Step(now, prober.AnsweredLeaving{Upstream: "u", Leaving: true})
 	g.Expect(out).To(ContainElement(prober.Announce{Upstream: "u", Leaving: true}))
 	g.Expect(c.Step(now, prober.AnsweredLeaving{Upstream: "u", Leaving: true})).To(BeEmpty())
-	for _, s := range []prober.Source{prober.SourceConfiguration, prober.SourcePlatformList} {
-		c.Step(now, prober.Noticed{Upstream: "u", Leaving: true, Source: s})
-	}
+	c.Step(now, prober.Assigned{All: []identifier.Upstream{"u"}, Retired: []identifier.Upstream{"u"}})
+	c.Step(now, prober.Noticed{Upstream: "u", Leaving: true, Source: prober.SourcePlatformList})
 	c.Step(now, prober.AnsweredLeaving{Upstream: "u", Leaving: false})
 	c.Step(now, prober.Noticed{Upstream: "u", Leaving: false, Source: prober.SourcePlatformList})
 	g.Expect(c.HealthOf("u")).To(Equal(prober.HealthLeaving))
-	c.Step(now, prober.Noticed{Upstream: "u", Leaving: false, Source: prober.SourceConfiguration})
+	c.Step(now, prober.Assigned{All: []identifier.Upstream{"u"}})
 	g.Expect(c.HealthOf("u")).To(Equal(prober.HealthUp))
+
+	c.Step(now, prober.Noticed{Upstream: "later", Leaving: true, Source: prober.SourcePlatformList})
+	c.Step(now, prober.Assigned{All: []identifier.Upstream{"later", "u"}})
+	g.Expect(c.HealthOf("later")).To(Equal(prober.HealthLeaving), "a notice may come before the configuration")
 }
