--- a/prober/health.go
+++ b/prober/health.go
@@ -32,7 +32,10 @@
 type HealthCore struct {
 	rng       *rand.Rand
 	upstreams btree.Map[identifier.Upstream, *upstream]
-	out       []HealthOutcome
+	// leaving holds who states that an upstream is leaving, sorted. A notice
+	// may come before the configuration that names its upstream.
+	leaving btree.Map[identifier.Upstream, []Source]
+	out     []HealthOutcome
 }
 
 // upstream is the state of one upstream.
@@ -41,9 +44,7 @@
 	// failures and successes are runs; at most one of them is above zero.
 	failures, successes int
 	down                bool
-	// sources state that the upstream is leaving, sorted.
-	sources []Source
-	probed  bool
+	probed              bool
 	// probeAt is when the next probe is due if no call comes before.
 	probeAt time.Time
 	// reported is the state that was last given out.
@@ -82,13 +83,13 @@
 	if !ok {
 		return HealthDown
 	}
-	return u.health()
+	return c.health(u)
 }
 
 // health puts leaving above down: a leaving upstream may still hold streams.
-func (u *upstream) health() Health {
+func (c *HealthCore) health(u *upstream) Health {
 	switch {
-	case len(u.sources) > 0:
+	case len(c.sources(u.id)) > 0:
 		return HealthLeaving
 	case u.down:
 		return HealthDown
@@ -97,12 +98,18 @@
 	}
 }
 
+func (c *HealthCore) sources(id identifier.Upstream) []Source {
+	s, _ := c.leaving.Get(id)
+	return s
+}
+
 func (c *HealthCore) report(u *upstream) {
-	if u.reported == u.health() && slices.Equal(u.sources, u.reportedSources) {
+	sources := c.sources(u.id)
+	if u.reported == c.health(u) && slices.Equal(sources, u.reportedSources) {
 		return
 	}
-	u.reported = u.health()
-	u.reportedSources = slices.Clone(u.sources)
+	u.reported = c.health(u)
+	u.reportedSources = sources
 	c.out = append(c.out, HealthChanged{Upstream: u.id, Health: u.reported, Sources: u.reportedSources})
 }
 
@@ -136,8 +143,7 @@
 
 // answered takes in an upstream's own answer. Only its change is announced.
 func (c *HealthCore) answered(e AnsweredLeaving) {
-	u, ok := c.upstreams.Get(e.Upstream)
-	if !ok || slices.Contains(u.sources, SourceUpstream) == e.Leaving {
+	if slices.Contains(c.sources(e.Upstream), SourceUpstream) == e.Leaving {
 		return
 	}
 	c.noticed(e.Upstream, e.Leaving, SourceUpstream)
@@ -145,39 +151,51 @@
 }
 
 func (c *HealthCore) noticed(id identifier.Upstream, leaving bool, source Source) {
-	u, ok := c.upstreams.Get(id)
-	if !ok {
+	sources := c.sources(id)
+	at, has := slices.BinarySearch(sources, source)
+	if leaving == has || (leaving && len(sources) == 0 && c.leaving.Len() >= MaxUpstreams) {
 		return
 	}
-	at, has := slices.BinarySearch(u.sources, source)
-	if leaving && !has {
-		u.sources = slices.Insert(u.sources, at, source)
+	sources = slices.Clone(sources)
+	if leaving {
+		sources = slices.Insert(sources, at, source)
+	} else {
+		sources = slices.Delete(sources, at, at+1)
 	}
-	if !leaving && has {
-		u.sources = slices.Delete(u.sources, at, at+1)
+	c.leaving.Set(id, sources)
+	if len(sources) == 0 {
+		c.leaving.Delete(id)
+	}
+	if u, ok := c.upstreams.Get(id); ok {
+		c.report(u)
 	}
-	c.report(u)
 }
 
 // assigned takes in the upstreams of a new configuration or live set.
 func (c *HealthCore) assigned(now time.Time, e Assigned) {
-	all := make(map[identifier.Upstream]bool, len(e.All))
-	for _, id := range e.All {
-		all[id] = true
-		c.add(now, id)
-	}
-	probed := make(map[identifier.Upstream]bool, len(e.Probed))
-	for _, id := range e.Probed {
-		probed[id] = true
-	}
+	all, probed, retired := setOf(e.All), setOf(e.Probed), setOf(e.Retired)
 	for _, id := range c.upstreams.Keys() {
 		if !all[id] {
 			c.upstreams.Delete(id)
-			continue
+			c.leaving.Delete(id)
 		}
-		u, _ := c.upstreams.Get(id)
+	}
+	for _, id := range e.All {
+		c.noticed(id, retired[id], SourceConfiguration)
+		c.add(now, id)
+	}
+	c.upstreams.Scan(func(id identifier.Upstream, u *upstream) bool {
 		u.probed = probed[id]
+		return true
+	})
+}
+
+func setOf(ids []identifier.Upstream) map[identifier.Upstream]bool {
+	set := make(map[identifier.Upstream]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
 	}
+	return set
 }
 
 func (c *HealthCore) add(now time.Time, id identifier.Upstream) {
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 // The targets of the membership.
 const (
 	detectWithin = 5 * time.Second
+	noWorkAfter  = 3 * time.Second
 	// bytesPerSecond leaves the larger part of a VM's 22 KB/s to others.
 	bytesPerSecond = 8_000
 )
@@ -119,24 +121,45 @@
 	g.Expect(f.agreed(6)).To(BeTrue())
 }
 
-// TestLeavingNoticeReachesAll starts a notice on one VM.
-func TestLeavingNoticeReachesAll(t *testing.T) {
+// TestNoNewWorkOnLeavingUpstream has one VM hear that an upstream leaves, by
+// each source that isn't the configuration, and a VM start in the meantime.
+func TestNoNewWorkOnLeavingUpstream(t *testing.T) {
 	g := NewWithT(t)
-	fmt.Println("VMs  loss  notice everywhere")
+	fmt.Println("VMs  loss  leaving on all VMs")
 	for _, n := range []int{7, 40, 320} {
 		f := newFleet(n, 0.05, 5)
-		f.run(10 * time.Second)
-		heard := map[identifier.VM]bool{}
+		health := map[identifier.VM]*prober.HealthCore{}
+		all := []identifier.Upstream{"by-list", "by-itself", "by-operator"}
+		for _, id := range f.vms {
+			health[id] = prober.NewHealth(rand.New(rand.NewPCG(1, 1)))
+			health[id].Step(f.now, prober.Assigned{All: all})
+		}
 		last := f.now
 		f.onNotice = func(at identifier.VM, v prober.Notice) {
-			heard[at] = v.Leaving
+			health[at].Step(f.now, prober.Noticed{Upstream: v.Upstream, Leaving: v.Leaving, Source: v.Source})
 			last = f.now
 		}
+		f.run(10 * time.Second)
 		begin := f.now
-		f.step(vm(0), prober.UpstreamLeaving{Upstream: "spec-desk-1", Leaving: true, Source: prober.SourceUpstream})
-		f.run(3 * time.Second)
-		fmt.Printf("%3d  5%%    %.2fs\n", n, last.Sub(begin).Seconds())
-		g.Expect(heard).To(HaveLen(n))
+		f.step(vm(0), prober.UpstreamLeaving{Upstream: "by-list", Leaving: true, Source: prober.SourcePlatformList})
+		f.step(vm(1), prober.UpstreamLeaving{Upstream: "by-operator", Leaving: true, Source: prober.SourceOperator})
+		for _, o := range health[vm(2)].Step(f.now, prober.AnsweredLeaving{Upstream: "by-itself", Leaving: true}) {
+			if a, ok := o.(prober.Announce); ok {
+				f.step(vm(2), prober.UpstreamLeaving{Upstream: a.Upstream, Leaving: a.Leaving, Source: prober.SourceUpstream})
+			}
+		}
+		f.run(time.Second)
+		took := last.Sub(begin)
+		f.start(vm(3), 2, n)
+		health[vm(3)] = prober.NewHealth(rand.New(rand.NewPCG(1, 1)))
+		f.run(noWorkAfter - time.Second)
+		health[vm(3)].Step(f.now, prober.Assigned{All: all})
+		for _, id := range f.vms {
+			for _, u := range all {
+				g.Expect(health[id].HealthOf(u)).To(Equal(prober.HealthLeaving), "%s on %s", u, id)
+			}
+		}
+		fmt.Printf("%3d  5%%    %.2fs\n", n, took.Seconds())
 	}
 }
 
