--- a/dispatcher/owner.go
+++ b/dispatcher/owner.go
@@ -115,7 +115,8 @@
 		d.decide(now, key, out)
 		return
 	}
-	message := &wire.Envelope{Body: &wire.Envelope_Placement{Placement: admitter.OutcomeToWire(out)}}
+	_, p := admitter.OutcomeToWire(o.shard.ID, out)
+	message := &wire.Envelope{Body: &wire.Envelope_Placement{Placement: p}}
 	if !d.sender.Send(to, message) {
 		d.log.Warn().Str("Request", string(key.Request)).Str("VM", string(to)).Msg("DecisionNotSent")
 	}
