--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -5,8 +5,8 @@
 // guard is the suspect that has an upstream to itself among suspects.
 type guard struct {
 	content Fingerprint
-	run   Run
-	until time.Time
+	run     Run
+	until   time.Time
 }
 
 // guardAsked lets one suspect at a time run on an upstream.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -91,7 +91,7 @@
 type run struct {
 	Run
 	incarnation identifier.Incarnation
-	content       Fingerprint
+	content     Fingerprint
 	alone       bool
 	// over is when a failed run is forgotten; zero while it runs.
 	over time.Time
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -32,7 +32,7 @@
 
 type flight struct {
 	quarantiner.Run
-	vm    int
+	vm      int
 	content quarantiner.Fingerprint
 	// guard is the VM whose guard let it run, or -1.
 	guard int
