Keep the queue of refusing baselines below the shortest target

A patient class could fill the queue up to its own target of seconds and shut out quick replies, which made the refusing baselines weak at 3 x. The account of every request is checked on three fault scenarios with all policies.

--- a/replayer/baseline.go
+++ b/replayer/baseline.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -184,18 +185,32 @@
 }
 
 // tooLate says whether the reports promise the first token after the target.
+// No class may fill the queue beyond the shortest target, else the patient
+// classes would shut out the others.
 func (b *baseline) tooLate(f *flight, decodes []*target) bool {
-	class := b.classes[f.ask.Class]
-	own := b.perToken * float64(f.ask.Prompt)
-	wait := float64(b.load(f.prefill))*b.mean + own
-	late := b.now.Add(time.Duration(wait * float64(time.Second)))
-	if late.After(f.ask.Arrived.Add(class.FirstToken)) {
+	wait := seconds(float64(b.load(f.prefill)) * b.mean)
+	if wait > b.shortestTarget() {
+		return true
+	}
+	own := seconds(b.perToken * float64(f.ask.Prompt))
+	due := f.ask.Arrived.Add(b.classes[f.ask.Class].FirstToken)
+	if b.now.Add(wait + own).After(due) {
 		return true
 	}
 	fits := func(t *target) bool { return t.hasRoom(f.pieces) }
 	return !slices.ContainsFunc(decodes, fits)
 }
 
+func (b *baseline) shortestTarget() time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, class := range b.classes {
+		shortest = min(shortest, class.FirstToken)
+	}
+	return shortest
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func (b *baseline) refuse(ask admitter.Ask, reason admitter.Reason) {
 	spread := time.Duration(b.rng.Int64N(int64(returnAfter)))
 	b.out = append(b.out, admitter.Refuse{
