--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -91,7 +91,9 @@
 
 // giveUp refuses a request, or lets it wait if late beats lost.
 func (c *Core) giveUp(now time.Time, p *pending, over time.Duration) {
-	c.demand.strained = now
+	if p.cost+c.tail(p) < p.class.FirstToken {
+		c.demand.strained = now
+	}
 	if !p.accepted() && p.given.After(p.deadline) && p.given.After(now) {
 		c.queue.postpone(p)
 		return
