Let requests behind a large one use the other engines

Cause: a request that found its pieces on no engine held up all behind it. Change: it claims the engine with most room to come, and the others serve those behind.

--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -59,8 +59,9 @@
 // lead is how long before its idle time an engine is given more work.
 func (c *Core) lead() time.Duration { return 3 * c.cfg.CrossDelay }
 
-// dispatchFrom places requests of one list in order. It returns false if no
-// engine or memory is left.
+// dispatchFrom places requests of one list in order. A request without memory
+// claims what becomes free on one engine, so that those behind it use the
+// others. It returns false if no engine or memory is left.
 func (c *Core) dispatchFrom(now time.Time, list []*pending) bool {
 	b := &c.buf
 	for i, n := 0, 0; i < len(list) && n < lookAhead; n++ {
@@ -80,7 +81,11 @@
 			return false
 		}
 		if !c.placeOn(now, p, choice) {
-			return false
+			if p.late || !c.claim(now, p.pieces, now.Add(choice.Total)) {
+				return false
+			}
+			i++
+			continue
 		}
 		list = c.listOf(p)
 		if !c.anyReady() {
--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -72,27 +72,42 @@
 	return time.Duration(promiseShare * float64(c.cfg.ResultLives))
 }
 
-// earmark keeps memory for the parked prefill results: each claims the
-// decode engine with most room until it can be moved there.
+// earmark keeps memory for the parked prefill results until they can be
+// moved there.
 func (c *Core) earmark(now time.Time) {
-	b := &c.buf
 	c.granter.EachParked(func(g *grant) bool {
-		best, most := -1, math.Inf(-1)
-		for i := range b.decodes {
-			d := &b.decodes[i]
-			room := float64(d.Free) + c.granter.FreedBy(now, c.lifeEnds(g), d.ID).Pieces
-			if d.Pieces >= g.Pieces && room > most {
-				best, most = i, room
-			}
-		}
-		if best >= 0 {
-			b.decodes[best].Free -= g.Pieces
-			b.decodes[best].Room--
-		}
+		c.claim(now, g.Pieces, c.lifeEnds(g))
 		return true
 	})
 }
 
+// claim takes memory for this step on the decode engine that is expected to
+// have most room at a time. It returns false if no memory is left to others.
+func (c *Core) claim(now time.Time, pieces identifier.Pieces, by time.Time) bool {
+	b := &c.buf
+	best, most, left := -1, math.Inf(-1), 0
+	for i := range b.decodes {
+		d := &b.decodes[i]
+		if d.Free > 0 && d.Room > 0 {
+			left++
+		}
+		room := float64(d.Free) + c.granter.FreedBy(now, by, d.ID).Pieces
+		if d.Pieces >= pieces && room > most {
+			best, most = i, room
+		}
+	}
+	if best < 0 {
+		return left > 0
+	}
+	d := &b.decodes[best]
+	if d.Free > 0 && d.Room > 0 {
+		left--
+	}
+	d.Free -= pieces
+	d.Room--
+	return left > 0
+}
+
 // bestPromise returns the decode engine expected to have most room.
 func (c *Core) bestPromise(now time.Time, p *pending, ends time.Time) (int, time.Duration) {
 	b := &c.buf
