Try a stalled link with one transfer and lead others away from it

Cause: after the pause of a stalled link many transfers went there and stalled again, and prefills that ran were still bound for it. Change: one transfer tries the link; prefills that run are given other engines; claims leave it out.

--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -88,6 +88,9 @@
 	best, most, left := -1, math.Inf(-1), 0
 	for i := range b.decodes {
 		d := &b.decodes[i]
+		if d.Paused {
+			continue
+		}
 		if d.Free > 0 && d.Room > 0 {
 			left++
 		}
--- a/admitter/transfer.go
+++ b/admitter/transfer.go
@@ -30,7 +30,19 @@
 	if _, ok := c.active[e.Key]; !ok {
 		return
 	}
+	decode := c.granter.Find(granter.Key(e.Key)).Decode()
 	c.ledger(now, granter.Park{Key: granter.Key(e.Key), Stalled: !e.Full})
+	if !e.Full {
+		c.avoid(now, decode)
+	}
+}
+
+// avoid names other decode engines for the prefills whose results were to go
+// over a stalled link, as far as others have memory.
+func (c *Core) avoid(now time.Time, decode identifier.Upstream) {
+	for _, g := range c.granter.Bound(decode) {
+		c.move(now, g)
+	}
 }
 
 // rescue moves parked prefill results to decode engines with memory, oldest
--- a/granter/query.go
+++ b/granter/query.go
@@ -56,7 +56,7 @@
 	Streams, Room int
 	// LinkFree is when the last booked transfer ends.
 	LinkFree time.Time
-	// Paused says that the link stalled a short time ago.
+	// Paused says that the link stalled and is not to be used now.
 	Paused bool
 	// Strictest is the lowest target for the token pace among the grants.
 	Strictest time.Duration
@@ -77,7 +77,7 @@
 	r := Engine{
 		ID: e.id, DataCentre: e.dataCentre, IdleAt: e.idleAt(now), Depth: len(e.queue),
 		Free: e.free(), Pieces: e.pieces, Streams: len(e.grants), Room: e.streams - len(e.grants),
-		LinkFree: e.linkFree, Paused: now.Before(e.avoidUntil), Strictest: math.MaxInt64,
+		LinkFree: e.linkFree, Paused: e.paused(now), Strictest: math.MaxInt64,
 	}
 	for _, g := range e.grants {
 		if g.PerToken > 0 {
@@ -87,6 +87,15 @@
 	return r
 }
 
+// paused says that no transfer is to go to an engine whose link stalled. Once
+// the pause is over one transfer tries the link.
+func (e *engine) paused(now time.Time) bool {
+	if now.Before(e.avoidUntil) {
+		return true
+	}
+	return e.stalls > 0 && len(e.grants) > e.running
+}
+
 // made estimates the tokens that a stream has by now.
 func (c *Core) made(now time.Time, e *engine, g *Grant) float64 {
 	return now.Sub(g.decoding).Seconds() / c.pace.At(float64(max(e.running, 1)))
@@ -160,6 +169,22 @@
 	return from.Add(seconds(rest * pace))
 }
 
+// Bound returns the grants whose prefill runs and whose result is to go to a
+// decode engine.
+func (c *Core) Bound(id identifier.Upstream) []*Grant {
+	e := c.engines[id]
+	if e == nil {
+		return nil
+	}
+	var bound []*Grant
+	for _, g := range e.grants {
+		if g.Stage == StagePrefill {
+			bound = append(bound, g)
+		}
+	}
+	return bound
+}
+
 // Parked counts the live prefill results that wait for decode memory.
 func (c *Core) Parked() int {
 	n := 0
