Plan a wanted configuration as operations, and hold plain services' calls

Cause: operators keep a site's configuration as a file, and plain services need their prefix, their idempotent calls and a default class. Change: configurer.Plan turns a wanted document into operations, Normalise sorts one written by hand, YAML keys are Pascal case. Pools hold Prefix, Repeatable and DefaultClass. Class.Repeatable goes: which calls may be repeated is a matter of the route. Figures: go test ./configurer: both sites' files (12 and 15 upstreams) are planned, applied and reached without a difference. Conclusion: figtrack apply FILE can be built on Plan.

--- a/configurer/apply.go
+++ b/configurer/apply.go
@@ -35,12 +35,12 @@
 		return d.addClass(o)
 	case SetTarget:
 		return d.setTarget(o)
-	case SetRepeatable:
-		return d.setRepeatable(o)
 	case RemoveClass:
 		return d.removeClass(o)
 	case AddUpstream:
 		return d.addUpstream(o)
+	case SetUpstream:
+		return d.setUpstream(o)
 	case RetireUpstream:
 		return d.retire(o.ID, true)
 	case RestoreUpstream:
@@ -104,20 +104,6 @@
 	}
 }
 
-func (d Document) setRepeatable(o SetRepeatable) (Document, *Conflict) {
-	field := "Classes/" + string(o.Class) + "/Repeatable"
-	c, ok := d.Class(o.Class)
-	if !ok {
-		return d, unknown(field)
-	}
-	if c.Repeatable != o.Value && c.Repeatable != o.Was {
-		return d, raced(field, o.Was, o.Value, c.Repeatable)
-	}
-	c.Repeatable = o.Value
-	d.Classes = put(d.Classes, c, Class.key)
-	return d, nil
-}
-
 func (d Document) removeClass(o RemoveClass) (Document, *Conflict) {
 	old, ok := d.Class(o.Was.Name)
 	if !ok {
@@ -146,6 +132,30 @@
 	return d, nil
 }
 
+func (d Document) setUpstream(o SetUpstream) (Document, *Conflict) {
+	field := "Upstreams/" + string(o.Value.ID)
+	u, ok := d.Upstream(o.Value.ID)
+	if !ok || o.Was.ID != o.Value.ID {
+		return d, unknown(field)
+	}
+	if o.Value.Address == "" || o.Value.Pool == "" {
+		return d, invalid(field, o.Value.ID, "give Address and Pool")
+	}
+	was, value := o.Was.still(u), o.Value.still(u)
+	if u != value && u != was {
+		return d, raced(field, was, value, u)
+	}
+	d.Upstreams = put(d.Upstreams, value, Upstream.key)
+	return d, nil
+}
+
+// still is u with the role and retirement of another state of it.
+func (u Upstream) still(other Upstream) Upstream {
+	u.Role = other.Role
+	u.Retired = other.Retired
+	return u
+}
+
 func knownRole(r identifier.Role) bool {
 	return r == identifier.RolePrefill || r == identifier.RoleDecode || r == identifier.RolePlain
 }
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -30,13 +30,13 @@
 // are never changed in place.
 type Document struct {
 	// Revision is raised by 1 with each accepted change.
-	Revision  identifier.Revision
-	Classes   []Class
-	Upstreams []Upstream
-	Pools     []Pool
+	Revision  identifier.Revision `yaml:"-"`
+	Classes   []Class             `yaml:"Classes"`
+	Upstreams []Upstream          `yaml:"Upstreams"`
+	Pools     []Pool              `yaml:"Pools"`
 	// Recent holds the ids of the last changes, newest last, so that a
 	// writer whose reply was lost finds out whether its change was accepted.
-	Recent []ChangeID
+	Recent []ChangeID `yaml:"-"`
 }
 
 // ChangeID is the unique id of one change, a UUID.
@@ -44,43 +44,48 @@
 
 // Class is a class of work with its latency targets.
 type Class struct {
-	Name identifier.Class
+	Name identifier.Class `yaml:"Name"`
 	// FirstToken is the target from arrival to the first token, or to the
 	// answer of a plain service.
-	FirstToken Duration
+	FirstToken Duration `yaml:"FirstToken"`
 	// PerToken is the target for the mean time between later tokens.
-	PerToken Duration
+	PerToken Duration `yaml:"PerToken"`
 	// Patience is how long past FirstToken a late answer is still wanted.
-	Patience Duration
-	// Repeatable says that a request may be sent again after a failure.
-	Repeatable bool
+	Patience Duration `yaml:"Patience"`
 }
 
 // Upstream is a runner or an instance of a plain service.
 type Upstream struct {
-	ID identifier.Upstream
+	ID identifier.Upstream `yaml:"ID"`
 	// Address is host:port.
-	Address    string
-	Role       identifier.Role
-	Pool       identifier.Pool
-	DataCentre identifier.DataCentre
+	Address    string                `yaml:"Address"`
+	Role       identifier.Role       `yaml:"Role"`
+	Pool       identifier.Pool       `yaml:"Pool"`
+	DataCentre identifier.DataCentre `yaml:"DataCentre"`
 	// Pieces is the memory of a decode engine.
-	Pieces identifier.Pieces `json:",omitempty"`
+	Pieces identifier.Pieces `json:",omitempty" yaml:"Pieces"`
 	// Streams is the most requests that a decode engine runs at once.
-	Streams int `json:",omitempty"`
+	Streams int `json:",omitempty" yaml:"Streams"`
 	// ChecksFence says that the engine refuses orders with an old fencing
 	// number.
-	ChecksFence bool
+	ChecksFence bool `yaml:"ChecksFence"`
 	// Retired upstreams get no new work.
-	Retired bool `json:",omitempty"`
+	Retired bool `json:",omitempty" yaml:"Retired"`
 }
 
-// Pool is what the runners of a pool serve.
+// Pool is what the upstreams of a pool serve. Its slices are sorted.
 type Pool struct {
-	Name     identifier.Pool
-	Models   []identifier.Model
-	Adapters []string `json:",omitempty"`
-	Version  string   `json:",omitempty"`
+	Name     identifier.Pool    `yaml:"Name"`
+	Models   []identifier.Model `json:",omitempty" yaml:"Models"`
+	Adapters []string           `json:",omitempty" yaml:"Adapters"`
+	Version  string             `json:",omitempty" yaml:"Version"`
+	// Prefix is the path prefix of the routes of a plain service.
+	Prefix string `json:",omitempty" yaml:"Prefix"`
+	// Repeatable lists the idempotent calls of a plain service: a method, or
+	// a method, a space and a path prefix below Prefix.
+	Repeatable []string `json:",omitempty" yaml:"Repeatable"`
+	// DefaultClass is the class of requests that name none.
+	DefaultClass identifier.Class `json:",omitempty" yaml:"DefaultClass"`
 }
 
 // Duration is a time.Duration that is written like "380ms".
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/parser"
 )
 
 func ms(n int) configurer.Duration {
@@ -45,7 +47,7 @@
 
 // TestSession is a session of two operators, as a golden file.
 func TestSession(t *testing.T) {
-	reading := configurer.Class{Name: "reading", FirstToken: ms(2000), PerToken: ms(60), Patience: ms(30000), Repeatable: true}
+	reading := configurer.Class{Name: "reading", FirstToken: ms(2000), PerToken: ms(60), Patience: ms(30000)}
 	runner := configurer.Upstream{
 		ID: "spec-desk-1", Address: "10.1.0.1:8000", Role: identifier.RoleDecode, Pool: "spec-desk",
 		DataCentre: "thamel-room", Pieces: 60, Streams: 20, ChecksFence: true,
@@ -120,3 +122,55 @@
 	}
 	return configurer.ApplyChange(first, change("y", y))
 }
+
+// TestPlanReachesTheWantedDocument plans between two sites' documents and
+// applies the operations.
+func TestPlanReachesTheWantedDocument(t *testing.T) {
+	g := NewWithT(t)
+	desk := configurer.Pool{Name: "order-desk", Prefix: "/orders", Repeatable: []string{"GET"}, DefaultClass: "orders"}
+	plain := configurer.Upstream{ID: "order-desk-1", Address: "10.1.0.9:80", Role: identifier.RolePlain, Pool: "order-desk"}
+	runner := configurer.Upstream{ID: "boat-1", Address: "10.1.0.1:80", Role: identifier.RoleDecode, Pool: "boat-scribe", Streams: 20}
+	wanted := configurer.Normalise(configurer.Document{
+		Classes:   []configurer.Class{{Name: "reading", FirstToken: ms(2000)}, {Name: "orders", FirstToken: ms(300)}},
+		Pools:     []configurer.Pool{desk, {Name: "boat-scribe", Models: []identifier.Model{"hull", "boat"}, Version: "v1"}},
+		Upstreams: []configurer.Upstream{plain, runner},
+	})
+	reached, text := session(configurer.Document{}, change("1", configurer.Plan(configurer.Document{}, wanted)...))
+	g.Expect(configurer.Diff(wanted, reached)).To(BeEmpty(), text)
+	g.Expect(configurer.Plan(reached, wanted)).To(BeEmpty())
+
+	moved, _ := session(reached, change("2", configurer.SetRole{ID: "boat-1", Was: identifier.RoleDecode, Value: identifier.RolePrefill}))
+	runner.Address = "10.1.0.2:80"
+	next := configurer.Normalise(configurer.Document{
+		Classes:   []configurer.Class{{Name: "reading", FirstToken: ms(1000)}},
+		Pools:     []configurer.Pool{{Name: "boat-scribe", Models: []identifier.Model{"boat"}, Adapters: []string{"a"}, Version: "v2"}},
+		Upstreams: []configurer.Upstream{runner},
+	})
+	reached, text = session(moved, change("3", configurer.Plan(moved, next)...))
+	g.Expect(configurer.Diff(reached, next)).To(Equal([]string{
+		"upstream order-desk-1: removed",
+		"upstream boat-1: Role from Prefill to Decode",
+		"pool order-desk: removed",
+	}), text)
+	u, _ := reached.Upstream("order-desk-1")
+	g.Expect(u.Retired).To(BeTrue())
+}
+
+// TestSitesAsFiles reads the documents of both sites and applies them.
+func TestSitesAsFiles(t *testing.T) {
+	g := NewWithT(t)
+	for file, upstreams := range map[string]int{"himal": 12, "tafelbaai": 15} {
+		text, err := os.ReadFile("testdata/" + file + ".yaml")
+		g.Expect(err).NotTo(HaveOccurred())
+		var d configurer.Document
+		g.Expect(parser.Decode(text, &d)).To(Succeed())
+		wanted := configurer.Normalise(d)
+		reached, conflict := configurer.ApplyChange(configurer.Document{}, change(file, configurer.Plan(configurer.Document{}, wanted)...))
+		g.Expect(conflict).To(BeNil())
+		g.Expect(configurer.Diff(wanted, reached)).To(BeEmpty())
+		g.Expect(reached.Upstreams).To(HaveLen(upstreams))
+	}
+	var d configurer.Document
+	err := parser.Decode([]byte("Classes:\n  - {Name: a, Weight: 3}\n"), &d)
+	g.Expect(err).To(MatchError(ContainSubstring("2:")), "a class has no weight, and the place is named")
+}
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -10,6 +11,18 @@
 // applyToPool applies the operations on what pools serve.
 func (d Document) applyToPool(o Operation) (Document, *Conflict) {
 	switch o := o.(type) {
+	case AddPool:
+		return d.addPool(o)
+	case RemovePool:
+		return d.removePool(o)
+	case AddRepeatable:
+		return d.changePool(o.Pool, o.Call, func(p *Pool) { p.Repeatable = with(p.Repeatable, o.Call) })
+	case RemoveRepeatable:
+		return d.changePool(o.Pool, o.Call, func(p *Pool) { p.Repeatable = without(p.Repeatable, o.Call) })
+	case SetPrefix:
+		return setPool(d, o.Pool, "Prefix", o.Was, o.Value, func(p *Pool) *string { return &p.Prefix })
+	case SetDefaultClass:
+		return setPool(d, o.Pool, "DefaultClass", o.Was, o.Value, func(p *Pool) *identifier.Class { return &p.DefaultClass })
 	case AddModel:
 		return d.changePool(o.Pool, string(o.Model), func(p *Pool) { p.Models = with(p.Models, o.Model) })
 	case RemoveModel:
@@ -19,7 +32,7 @@
 	case RemoveAdapter:
 		return d.changePool(o.Pool, o.Adapter, func(p *Pool) { p.Adapters = without(p.Adapters, o.Adapter) })
 	case SetVersion:
-		return d.setVersion(o)
+		return setPool(d, o.Pool, "Version", o.Was, o.Value, func(p *Pool) *string { return &p.Version })
 	default:
 		panic("operation of an unknown type")
 	}
@@ -39,20 +52,69 @@
 	return d, nil
 }
 
-func (d Document) setVersion(o SetVersion) (Document, *Conflict) {
-	field := "Pools/" + string(o.Pool) + "/Version"
-	p, ok := d.Pool(o.Pool)
+// setPool changes one field of a pool.
+func setPool[T comparable](d Document, name identifier.Pool, field string, was, value T, at func(*Pool) *T) (Document, *Conflict) {
+	path := "Pools/" + string(name) + "/" + field
+	p, ok := d.Pool(name)
 	if !ok {
-		return d, unknown(field)
+		return d, unknown(path)
+	}
+	v := at(&p)
+	if *v != value && *v != was {
+		return d, raced(path, was, value, *v)
+	}
+	*v = value
+	d.Pools = put(d.Pools, p, Pool.key)
+	return d, nil
+}
+
+func (d Document) addPool(o AddPool) (Document, *Conflict) {
+	field := "Pools/" + string(o.Pool.Name)
+	if o.Pool.Name == "" {
+		return d, invalid(field, o.Pool.Name, "give the pool a name")
 	}
-	if p.Version != o.Value && p.Version != o.Was {
-		return d, raced(field, o.Was, o.Value, p.Version)
+	p := o.Pool.sorted()
+	if old, ok := d.Pool(p.Name); ok && !reflect.DeepEqual(old, p) {
+		return d, exists(field, p, old)
 	}
-	p.Version = o.Value
 	d.Pools = put(d.Pools, p, Pool.key)
 	return d, nil
 }
 
+func (d Document) removePool(o RemovePool) (Document, *Conflict) {
+	field := "Pools/" + string(o.Was.Name)
+	old, ok := d.Pool(o.Was.Name)
+	if !ok {
+		return d, nil
+	}
+	if !reflect.DeepEqual(old, o.Was.sorted()) {
+		return d, raced(field, o.Was, "its removal", old)
+	}
+	if slices.ContainsFunc(d.Upstreams, func(u Upstream) bool { return u.Pool == old.Name }) {
+		return d, invalid(field, "its removal", "remove its upstreams first")
+	}
+	d.Pools = remove(d.Pools, old.Name, Pool.key)
+	return d, nil
+}
+
+// sorted returns the pool with sorted copies of its slices; an empty one is
+// nil, as after decoding.
+func (p Pool) sorted() Pool {
+	p.Models = sortedCopy(p.Models)
+	p.Adapters = sortedCopy(p.Adapters)
+	p.Repeatable = sortedCopy(p.Repeatable)
+	return p
+}
+
+func sortedCopy[T cmp.Ordered](all []T) []T {
+	if len(all) == 0 {
+		return nil
+	}
+	all = slices.Clone(all)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // with returns a sorted copy of all that holds v.
 func with[T cmp.Ordered](all []T, v T) []T {
 	i, ok := slices.BinarySearch(all, v)
@@ -68,5 +130,5 @@
 	if !ok {
 		return all
 	}
-	return slices.Delete(slices.Clone(all), i, i+1)
+	return sortedCopy(slices.Delete(slices.Clone(all), i, i+1))
 }
