Give operators their side of a VM and keep the configuration in the store

Cause: classes and upstreams were set by the demo's own code, and nothing but a signal drove a VM.

Change: the syncer's configuration runs in the server; operator (JSON over HTTPS with operator certificates) and the commands serve, status, classes, upstreams, apply, diff, explain, drain, keys, version and completion; explainer keeps the decisions of the last requests; drainer's core stops a VM. The demo now applies its configuration and waits for all seven VMs.

--- a/certifier/keyring.go
+++ b/certifier/keyring.go
@@ -127,3 +127,12 @@
 	})
 	return peer, errors.Wrap(err, "the peer's certificate")
 }
+
+// HolderOf reads the holder from a pair's certificate.
+func HolderOf(pair Pair) (Identity, error) {
+	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return Identity{}, errors.Wrap(err, "read the certificate and its key")
+	}
+	return IdentityOf(cert.Leaf)
+}
--- a/commands.go
+++ b/commands.go
@@ -22,10 +22,20 @@
 // commands lists all commands in the order of the help text.
 func commands() []command {
 	return []command{
-		demoCommand,
+		serveCommand,
 		checkCommand,
+		demoCommand,
+		statusCommand,
+		classesCommand,
+		upstreamsCommand,
+		applyCommand,
+		diffCommand,
+		explainCommand,
+		drainCommand,
+		keysCommand,
 		recordCommand,
 		replayCommand,
+		versionCommand,
 	}
 }
 
@@ -34,7 +44,7 @@
 		printHelp(stderr)
 		return exitUsage
 	}
-	for _, c := range commands() {
+	for _, c := range append(commands(), completionCommand) {
 		if c.name == args[0] {
 			return c.run(args[1:], stdout, stderr)
 		}
@@ -51,7 +61,7 @@
 	fmt.Fprintln(w, "figtrack routes requests to separate prefill and decode pools.")
 	fmt.Fprintln(w, "\nUsage: figtrack COMMAND [options]")
 	fmt.Fprintln(w, "\nCommands:")
-	for _, c := range commands() {
+	for _, c := range append(commands(), completionCommand) {
 		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.description)
 	}
 	fmt.Fprintln(w, "\nfigtrack COMMAND --help tells more. Exit statuses: 0 done, 1 failed, 2 wrong usage or settings.")
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -8,20 +8,23 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/certifier"
+	"github.com/figtrack/figtrack/configurer"
+	"github.com/figtrack/figtrack/explainer"
 	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/parser"
-	"github.com/figtrack/figtrack/registrar"
+	"github.com/figtrack/figtrack/poster"
 	"github.com/figtrack/figtrack/server"
+	"github.com/figtrack/figtrack/syncer"
 )
 
 const (
@@ -67,13 +70,13 @@
 	// Addresses are the callers' addresses of the VMs.
 	Addresses []string
 	shape     Shape
-	upstreams []registrar.Upstream
-	log       zerolog.Logger
+	upstreams []configurer.Upstream
+	log       io.Writer
 }
 
 // Start starts a fleet whose decision log goes to w.
 func Start(shape Shape, w io.Writer) (*Fleet, error) {
-	f := &Fleet{shape: shape, log: zerolog.New(w).With().Timestamp().Logger()}
+	f := &Fleet{shape: shape, log: zerolog.SyncWriter(w)}
 	steps := []func() error{f.startStore, f.startEngines, f.startServices, f.startVMs}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -81,8 +84,9 @@
 			return nil, err
 		}
 	}
-	for _, s := range f.Servers {
-		s.SetConfiguration(f.configuration())
+	if err := f.configure(); err != nil {
+		f.Close()
+		return nil, err
 	}
 	return f, nil
 }
@@ -101,7 +105,7 @@
 		}
 		cfg := faker.DefaultEngine(role)
 		cfg.ID = identifier.Upstream(fmt.Sprintf("%s-%d", engines, i+1))
-		e, err := faker.NewEngineServer(cfg, faker.Loopback, http.DefaultClient)
+		e, err := faker.NewEngineServer(cfg, faker.Loopback, poster.NewClient())
 		if err != nil {
 			return errors.Wrap(err, "start an engine")
 		}
@@ -129,7 +133,7 @@
 }
 
 func (f *Fleet) add(id identifier.Upstream, pool identifier.Pool, role identifier.Role, address string, pieces identifier.Pieces, streams int) {
-	f.upstreams = append(f.upstreams, registrar.Upstream{
+	f.upstreams = append(f.upstreams, configurer.Upstream{
 		ID:         id,
 		Pool:       pool,
 		Role:       role,
@@ -144,23 +148,59 @@
 	return f.shape.DataCentres[i%len(f.shape.DataCentres)]
 }
 
-// configuration is what operators would have accepted.
-func (f *Fleet) configuration() server.Configuration {
-	return server.Configuration{
-		Revision: 1,
-		Classes: []admitter.Class{
-			{Name: quickReplies, FirstToken: 380 * time.Millisecond, PerToken: 43 * time.Millisecond, Patience: time.Second},
-			{Name: longReading, FirstToken: 2500 * time.Millisecond, PerToken: 60 * time.Millisecond, Patience: 30 * time.Second},
+// configureWithin bounds the wait for the configuration on all VMs.
+const configureWithin = 15 * time.Second
+
+// configure gives the fleet its classes and upstreams, as an operator would.
+func (f *Fleet) configure() error {
+	ctx, cancel := context.WithTimeout(context.Background(), configureWithin)
+	defer cancel()
+	if err := f.together(ctx); err != nil {
+		return err
+	}
+	change := configurer.Change{
+		ID:         configurer.ChangeID(uuid.NewString()),
+		By:         "demo",
+		Operations: configurer.Plan(configurer.Document{}, configurer.Normalise(f.document())),
+	}
+	out := f.Servers[0].Submit(ctx, change, true)
+	if out.Result != syncer.ResultAccepted || !out.Everywhere {
+		return errors.Errorf("the configuration is not in force: %s, behind: %v", out.Result, out.Behind)
+	}
+	return nil
+}
+
+// together waits until every VM knows all others.
+func (f *Fleet) together(ctx context.Context) error {
+	for _, s := range f.Servers {
+		for len(s.Live()) < len(f.Servers) {
+			select {
+			case <-ctx.Done():
+				return errors.New("the VMs did not find each other")
+			case <-time.After(settle):
+			}
+		}
+	}
+	return nil
+}
+
+// document is what operators would have accepted.
+func (f *Fleet) document() configurer.Document {
+	return configurer.Document{
+		Classes: []configurer.Class{
+			{Name: quickReplies, FirstToken: duration(380 * time.Millisecond), PerToken: duration(43 * time.Millisecond), Patience: duration(time.Second)},
+			{Name: longReading, FirstToken: duration(2500 * time.Millisecond), PerToken: duration(60 * time.Millisecond), Patience: duration(30 * time.Second)},
 		},
-		Pools: []registrar.Pool{
-			{ID: engines, Models: []identifier.Model{model}},
-			{ID: orders, Prefix: "/orders", Repeatable: []string{"GET /stock"}},
+		Pools: []configurer.Pool{
+			{Name: engines, Models: []identifier.Model{model}, DefaultClass: quickReplies},
+			{Name: orders, Prefix: "/orders", Repeatable: []string{"GET /stock"}},
 		},
-		Upstreams:    f.upstreams,
-		ModelClasses: map[identifier.Model]identifier.Class{model: quickReplies},
+		Upstreams: f.upstreams,
 	}
 }
 
+func duration(d time.Duration) configurer.Duration { return configurer.Duration(d) }
+
 func (f *Fleet) startVMs() error {
 	authority, err := certifier.NewAuthority(deployment, time.Now(), keysLive)
 	if err != nil {
@@ -217,16 +257,20 @@
 	cfg.DataCentre = self.DataCentre
 	cfg.VMs.Peers = others(peers, self.VM)
 	cfg.Prefer = admitter.PreferWastedPrefill
-	store := keeper.New(keeper.Settings{Endpoints: []string{f.Store.URL()}}, keeper.NewMetrics())
+	metrics := keeper.NewMetrics()
+	store := keeper.New(keeper.Settings{Endpoints: []string{f.Store.URL()}}, metrics)
+	memory := explainer.New()
 	s := server.New(server.Needs{
-		Settings:    cfg,
-		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
-		Keyring:     ring,
-		Store:       store,
-		Callers:     callers,
-		VMs:         socket,
-		Dial:        (&net.Dialer{}).DialContext,
-		Log:         f.log.With().Str("VM", string(self.VM)).Logger(),
+		Settings:     cfg,
+		Incarnation:  identifier.Incarnation(time.Now().UnixNano()),
+		Keyring:      ring,
+		Store:        keeper.Below(store, "/"+deployment),
+		StoreMetrics: metrics,
+		Callers:      callers,
+		VMs:          socket,
+		Dial:         (&net.Dialer{}).DialContext,
+		Memory:       memory,
+		Log:          server.NewLog(f.log, memory, self.VM, zerolog.InfoLevel),
 	})
 	f.Servers = append(f.Servers, s)
 	f.Addresses = append(f.Addresses, callers.Addr().String())
@@ -243,15 +287,10 @@
 	return out
 }
 
-// closeWithin bounds the end of one VM.
-const closeWithin = 10 * time.Second
-
-// Close stops everything.
+// Close stops everything at once.
 func (f *Fleet) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
-	defer cancel()
 	for _, s := range f.Servers {
-		s.Shutdown(ctx)
+		s.Kill()
 	}
 	for _, e := range append(f.Prefill, f.Decode...) {
 		e.Close()
--- a/demonstrator/surge.go
+++ b/demonstrator/surge.go
@@ -101,7 +101,7 @@
 
 func (f *Fleet) report(replies []reply, orders *reservations, keys []string) Report {
 	var out Report
-	for _, class := range f.configuration().Classes {
+	for _, class := range f.document().Classes {
 		line := Line{Class: class.Name}
 		var first, pace []time.Duration
 		for _, r := range replies {
@@ -120,7 +120,7 @@
 				line.Answered++
 				first = append(first, r.firstToken)
 				pace = append(pace, r.perToken)
-				if r.firstToken <= class.FirstToken && r.perToken <= class.PerToken {
+				if r.firstToken <= time.Duration(class.FirstToken) && r.perToken <= time.Duration(class.PerToken) {
 					line.InTarget++
 				}
 			}
--- a/dispatcher/owner.go
+++ b/dispatcher/owner.go
@@ -118,7 +118,7 @@
 	_, p := admitter.OutcomeToWire(o.shard.ID, out)
 	message := &wire.Envelope{Body: &wire.Envelope_Placement{Placement: p}}
 	if !d.sender.Send(to, message) {
-		d.log.Warn().Str("Request", string(key.Request)).Str("VM", string(to)).Msg("DecisionNotSent")
+		d.log.Warn().Str("Request", string(key.Request)).Str("To", string(to)).Msg("DecisionNotSent")
 	}
 }
 
--- /dev/null
+++ b/explainer/words.go
@@ -0,0 +1,111 @@
+package explainer
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// line is a log line as it was written, with the fields that are told.
+type line struct {
+	Time         time.Time
+	Message      string `json:"message"`
+	VM           string
+	Attempt      int
+	Attempts     int
+	Shard        string
+	To           string
+	Prefill      string
+	Decode       string
+	Pieces       int
+	Promised     bool
+	PredictedMs  float64
+	Reason       string
+	RetryAfterMs float64
+	Upstream     string
+	Pool         string
+	Result       string
+	Outcome      string
+	Class        string
+	Tokens       int
+	FirstTokenMs float64
+	PerTokenMs   float64
+	InTarget     bool
+	Scores       []score
+}
+
+type score struct {
+	Upstream     string
+	FirstTokenMs float64
+}
+
+// Words tells lines of several VMs in the order of their times, one sentence
+// each.
+func Words(lines []json.RawMessage) ([]string, error) {
+	var read []line
+	for _, text := range lines {
+		var one line
+		if err := json.Unmarshal(text, &one); err != nil {
+			return nil, errors.Wrap(err, "read a log line")
+		}
+		read = append(read, one)
+	}
+	sort.SliceStable(read, func(i, j int) bool { return read[i].Time.Before(read[j].Time) })
+	var out []string
+	for _, one := range read {
+		out = append(out, one.Time.UTC().Format("15:04:05.000")+"  "+one.VM+": "+one.sentence())
+	}
+	return out, nil
+}
+
+func (l line) sentence() string {
+	switch l.Message {
+	case "Place":
+		return l.placed()
+	case "Move":
+		return fmt.Sprintf("as owner of %s moved attempt %d to decode on %s.", l.Shard, l.Attempt, l.Decode)
+	case "Refuse":
+		return fmt.Sprintf("as owner of %s refused attempt %d: %s; come back after %.0f ms.", l.Shard, l.Attempt, l.Reason, l.RetryAfterMs)
+	case "Abandon":
+		return fmt.Sprintf("as owner of %s ended attempt %d: %s.", l.Shard, l.Attempt, l.Reason)
+	case "Forward":
+		return fmt.Sprintf("sent the call to %s of %s: %s.", l.Upstream, l.Pool, l.Result)
+	case "Ended":
+		return l.ended()
+	default:
+		return fmt.Sprintf("%s %s %s.", l.Message, l.Upstream, l.Reason)
+	}
+}
+
+func (l line) placed() string {
+	memory := "held"
+	if l.Promised {
+		memory = "promised"
+	}
+	text := fmt.Sprintf("as owner of %s placed attempt %d for %s: prefill on %s, decode on %s with %d pieces %s; first token expected %.0f ms after arrival.",
+		l.Shard, l.Attempt, l.To, l.Prefill, l.Decode, l.Pieces, memory, l.PredictedMs)
+	if len(l.Scores) == 0 {
+		return text
+	}
+	var weighed []string
+	for _, s := range l.Scores {
+		weighed = append(weighed, fmt.Sprintf("%s %.0f ms", s.Upstream, s.FirstTokenMs))
+	}
+	return text + " Weighed: " + strings.Join(weighed, ", ") + "."
+}
+
+func (l line) ended() string {
+	if l.Tokens == 0 {
+		return fmt.Sprintf("ended as %s after %d attempts, class %s.", l.Outcome, l.Attempts, l.Class)
+	}
+	target := "outside"
+	if l.InTarget {
+		target = "inside"
+	}
+	return fmt.Sprintf("ended as %s after %d attempts, class %s: %d tokens, the first after %.0f ms, then %.1f ms each, %s the targets.",
+		l.Outcome, l.Attempts, l.Class, l.Tokens, l.FirstTokenMs, l.PerTokenMs, target)
+}
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -40,7 +40,7 @@
 	}
 	job.Arrived = arrived
 	c.Response().Header().Set(outcomer.HeaderRequest, string(job.Request))
-	ctx, cancel := context.WithTimeout(c.Request().Context(), l.cfg.RequestTimeout)
+	ctx, cancel := l.bounded(c)
 	defer cancel()
 	one := answer{form: f, request: job.Request, model: body.Model, created: arrived, prompt: job.Tokens}
 	if body.Stream {
@@ -169,7 +169,7 @@
 			l.timedOut(ctx, c, job)
 			return
 		}
-		out = outcomer.BrokenOff{}
+		out = l.whyCut()
 	}
 	if sink.started {
 		_ = sink.event(outcomer.NewRefusal(job.Request, out))
@@ -178,13 +178,23 @@
 	refuse(c, job.Request, out)
 }
 
-// timedOut tells a caller who still waits that the request's time is over.
+// timedOut tells a caller who still waits why the request was ended.
 func (l *Listener) timedOut(ctx context.Context, c *echo.Context, job relayer.Job) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case l.cutting.Err() != nil:
+		refuse(c, job.Request, outcomer.CutByDrain{})
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refuse(c, job.Request, outcomer.UpstreamTimeout{})
 	}
 }
 
+func (l *Listener) whyCut() outcomer.Outcome {
+	if l.cutting.Err() != nil {
+		return outcomer.CutByDrain{}
+	}
+	return outcomer.BrokenOff{}
+}
+
 type modelList struct {
 	Object string      `json:"object"`
 	Data   []modelItem `json:"data"`
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v5"
@@ -60,6 +61,11 @@
 	// slots has room for MaxRequests requests.
 	slots  chan struct{}
 	server *http.Server
+	// refusing says that no new request is taken.
+	refusing atomic.Bool
+	// cutting ends when the requests in flight are to be cut off.
+	cutting context.Context
+	cut     context.CancelFunc
 }
 
 // New returns a listener. services takes every path that is not figtrack's.
@@ -77,6 +83,7 @@
 		log:       log,
 		slots:     make(chan struct{}, cfg.MaxRequests),
 	}
+	l.cutting, l.cut = context.WithCancel(context.Background())
 	l.server = &http.Server{
 		Handler:           l.routes(),
 		ReadHeaderTimeout: cfg.HeaderTimeout,
@@ -110,15 +117,18 @@
 	return errors.Wrap(err, "serve callers")
 }
 
-// Shutdown takes no new connections and waits for the open requests until
-// ctx ends; then it breaks them off.
-func (l *Listener) Shutdown(ctx context.Context) error {
-	if l.server.Shutdown(ctx) != nil {
-		return l.server.Close()
-	}
-	return nil
+// RefuseNew refuses new requests with Draining and ends idle connections.
+func (l *Listener) RefuseNew() {
+	l.refusing.Store(true)
+	l.server.SetKeepAlivesEnabled(false)
 }
 
+// Cut ends the requests in flight with CutByDrain.
+func (l *Listener) Cut() { l.cut() }
+
+// Close ends all connections.
+func (l *Listener) Close() error { return l.server.Close() }
+
 // InFlight returns the number of requests in flight.
 func (l *Listener) InFlight() int { return len(l.slots) }
 
@@ -135,6 +145,10 @@
 
 // enter takes a slot for a request, or refuses it.
 func (l *Listener) enter(c *echo.Context) bool {
+	if l.refusing.Load() {
+		refuse(c, "", outcomer.NewDraining(busyRetryAfter))
+		return false
+	}
 	select {
 	case l.slots <- struct{}{}:
 		return true
@@ -146,11 +160,24 @@
 
 func (l *Listener) leave() { <-l.slots }
 
+// bounded returns the context of a request, which also ends with the request's
+// time and with Cut.
+func (l *Listener) bounded(c *echo.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), l.cfg.RequestTimeout)
+	stop := context.AfterFunc(l.cutting, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (l *Listener) service(c *echo.Context) error {
 	if !l.enter(c) {
 		return nil
 	}
 	defer l.leave()
-	l.services.ServeHTTP(c.Response(), c.Request())
+	ctx, cancel := l.bounded(c)
+	defer cancel()
+	l.services.ServeHTTP(c.Response(), c.Request().WithContext(ctx))
 	return nil
 }
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -73,7 +73,8 @@
 
 // Drain are the settings of a graceful shutdown.
 type Drain struct {
-	Limit time.Duration `yaml:"Limit" validate:"min=0s,max=24h" doc:"Longest time for requests in flight to end after SIGTERM."`
+	Notice time.Duration `yaml:"Notice" validate:"min=0s,max=5m" doc:"How long a stopping VM still takes requests, for the balancer to notice that it is not ready."`
+	Limit  time.Duration `yaml:"Limit" validate:"min=0s,max=24h" doc:"Longest time for requests in flight to end after SIGTERM."`
 }
 
 // Log are the settings of the log.
@@ -95,7 +96,7 @@
 			MaxRequests:    4096,
 		},
 		Store: Store{Timeout: 500 * time.Millisecond, Prefix: "/figtrack"},
-		Drain: Drain{Limit: 10 * time.Minute},
+		Drain: Drain{Notice: 3 * time.Second, Limit: 10 * time.Minute},
 		Log:   Log{Level: "info"},
 	}
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -186,6 +186,13 @@
 	if !full {
 		a.fail(a.place.Decode, kindOf(err))
 	}
+	a.log.Info().
+		Str("Request", string(a.key.Request)).
+		Uint32("Attempt", uint32(a.key.Attempt)).
+		Str("Upstream", string(a.place.Decode)).
+		Str("Kind", string(kindOf(err))).
+		Dur("WithinMs", a.place.TransferWithin).
+		Msg("TransferFailed")
 	a.ticket.Report(admitter.TransferFailed{Key: a.key, Full: full})
 	select {
 	case <-ctx.Done():
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -43,9 +43,17 @@
 		return
 	}
 	s.live = live
+	s.sync.Offer(livePeers(live))
 	s.changed()
 }
 
+// Live returns the VMs that this one takes for live.
+func (s *Server) Live() []registrar.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.live)
+}
+
 // changed tells the duties of the fleet and configuration. mu is held.
 func (s *Server) changed() {
 	catalog := s.registrar.Catalog()
--- a/server/handler.go
+++ b/server/handler.go
@@ -14,6 +14,10 @@
 		s.dispatcher.Receive(from, body.Placement)
 	case *wire.Envelope_Membership:
 		return s.members.Handle(ctx, from, e)
+	case *wire.Envelope_Configuration:
+		return s.sync.Handle(ctx, from, e)
+	case *wire.Envelope_Inquiry:
+		return s.answerInquiry(body.Inquiry)
 	case *wire.Envelope_Claim:
 		return s.claims.Handle(ctx, from, e)
 	}
--- a/server/health.go
+++ b/server/health.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/operator"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/registrar"
 )
@@ -158,6 +161,17 @@
 	}
 }
 
+// impaired lists what is not up, by name.
+func (h *health) impaired() []operator.UpstreamStatus {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []operator.UpstreamStatus
+	for _, u := range slices.Sorted(maps.Keys(h.states)) {
+		out = append(out, operator.UpstreamStatus{Upstream: u, Health: string(h.states[u])})
+	}
+	return out
+}
+
 // probe calls an idle upstream once.
 func (h *health) probe(id identifier.Upstream) {
 	u, ok := h.s.registrar.Catalog().Upstream(id)
--- /dev/null
+++ b/server/operators.go
@@ -0,0 +1,191 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/figtrack/figtrack/configurer"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/operator"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// inquiryTimeout bounds the wait for one VM's answer to an operator.
+const inquiryTimeout = 2 * time.Second
+
+// Configuration implements operator.Fleet.
+func (s *Server) Configuration() configurer.Document { return *s.sync.Document() }
+
+// Drain implements operator.Fleet.
+func (s *Server) Drain() {
+	s.drainOnce.Do(func() { close(s.drainAsked) })
+}
+
+// DrainAsked is closed when an operator has asked this VM to stop.
+func (s *Server) DrainAsked() <-chan struct{} { return s.drainAsked }
+
+// Statuses implements operator.Fleet: this VM first, then the others by name.
+func (s *Server) Statuses(ctx context.Context) []operator.Status {
+	own := s.status()
+	out := []operator.Status{own}
+	others := s.others()
+	answers := s.inquire(ctx, others, &wire.Inquiry{Body: &wire.Inquiry_Status{Status: &wire.InquiryStatus{}}})
+	for i, vm := range others {
+		status := operator.Status{VM: vm, Problem: "no answer"}
+		if answers[i] != nil && json.Unmarshal(answers[i], &status) != nil {
+			status.Problem = "an answer that could not be read"
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+// Explain implements operator.Fleet.
+func (s *Server) Explain(ctx context.Context, r identifier.Request) []json.RawMessage {
+	lines := s.Memory.Lines(r)
+	question := &wire.Inquiry{Body: &wire.Inquiry_Explain{Explain: &wire.InquiryExplain{Request: string(r)}}}
+	for _, answer := range s.inquire(ctx, s.others(), question) {
+		var more []json.RawMessage
+		if answer != nil && json.Unmarshal(answer, &more) == nil {
+			lines = append(lines, more...)
+		}
+	}
+	return lines
+}
+
+func (s *Server) others() []identifier.VM {
+	var out []identifier.VM
+	for _, p := range s.Settings.VMs.Peers {
+		out = append(out, p.VM)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// inquire asks VMs at once; a nil answer means none came.
+func (s *Server) inquire(ctx context.Context, vms []identifier.VM, question *wire.Inquiry) [][]byte {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	answers := make([][]byte, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Go(func() {
+			e, err := s.messenger.Call(ctx, vm, &wire.Envelope{Body: &wire.Envelope_Inquiry{Inquiry: question}})
+			if err == nil {
+				answers[i] = e.GetInquiry().GetReport().GetJson()
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// answerInquiry answers another VM on an operator's behalf.
+func (s *Server) answerInquiry(q *wire.Inquiry) *wire.Envelope {
+	var out any
+	switch body := q.GetBody().(type) {
+	case *wire.Inquiry_Status:
+		out = s.status()
+	case *wire.Inquiry_Explain:
+		out = s.Memory.Lines(identifier.Request(body.Explain.GetRequest()))
+	default:
+		return nil
+	}
+	text, err := json.Marshal(out)
+	if err != nil {
+		return nil
+	}
+	report := &wire.Inquiry{Body: &wire.Inquiry_Report{Report: &wire.InquiryReport{Json: text}}}
+	return &wire.Envelope{Body: &wire.Envelope_Inquiry{Inquiry: report}}
+}
+
+func (s *Server) status() operator.Status {
+	out := operator.Status{
+		VM:           s.Settings.VM,
+		DataCentre:   s.Settings.DataCentre,
+		Incarnation:  s.Incarnation,
+		NotReady:     s.Ready(),
+		InFlight:     s.listener.InFlight(),
+		Impaired:     s.health.impaired(),
+		KeysExpireAt: s.Keyring.Expires(),
+	}
+	s.mu.Lock()
+	out.Revision = s.configuration.Revision
+	for _, v := range s.live {
+		out.Live = append(out.Live, v.ID)
+	}
+	for _, shard := range s.registrar.Catalog().Shards() {
+		if shard.Owner(s.live) == s.self.ID {
+			out.Owned = append(out.Owned, shard.ID)
+		}
+	}
+	s.mu.Unlock()
+	s.addMeasures(&out)
+	return out
+}
+
+// addMeasures reads the counts of a status from the VM's own metrics.
+func (s *Server) addMeasures(out *operator.Status) {
+	families, err := s.metrics.Gather()
+	if err != nil {
+		return
+	}
+	classes := make(map[string]*operator.ClassStatus)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			labels := labelsOf(m)
+			value := m.GetCounter().GetValue()
+			if f.GetName() == "figtrack_store_calls_total" {
+				out.StoreCalls = append(out.StoreCalls, operator.StoreStatus{
+					Purpose: labels["purpose"],
+					Kind:    labels["kind"],
+					Calls:   uint64(value),
+				})
+				continue
+			}
+			if labels["class"] != "" {
+				addToClass(classes, f.GetName(), labels, value)
+			}
+		}
+	}
+	for _, name := range s.ClassNames() {
+		if c := classes[string(name)]; c != nil {
+			out.Classes = append(out.Classes, *c)
+		}
+	}
+}
+
+func addToClass(classes map[string]*operator.ClassStatus, family string, labels map[string]string, value float64) {
+	c := classes[labels["class"]]
+	if c == nil {
+		c = &operator.ClassStatus{Class: identifier.Class(labels["class"])}
+		classes[labels["class"]] = c
+	}
+	switch family {
+	case "figtrack_requests_total":
+		c.Requests += uint64(value)
+		if labels["outcome"] == "Answered" {
+			c.Answered += uint64(value)
+		}
+	case "figtrack_requests_in_target_total":
+		c.InTarget += uint64(value)
+	case "figtrack_prefill_seconds_total":
+		c.PrefillSeconds += value
+		if labels["used"] == "false" {
+			c.WastedSeconds += value
+		}
+	}
+}
+
+func labelsOf(m *dto.Metric) map[string]string {
+	out := make(map[string]string, len(m.GetLabel()))
+	for _, l := range m.GetLabel() {
+		out[l.GetName()] = l.GetValue()
+	}
+	return out
+}
--- a/server/server.go
+++ b/server/server.go
@@ -18,27 +18,36 @@
 	"github.com/figtrack/figtrack/claimer"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/explainer"
 	"github.com/figtrack/figtrack/forwarder"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
+	"github.com/figtrack/figtrack/operator"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/relayer"
+	"github.com/figtrack/figtrack/syncer"
 )
 
-// Needs are what a server is built from. All are required.
+// Needs are what a server is built from. All but Operators are required.
 type Needs struct {
 	Settings    parser.Settings
 	Incarnation identifier.Incarnation
 	Keyring     *certifier.Keyring
 	Store       keeper.Store
-	Callers     net.Listener
-	VMs         net.PacketConn
+	// StoreMetrics counts the calls of Store.
+	StoreMetrics prometheus.Collector
+	Callers      net.Listener
+	VMs          net.PacketConn
+	// Operators is nil where the settings close the operators' side.
+	Operators net.Listener
+	// Memory holds what Log says of the last requests.
+	Memory *explainer.Memory
 	// Dial opens connections to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  zerolog.Logger
@@ -57,6 +66,11 @@
 	claims     *claimer.Shell
 	members    *prober.Shell
 	health     *health
+	sync       *syncer.Shell
+	operators  *operator.Listener
+	drainOnce  sync.Once
+	drainAsked chan struct{}
+	submits    submits
 	listener   *listener.Listener
 	metrics    *prometheus.Registry
 	ctx        context.Context
@@ -79,7 +93,10 @@
 		metrics: prometheus.NewRegistry(),
 		ctx:     ctx,
 		cancel:  cancel,
+
+		drainAsked: make(chan struct{}),
 	}
+	s.metrics.MustRegister(n.StoreMetrics)
 	kept := n.transport(false)
 	engines := &http.Client{Transport: kept}
 	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
@@ -89,6 +106,8 @@
 	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
 	s.members = s.newMembers()
 	s.health = newHealth(s)
+	s.sync = s.newSync()
+	s.operators = operator.New(s, n.Keyring)
 	s.cancels = relayer.NewCancels(s.registrar, n.Log)
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
 	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, s.health,
@@ -134,6 +153,7 @@
 	s.wg.Go(func() { s.dispatcher.Run(s.ctx.Done()) })
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
+	s.wg.Go(func() { s.sync.Run(s.ctx) })
 	s.wg.Go(func() { s.cancels.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
@@ -141,31 +161,20 @@
 			s.Log.Error().Err(err).Msg("CallersNotServed")
 		}
 	})
+	if s.Operators != nil {
+		s.wg.Go(func() {
+			if err := s.operators.Serve(s.Operators); err != nil {
+				s.Log.Error().Err(err).Msg("OperatorsNotServed")
+			}
+		})
+	}
 	s.Log.Info().
-		Str("VM", string(s.Settings.VM)).
 		Str("Callers", s.Callers.Addr().String()).
 		Str("VMs", s.VMs.LocalAddr().String()).
 		Msg("Started")
 	return nil
 }
 
-// Shutdown takes no new requests, waits for those in flight until ctx ends,
-// and stops. It returns the number of requests that were cut off.
-func (s *Server) Shutdown(ctx context.Context) int {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.members.Offer(prober.Leave{})
-	err := s.listener.Shutdown(ctx)
-	cut := s.listener.InFlight()
-	s.cancel()
-	s.poller.Wait()
-	s.wg.Wait()
-	_ = s.messenger.Close()
-	s.Log.Info().Err(err).Int("Cut", cut).Msg("Stopped")
-	return cut
-}
-
 // Metrics returns the VM's metrics.
 func (s *Server) Metrics() prometheus.Gatherer { return s.metrics }
 
