--- a/deduper/deduper_test.go
+++ b/deduper/deduper_test.go
@@ -122,9 +122,12 @@
 }
 
 func (w *world) perform(t *rapid.T, vm int, o deduper.Outcome) {
-	start := w.starts[vm]
-	tell := func(e deduper.HomeEvent) {
-		w.messages = append(w.messages, message{vm: vm, start: start, toHome: e})
+	if m := deduper.EncodeOutcome(o); m != nil {
+		_, e, err := deduper.Decode(w.starts[vm], m)
+		if err != nil {
+			t.Fatalf("%T can't be decoded", o)
+		}
+		w.messages = append(w.messages, message{vm: vm, start: w.starts[vm], toHome: e})
 	}
 	switch o := o.(type) {
 	case deduper.StartAttempt:
@@ -146,14 +149,6 @@
 				t.Fatalf("answer to %s is not whole: %q", c.key, c.got)
 			}
 		}
-	case deduper.AskHome:
-		tell(deduper.Asked{From: start, Key: o.Key, Serial: o.Serial})
-	case deduper.TellHome:
-		tell(deduper.Told{From: start, Serial: o.Serial, Record: o.Record})
-	case deduper.ForgetHome:
-		tell(deduper.Forgotten{From: start, Key: o.Key, Serial: o.Serial})
-	case deduper.Yielded:
-		tell(deduper.YieldAnswered{From: start, Key: o.Key, Serial: o.Serial, Running: o.Running})
 	case deduper.WakeAt:
 		w.wakes[vm] = o.At
 	}
@@ -219,19 +214,21 @@
 		}
 		return
 	}
-	for _, o := range w.home.Step(w.now, m.toHome) {
-		w.performHome(o)
-	}
+	w.stepHome(t, m.toHome)
 }
 
-func (w *world) performHome(o deduper.HomeOutcome) {
-	switch o := o.(type) {
-	case deduper.AnswerVM:
-		w.send(o.To, o.Answer)
-	case deduper.YieldVM:
-		w.send(o.To, o.Order)
-	case deduper.HomeWakeAt:
-		w.wake = o.At
+func (w *world) stepHome(t *rapid.T, e deduper.HomeEvent) {
+	for _, o := range w.home.Step(w.now, e) {
+		if o, ok := o.(deduper.HomeWakeAt); ok {
+			w.wake = o.At
+			continue
+		}
+		to, m := deduper.EncodeHomeOutcome(o)
+		event, _, err := deduper.Decode(deduper.Start{}, m)
+		if err != nil {
+			t.Fatalf("%T can't be decoded", o)
+		}
+		w.send(to, event)
 	}
 }
 
@@ -253,9 +250,7 @@
 	}
 	if !w.wake.IsZero() && !w.now.Before(w.wake) {
 		w.wake = time.Time{}
-		for _, o := range w.home.Step(w.now, deduper.HomeWake{}) {
-			w.performHome(o)
-		}
+		w.stepHome(t, deduper.HomeWake{})
 	}
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -40,7 +40,7 @@
 
 type told struct {
 	to int
-	e  quarantiner.Told
+	e  quarantiner.Event
 }
 
 // world is three VMs and four upstreams, each guarded by one VM.
@@ -83,7 +83,11 @@
 func (w *world) tell(from int, o quarantiner.Tell) {
 	for to := range vms {
 		if to != from && (o.To == "" || o.To == name(to)) {
-			w.messages = append(w.messages, told{to: to, e: quarantiner.Told{From: name(from), Marks: o.Marks, Answer: o.Answer}})
+			e, err := quarantiner.Decode(name(from), quarantiner.Encode(o))
+			if err != nil {
+				panic(err)
+			}
+			w.messages = append(w.messages, told{to: to, e: e})
 		}
 	}
 }
--- a/reclaimer/reclaimer_test.go
+++ b/reclaimer/reclaimer_test.go
@@ -89,11 +89,16 @@
 		if v.start.VM != o.To || v.cut || v.gone {
 			continue
 		}
-		e := reclaimer.Answered{From: v.start, Round: o.Round}
-		for _, id := range o.Holds {
-			if _, ok := v.uses[id]; ok {
-				e.Vouched = append(e.Vouched, id)
-			}
+		m, err := reclaimer.AnswerAsk(reclaimer.EncodeAsk("s", o).GetVouchAsk(), func(id identifier.Hold) bool {
+			_, ok := v.uses[id]
+			return ok
+		})
+		if err != nil {
+			panic(err)
+		}
+		_, e, err := reclaimer.DecodeAnswer(v.start, m.GetVouchAnswer())
+		if err != nil {
+			panic(err)
 		}
 		w.answers = append(w.answers, answer{vm: v, e: e})
 	}
