Read the log of a run as a trace and count messages by their schema

A run's log is written out of order, has no Header and carries the logger's own time, which hid a line's time when both were named Time. An Output of 0 is read as MaxOutput.

--- a/replay.go
+++ b/replay.go
@@ -18,6 +18,7 @@
 	Policy   string   `long:"policy" default:"figtrack" description:"policy that decides"`
 	Compare  []string `long:"compare" description:"further policy to replay beside it; all for each of them"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
+	Header   string   `long:"header" description:"trace whose Header line stands for that of a log without one"`
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
 	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
 	All      bool     `long:"all" description:"replay every policy on the recorded traces of both sites, without TRACE"`
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	trace, err := tracer.ReadFile(rest[0])
+	trace, err := readTrace(rest[0], options.Header)
 	if err != nil {
 		return err
 	}
@@ -76,6 +77,17 @@
 	return nil
 }
 
+func readTrace(path, headerPath string) (*tracer.Trace, error) {
+	if headerPath == "" {
+		return tracer.ReadFile(path, nil)
+	}
+	header, err := tracer.ReadHeader(headerPath)
+	if err != nil {
+		return nil, err
+	}
+	return tracer.ReadFile(path, header)
+}
+
 // chosen returns the policies that the options name.
 func chosen(options replayOptions) ([]replayer.Maker, error) {
 	first, err := replayer.Find(options.Policy)
--- a/replayer/caller.go
+++ b/replayer/caller.go
@@ -101,7 +101,8 @@
 // report sends an event to the policy of the caller's entry VM.
 func (c *caller) report(event admitter.Event) {
 	n := c.vm.node
-	c.message(c.vm, n.vm, sizeOfEvent(event), func() { n.tell(event) })
+	size := func() int64 { return sizeOfEvent(c.now, c.vm.ID, event) }
+	c.message(c.vm, n.vm, size, func() { n.tell(event) })
 }
 
 func (c *caller) answered() {
--- a/replayer/engine.go
+++ b/replayer/engine.go
@@ -108,7 +108,7 @@
 // tellNodes sends a report to every policy.
 func (e *engine) tellNodes(event admitter.Event) {
 	for _, n := range e.nodes {
-		n.vm.count(sizeOfEvent(event))
+		n.vm.count(sizeOfReport(event))
 		e.after(e.delay(e.DataCentre, n.vm.DataCentre), func() { n.tell(event) })
 	}
 }
--- a/replayer/run.go
+++ b/replayer/run.go
@@ -197,7 +197,8 @@
 // toEntry runs do at the entry VM if the attempt is not over by then.
 func (n *node) toEntry(to identifier.VM, key admitter.Key, outcome admitter.Outcome, do func(*attempt)) {
 	entry := n.vms[to]
-	n.message(n.vm, entry, sizeOfOutcome(outcome), func() {
+	size := func() int64 { return sizeOfOutcome(n.vm.ID, outcome) }
+	n.message(n.vm, entry, size, func() {
 		if a, ok := n.attempts[holdOf(to, key)]; ok {
 			do(a)
 		}
@@ -205,13 +206,14 @@
 }
 
 // message carries a message between VMs. On one VM it costs nothing.
-func (r *run) message(from, to *vm, size int64, do func()) {
+func (r *run) message(from, to *vm, size func() int64, do func()) {
 	if from == to {
 		r.at(r.now, do)
 		return
 	}
-	from.count(size)
-	to.count(size)
+	bytes := size()
+	from.count(bytes)
+	to.count(bytes)
 	r.after(r.delay(from.DataCentre, to.DataCentre), do)
 }
 
--- a/replayer/size.go
+++ b/replayer/size.go
@@ -1,30 +1,51 @@
 package replayer
 
-import "github.com/figtrack/figtrack/admitter"
+import (
+	"time"
 
-// The sizes of messages in bytes: what every message carries, a prefix block
-// and a name.
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// shard is the name of the one shard of a replayed site.
+const shard identifier.Shard = "shard-1"
+
+// The sizes in bytes of what engines report in JSON: a load report, and a
+// cache event without its blocks and for each block.
 const (
-	sizeEnvelope int64 = 96
-	sizeBlock    int64 = 8
-	sizeName     int64 = 16
+	sizeLoad  int64 = 160
+	sizeCache int64 = 80
+	sizeBlock int64 = 21
 )
 
-func sizeOfEvent(event admitter.Event) int64 {
-	switch event := event.(type) {
-	case admitter.Ask:
-		names := int64(5 + len(event.Excluded))
-		return sizeEnvelope + names*sizeName + int64(len(event.Prefix))*sizeBlock
-	case admitter.CacheReport:
-		return sizeEnvelope + int64(len(event.Added)+len(event.Removed))*sizeBlock
-	default:
-		return sizeEnvelope
+// sizeOfEvent returns the bytes of a message to the owner of a shard.
+func sizeOfEvent(now time.Time, from identifier.VM, event admitter.Event) int64 {
+	return sizeOfPlacement(from, admitter.EventToWire(now, shard, event))
+}
+
+// sizeOfOutcome returns the bytes of a message to an entry VM.
+func sizeOfOutcome(from identifier.VM, outcome admitter.Outcome) int64 {
+	return sizeOfPlacement(from, admitter.OutcomeToWire(outcome))
+}
+
+func sizeOfPlacement(from identifier.VM, placement *wire.Placement) int64 {
+	envelope := &wire.Envelope{
+		Deployment:  "replay",
+		From:        string(from),
+		Incarnation: 1,
+		Sequence:    1 << 20,
+		Body:        &wire.Envelope_Placement{Placement: placement},
 	}
+	return int64(proto.Size(envelope))
 }
 
-func sizeOfOutcome(outcome admitter.Outcome) int64 {
-	if place, ok := outcome.(admitter.Place); ok {
-		return sizeEnvelope + 2*sizeName + int64(len(place.Scores))*(sizeName+8)
+// sizeOfReport returns the bytes of an engine's report.
+func sizeOfReport(event admitter.Event) int64 {
+	if cache, ok := event.(admitter.CacheReport); ok {
+		return sizeCache + int64(len(cache.Added)+len(cache.Removed))*sizeBlock
 	}
-	return sizeEnvelope
+	return sizeLoad
 }
--- a/tracer/checker.go
+++ b/tracer/checker.go
@@ -12,7 +12,7 @@
 func checkHeader(h Header) error {
 	switch {
 	case h.Time.IsZero():
-		return errors.New("Time is missing")
+		return errors.New("At is missing")
 	case len(h.VMs) == 0:
 		return errors.New("VMs is empty: name at least one entry VM")
 	case len(h.Classes) == 0:
@@ -82,7 +82,7 @@
 		return nil
 	case FaultTransfersStall:
 		if !f.Until.After(f.Time) {
-			return errors.New("Until must be after Time")
+			return errors.New("Until must be after At")
 		}
 		return nil
 	default:
--- a/tracer/reader.go
+++ b/tracer/reader.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
-	"time"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -16,19 +16,24 @@
 const maxLine = 1 << 20
 
 // ReadFile reads a trace from a file. See Read.
-func ReadFile(path string) (*Trace, error) {
+func ReadFile(path string, header *Header) (*Trace, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "open trace")
 	}
 	defer file.Close()
-	trace, err := Read(file)
+	trace, err := Read(file, header)
 	return trace, errors.Wrap(err, path)
 }
 
-// Read reads a whole trace and checks it. An error names the line.
-func Read(r io.Reader) (*Trace, error) {
+// Read reads a whole trace, checks it and sorts it by time. An error names the
+// line. A header that is not nil stands for the Header line of a log without
+// one.
+func Read(r io.Reader, header *Header) (*Trace, error) {
 	p := &parser{trace: &Trace{}, requests: make(map[identifier.Request]bool)}
+	if header != nil {
+		p.trace.Header = *header
+	}
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for lines.Scan() {
@@ -44,17 +49,27 @@
 		return nil, errors.Wrapf(err, "line %d", p.line+1)
 	}
 	if p.trace.Header.Kind == "" {
-		return nil, errors.New("no Header line: make a trace with figtrack record")
+		return nil, errors.New("no Header line: make a trace with figtrack record, or take the Header of one with --header")
+	}
+	return p.trace, p.finish()
+}
+
+// ReadHeader reads the Header line at the top of a trace.
+func ReadHeader(path string) (*Header, error) {
+	trace, err := ReadFile(path, nil)
+	if err != nil {
+		return nil, err
 	}
-	return p.trace, nil
+	return &trace.Header, nil
 }
 
 // parser reads lines one by one.
 type parser struct {
 	trace    *Trace
 	line     int
-	last     time.Time
 	requests map[identifier.Request]bool
+	// cancelLines are the lines of the trace's Cancels.
+	cancelLines []int
 }
 
 func (p *parser) parse(line []byte) error {
@@ -92,6 +107,9 @@
 	if err := json.Unmarshal(line, &a); err != nil {
 		return errors.Wrap(err, "Arrival")
 	}
+	if a.Output == 0 {
+		a.Output = a.MaxOutput
+	}
 	if p.requests[a.Request] {
 		return errors.Errorf("Arrival: Request %q arrives twice", a.Request)
 	}
@@ -100,7 +118,7 @@
 	}
 	p.requests[a.Request] = true
 	p.trace.Arrivals = append(p.trace.Arrivals, a)
-	return p.inOrder(a.Time)
+	return nil
 }
 
 func (p *parser) cancel(line []byte) error {
@@ -108,11 +126,9 @@
 	if err := json.Unmarshal(line, &c); err != nil {
 		return errors.Wrap(err, "Cancel")
 	}
-	if !p.requests[c.Request] {
-		return errors.Errorf("Cancel: Request %q has not arrived before", c.Request)
-	}
 	p.trace.Cancels = append(p.trace.Cancels, c)
-	return p.inOrder(c.Time)
+	p.cancelLines = append(p.cancelLines, p.line)
+	return nil
 }
 
 func (p *parser) fault(line []byte) error {
@@ -124,16 +140,22 @@
 		return errors.Wrap(err, "Fault")
 	}
 	p.trace.Faults = append(p.trace.Faults, f)
-	return p.inOrder(f.Time)
+	return nil
 }
 
-func (p *parser) inOrder(t time.Time) error {
-	if t.Before(p.trace.Header.Time) {
-		return errors.Errorf("Time %s is before the Header's", t.Format(time.RFC3339Nano))
+// finish checks what the whole trace must hold and sorts it.
+func (p *parser) finish() error {
+	for i, c := range p.trace.Cancels {
+		if !p.requests[c.Request] {
+			return errors.Errorf("line %d: Cancel: Request %q has no Arrival", p.cancelLines[i], c.Request)
+		}
 	}
-	if t.Before(p.last) {
-		return errors.Errorf("Time %s goes back: sort the lines by Time", t.Format(time.RFC3339Nano))
+	t := p.trace
+	slices.SortStableFunc(t.Arrivals, func(a, b Arrival) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(t.Cancels, func(a, b Cancel) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(t.Faults, func(a, b Fault) int { return a.Time.Compare(b.Time) })
+	if len(t.Arrivals) > 0 && t.Arrivals[0].Time.Before(t.Header.Time) {
+		t.Header.Time = t.Arrivals[0].Time
 	}
-	p.last = t
 	return nil
 }
--- a/tracer/record.go
+++ b/tracer/record.go
@@ -25,6 +25,9 @@
 	KindFault   Kind = "Fault"
 )
 
+// The time of a line is named At in files: loggers use the name Time, in one
+// case or another, for the time of writing.
+
 // Trace is a whole trace.
 type Trace struct {
 	Header   Header
@@ -38,7 +41,7 @@
 // Header describes the site of a trace and how the trace was made.
 type Header struct {
 	Kind     Kind
-	Time     time.Time
+	Time     time.Time `json:"At"`
 	Site     string
 	Scenario string
 	Seed     uint64
@@ -85,13 +88,14 @@
 // Arrival is one caller's request as it reaches an entry VM.
 type Arrival struct {
 	Kind      Kind
-	Time      time.Time
+	Time      time.Time `json:"At"`
 	Request   identifier.Request
 	Class     identifier.Class
 	Workspace identifier.Workspace
 	Model     identifier.Model
 	VM        identifier.VM
-	// Prompt and Output are lengths in tokens.
+	// Prompt and Output are lengths in tokens. An Output of 0 in a file means
+	// that it is not known; it is read as MaxOutput.
 	Prompt, Output identifier.Tokens
 	MaxOutput      identifier.Tokens
 	// Chain is the id of the prefix that the prompt begins with; Shared is
@@ -106,7 +110,7 @@
 // Cancel is a caller who goes away.
 type Cancel struct {
 	Kind    Kind
-	Time    time.Time
+	Time    time.Time `json:"At"`
 	Request identifier.Request
 }
 
@@ -123,7 +127,7 @@
 // Fault is something that breaks or comes back.
 type Fault struct {
 	Kind     Kind
-	Time     time.Time
+	Time     time.Time `json:"At"`
 	Fault    FaultKind
 	Upstream identifier.Upstream
 	// Until ends a stall; it is zero for other faults.
