--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -48,6 +48,7 @@
 	for _, e := range b.engines {
 		b.decodes = append(b.decodes, placer.Decode{Engine: e, Pace: c.granter.Pace(e.Streams + 1)})
 	}
+	c.earmark(now)
 	return true
 }
 
@@ -58,8 +59,9 @@
 // lead is how long before its idle time an engine is given more work.
 func (c *Core) lead() time.Duration { return 3 * c.cfg.CrossDelay }
 
-// dispatchFrom places requests of one list in order. It returns false if no
-// engine or memory is left.
+// dispatchFrom places requests of one list in order. A request without memory
+// claims what becomes free on one engine, so that those behind it use the
+// others. It returns false if no engine or memory is left.
 func (c *Core) dispatchFrom(now time.Time, list []*pending) bool {
 	b := &c.buf
 	for i, n := 0, 0; i < len(list) && n < lookAhead; n++ {
@@ -79,7 +81,11 @@
 			return false
 		}
 		if !c.placeOn(now, p, choice) {
-			return false
+			if p.late || !c.claim(now, p.pieces, now.Add(choice.Total)) {
+				return false
+			}
+			i++
+			continue
 		}
 		list = c.listOf(p)
 		if !c.anyReady() {
@@ -126,7 +132,7 @@
 	}
 	d := &b.decodes[i]
 	first := ends.Add(after + c.messages(p, target.DataCentre, d.DataCentre))
-	if !p.late && first.Add(c.safety()).After(p.deadline) {
+	if !p.late && first.Add(c.safety()).After(p.due(now)) {
 		c.giveUp(now, p, first.Sub(p.deadline))
 		return true
 	}
--- a/driver/http_test.go
+++ b/driver/http_test.go
@@ -15,6 +15,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/piper"
 )
 
 // site is a prefill and a decode engine inside one virtual network.
@@ -31,7 +32,7 @@
 func onSite(t *testing.T, change func(prefill, decode *faker.EngineSettings), test func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		var network faker.Memory
+		var network piper.Network
 		s := &site{WithT: NewWithT(t), client: network.Client()}
 		prefill, decode := faker.DefaultEngine(identifier.RolePrefill), faker.DefaultEngine(identifier.RoleDecode)
 		if change != nil {
@@ -143,7 +144,12 @@
 		first, err := read(stream, 7)
 		s.Expect(err).NotTo(HaveOccurred())
 		s.Expect(stream.Close()).To(Succeed())
+		closed := time.Now()
 		time.Sleep(300 * time.Millisecond)
+		holds, err := s.decode.Holds(s.ctx)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(holds.Holds).To(HaveLen(1))
+		s.Expect(holds.Holds[0].Read).To(BeTemporally("~", closed, 20*time.Millisecond))
 		stream, err = s.decode.Resume(s.ctx, hold("a"), 7)
 		s.Expect(err).NotTo(HaveOccurred())
 		rest, err := read(stream, 1000)
@@ -216,7 +222,7 @@
 		s.Expect(s.decodeServer.Restart()).To(Succeed())
 		holds, err := s.decode.Holds(s.ctx)
 		s.Expect(err).NotTo(HaveOccurred())
-		s.Expect(holds).To(Equal(driver.Holds{Incarnation: 2}))
+		s.Expect(holds).To(Equal(driver.Holds{Incarnation: 2, TellsRead: true}))
 	})
 }
 
--- a/prober/health_event.go
+++ b/prober/health_event.go
@@ -39,6 +39,8 @@
 	All []identifier.Upstream
 	// Probed are the upstreams whose owner is this VM. It is part of All.
 	Probed []identifier.Upstream
+	// Retired are the upstreams that the configuration has as leaving.
+	Retired []identifier.Upstream
 }
 
 // HealthWake lets the core act on what has become due.
--- a/prober/member.go
+++ b/prober/member.go
@@ -64,6 +64,9 @@
 	SourceConfiguration Source = "Configuration"
 	SourcePlatformList  Source = "PlatformList"
 	SourceUpstream      Source = "Upstream"
+	// SourceOperator is a retirement that was submitted but perhaps not
+	// accepted yet, because the store is down.
+	SourceOperator Source = "Operator"
 )
 
 // Notice says whether an upstream is leaving, for all VMs.
