Count the link's queue before a transfer is called stalled

Cause: transfers that waited behind others on one link were called stalled without a fault. Change: the time allowed includes the link's predicted queue.

--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -138,7 +138,7 @@
 	}
 	place := Place{
 		Key: p.Key, To: p.From, Prefill: target.ID, Decode: d.ID, Pieces: p.pieces,
-		TransferWithin: c.transferWithin(d.Transfer), Promised: promised,
+		TransferWithin: c.transferWithin(d.LinkFree.Sub(ends), d.Transfer), Promised: promised,
 		Predicted: first.Sub(p.Arrived),
 	}
 	place.Scores = c.scores(choice, after)
--- a/admitter/transfer.go
+++ b/admitter/transfer.go
@@ -17,8 +17,8 @@
 	stallSlack  = 60 * time.Millisecond
 )
 
-func (c *Core) transferWithin(predicted time.Duration) time.Duration {
-	return min(stallFactor*predicted+stallSlack, c.cfg.ResultLives)
+func (c *Core) transferWithin(queue, predicted time.Duration) time.Duration {
+	return min(max(0, queue)+stallFactor*predicted+stallSlack, c.cfg.ResultLives)
 }
 
 func (p *pending) excludes(id identifier.Upstream) bool {
@@ -77,18 +77,18 @@
 // move sends a prefill result to a decode engine with free memory, if any.
 func (c *Core) move(now time.Time, g *grant) {
 	a := c.active[Key(g.Key)]
-	d, transfer, ok := c.moveTarget(now, a, g)
+	d, ok := c.moveTarget(now, a, g)
 	if !ok {
 		return
 	}
-	c.ledger(now, granter.Reassign{Key: g.Key, Decode: d, Transfer: transfer})
+	c.ledger(now, granter.Reassign{Key: g.Key, Decode: d.ID, Transfer: d.Transfer})
 	c.emit(Move{
-		Key: a.Key, To: a.From, Decode: d, Pieces: g.Pieces,
-		TransferWithin: c.transferWithin(transfer),
+		Key: a.Key, To: a.From, Decode: d.ID, Pieces: g.Pieces,
+		TransferWithin: c.transferWithin(d.LinkFree.Sub(now), d.Transfer),
 	})
 }
 
-func (c *Core) moveTarget(now time.Time, a *active, g *grant) (identifier.Upstream, time.Duration, bool) {
+func (c *Core) moveTarget(now time.Time, a *active, g *grant) (placerDecode, bool) {
 	b := &c.buf
 	b.engines = c.granter.Engines(now, identifier.RoleDecode, b.engines[:0])
 	b.decodes = b.decodes[:0]
@@ -104,9 +104,9 @@
 	held := func(d *placerDecode) bool { return d.Free >= g.Pieces && d.Room > 0 }
 	i, _ := c.placer.Decode(a.request(), now, b.decodes, held)
 	if i < 0 {
-		return "", 0, false
+		return placerDecode{}, false
 	}
-	return b.decodes[i].ID, b.decodes[i].Transfer, true
+	return b.decodes[i], true
 }
 
 // abandon ends an attempt whose prefill result is lost.
