--- /dev/null
+++ b/configurer/configurer_test.go
@@ -0,0 +1,176 @@
+package configurer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/figtrack/figtrack/configurer"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/parser"
+)
+
+func ms(n int) configurer.Duration {
+	return configurer.Duration(time.Duration(n) * time.Millisecond)
+}
+
+func change(id string, ops ...configurer.Operation) configurer.Change {
+	return configurer.Change{ID: configurer.ChangeID(id), By: "tester", Operations: ops}
+}
+
+// session applies a series of changes and writes down what came of each.
+func session(d configurer.Document, changes ...configurer.Change) (configurer.Document, string) {
+	var b strings.Builder
+	for _, c := range changes {
+		text, _ := json.Marshal(c)
+		fmt.Fprintf(&b, "%s\n", text)
+		next, conflict := configurer.ApplyChange(d, c)
+		if conflict != nil {
+			fmt.Fprintf(&b, "  conflict: %s\n", conflict.Error())
+			continue
+		}
+		for _, line := range configurer.Diff(d, next) {
+			fmt.Fprintf(&b, "  %s\n", line)
+		}
+		fmt.Fprintf(&b, "  revision %d\n", next.Revision)
+		d = next
+	}
+	return d, b.String()
+}
+
+// TestSession is a session of two operators, as a golden file.
+func TestSession(t *testing.T) {
+	reading := configurer.Class{Name: "reading", FirstToken: ms(2000), PerToken: ms(60), Patience: ms(30000)}
+	runner := configurer.Upstream{
+		ID: "spec-desk-1", Address: "10.1.0.1:8000", Role: identifier.RoleDecode, Pool: "spec-desk",
+		DataCentre: "thamel-room", Pieces: 60, Streams: 20, ChecksFence: true,
+	}
+	d, text := session(
+		configurer.Document{},
+		change("1", configurer.AddClass{Class: reading}, configurer.AddUpstream{Upstream: runner}),
+		change("1", configurer.AddClass{Class: reading}),
+		change("2", configurer.SetTarget{Class: "reading", Target: configurer.TargetFirstToken, Was: ms(2000), Value: ms(1500)}),
+		change("3", configurer.SetTarget{Class: "reading", Target: configurer.TargetPerToken, Was: ms(60), Value: ms(50)}),
+		change("4", configurer.SetTarget{Class: "reading", Target: configurer.TargetFirstToken, Was: ms(2000), Value: ms(900)}),
+		change("5", configurer.RemoveClass{Was: reading}),
+		change("6", configurer.AddModel{Pool: "spec-desk", Model: "hull"}, configurer.SetVersion{Pool: "spec-desk", Value: "v2"}),
+		change("7", configurer.SetRole{ID: "spec-desk-1", Was: identifier.RoleDecode, Value: identifier.RolePrefill}),
+		change("8", configurer.RemoveUpstream{ID: "spec-desk-1"}),
+		change("9", configurer.RetireUpstream{ID: "spec-desk-1"}, configurer.SetRole{ID: "spec-desk-1", Value: "Cook"}),
+		change("10", configurer.RetireUpstream{ID: "spec-desk-1"}),
+		change("11", configurer.RemoveUpstream{ID: "spec-desk-1"}, configurer.RetireUpstream{ID: "gone"}),
+	)
+	data, err := configurer.Encode(d)
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	back, err := configurer.Decode(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(back).To(Equal(d))
+	goldie.New(t).Assert(t, "session", []byte(text+string(data)+"\n"))
+}
+
+// TestRacingChangesMergeOrConflict gives two operators the same document.
+// Both orders accept both changes with one result, or refuse the second.
+func TestRacingChangesMergeOrConflict(t *testing.T) {
+	base, _ := session(configurer.Document{}, change("0",
+		configurer.AddClass{Class: configurer.Class{Name: "a", FirstToken: ms(100), PerToken: ms(10)}},
+		configurer.AddClass{Class: configurer.Class{Name: "b", FirstToken: ms(100), PerToken: ms(10)}}))
+	targets := []configurer.Target{configurer.TargetFirstToken, configurer.TargetPerToken, configurer.TargetPatience}
+	op := rapid.Custom(func(r *rapid.T) configurer.SetTarget {
+		s := configurer.SetTarget{
+			Class:  identifier.Class(rapid.SampledFrom([]string{"a", "b"}).Draw(r, "class")),
+			Target: rapid.SampledFrom(targets).Draw(r, "target"),
+			Value:  ms(rapid.IntRange(200, 203).Draw(r, "value")),
+		}
+		switch s.Target {
+		case configurer.TargetFirstToken:
+			s.Was = ms(100)
+		case configurer.TargetPerToken:
+			s.Was = ms(10)
+		}
+		return s
+	})
+	rapid.Check(t, func(r *rapid.T) {
+		x, y := op.Draw(r, "x"), op.Draw(r, "y")
+		xy, refusedY := both(r, base, x, y)
+		yx, refusedX := both(r, base, y, x)
+		sameField := x.Class == y.Class && x.Target == y.Target
+		clash := sameField && x.Value != y.Value
+		if (refusedY != nil) != clash || (refusedX != nil) != clash {
+			r.Fatalf("clash %v, but refused %v and %v", clash, refusedY, refusedX)
+		}
+		if !clash && len(configurer.Diff(xy, yx)) > 0 {
+			r.Fatalf("the order matters: %v", configurer.Diff(xy, yx))
+		}
+		if clash && (refusedY.Yours != y.Value.String() || refusedY.Theirs != x.Value.String() || refusedY.Next == "") {
+			r.Fatalf("the conflict must name both values: %+v", refusedY)
+		}
+	})
+}
+
+func both(r *rapid.T, d configurer.Document, x, y configurer.Operation) (configurer.Document, *configurer.Conflict) {
+	first, conflict := configurer.ApplyChange(d, change("x", x))
+	if conflict != nil {
+		r.Fatalf("first change refused: %v", conflict)
+	}
+	return configurer.ApplyChange(first, change("y", y))
+}
+
+// TestPlanReachesTheWantedDocument plans between two sites' documents and
+// applies the operations.
+func TestPlanReachesTheWantedDocument(t *testing.T) {
+	g := NewWithT(t)
+	desk := configurer.Pool{Name: "order-desk", Prefix: "/orders", Repeatable: []string{"GET"}, DefaultClass: "orders"}
+	plain := configurer.Upstream{ID: "order-desk-1", Address: "10.1.0.9:80", Role: identifier.RolePlain, Pool: "order-desk"}
+	runner := configurer.Upstream{ID: "boat-1", Address: "10.1.0.1:80", Role: identifier.RoleDecode, Pool: "boat-scribe", Streams: 20}
+	wanted := configurer.Normalise(configurer.Document{
+		Classes:   []configurer.Class{{Name: "reading", FirstToken: ms(2000)}, {Name: "orders", FirstToken: ms(300)}},
+		Pools:     []configurer.Pool{desk, {Name: "boat-scribe", Models: []identifier.Model{"hull", "boat"}, Version: "v1"}},
+		Upstreams: []configurer.Upstream{plain, runner},
+	})
+	reached, text := session(configurer.Document{}, change("1", configurer.Plan(configurer.Document{}, wanted)...))
+	g.Expect(configurer.Diff(wanted, reached)).To(BeEmpty(), text)
+	g.Expect(configurer.Plan(reached, wanted)).To(BeEmpty())
+
+	moved, _ := session(reached, change("2", configurer.SetRole{ID: "boat-1", Was: identifier.RoleDecode, Value: identifier.RolePrefill}))
+	runner.Address = "10.1.0.2:80"
+	next := configurer.Normalise(configurer.Document{
+		Classes:   []configurer.Class{{Name: "reading", FirstToken: ms(1000)}},
+		Pools:     []configurer.Pool{{Name: "boat-scribe", Models: []identifier.Model{"boat"}, Adapters: []string{"a"}, Version: "v2"}},
+		Upstreams: []configurer.Upstream{runner},
+	})
+	reached, text = session(moved, change("3", configurer.Plan(moved, next)...))
+	g.Expect(configurer.Diff(reached, next)).To(Equal([]string{
+		"upstream order-desk-1: removed",
+		"upstream boat-1: Role from Prefill to Decode",
+		"pool order-desk: removed",
+	}), text)
+	u, _ := reached.Upstream("order-desk-1")
+	g.Expect(u.Retired).To(BeTrue())
+}
+
+// TestSitesAsFiles reads the documents of both sites and applies them.
+func TestSitesAsFiles(t *testing.T) {
+	g := NewWithT(t)
+	for file, upstreams := range map[string]int{"himal": 12, "tafelbaai": 15} {
+		text, err := os.ReadFile("testdata/" + file + ".yaml")
+		g.Expect(err).NotTo(HaveOccurred())
+		var d configurer.Document
+		g.Expect(parser.Decode(text, &d)).To(Succeed())
+		wanted := configurer.Normalise(d)
+		reached, conflict := configurer.ApplyChange(configurer.Document{}, change(file, configurer.Plan(configurer.Document{}, wanted)...))
+		g.Expect(conflict).To(BeNil())
+		g.Expect(configurer.Diff(wanted, reached)).To(BeEmpty())
+		g.Expect(reached.Upstreams).To(HaveLen(upstreams))
+	}
+	var d configurer.Document
+	err := parser.Decode([]byte("Classes:\n  - {Name: a, Weight: 3}\n"), &d)
+	g.Expect(err).To(MatchError(ContainSubstring("2:")), "a class has no weight, and the place is named")
+}
--- a/driver/http.go
+++ b/driver/http.go
@@ -1,17 +1,15 @@
 package driver
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/poster"
 )
 
 // maxReplyBytes is the longest reply that is read, streams excepted.
@@ -98,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	defer body.Close()
+	defer poster.Drain(body)
 	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(reply); err != nil {
 		return e.fail(KindUnknown, errors.Wrap(err, "read the answer"))
 	}
@@ -121,23 +119,12 @@
 // post sends a request and returns the body of a good answer. Until there is
 // a connection nothing was sent, so the engine did not act.
 func (e *httpEngine) post(ctx context.Context, path string, request any) (io.ReadCloser, error) {
-	payload, err := json.Marshal(request)
-	if err != nil {
-		return nil, e.fail(KindNotRun, errors.Wrap(err, "encode the request"))
-	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, e.baseURL+path, bytes.NewReader(payload))
-	if err != nil {
-		return nil, e.fail(KindNotRun, errors.Wrap(err, "build the request"))
-	}
-	r.Header.Set("Content-Type", "application/json")
-	answer, err := e.client.Do(r)
-	if err != nil && !sent.Load() {
-		return nil, e.fail(KindNotRun, errors.WithStack(err))
+	answer, sent, err := poster.JSON(ctx, e.client, e.baseURL+path, request)
+	if err != nil && !sent {
+		return nil, e.fail(KindNotRun, err)
 	}
 	if err != nil {
-		return nil, e.fail(KindUnknown, errors.WithStack(err))
+		return nil, e.fail(KindUnknown, err)
 	}
 	if answer.StatusCode == http.StatusOK {
 		return answer.Body, nil
--- a/faker/engine_http.go
+++ b/faker/engine_http.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -37,16 +36,16 @@
 	s := &EngineServer{cfg: cfg, client: client}
 	s.begin()
 	mux := http.NewServeMux()
-	mux.HandleFunc(driver.PathLoad, serve(s, (*engineLife).load))
-	mux.HandleFunc(driver.PathCacheEvents, serve(s, (*engineLife).cacheEvents))
-	mux.HandleFunc(driver.PathHolds, serve(s, (*engineLife).holds))
-	mux.HandleFunc(driver.PathOrder, serve(s, (*engineLife).order))
-	mux.HandleFunc(driver.PathPrefill, serve(s, (*engineLife).prefill))
-	mux.HandleFunc(driver.PathImport, serve(s, (*engineLife).importKV))
-	mux.HandleFunc(driver.PathRelease, serve(s, (*engineLife).release))
-	mux.HandleFunc(pathExport, serve(s, (*engineLife).export))
-	mux.HandleFunc(driver.PathDecode, s.decode)
-	mux.HandleFunc(driver.PathResume, s.resume)
+	mux.HandleFunc(driver.PathLoad, serve(s, (*engineLife).load, reply))
+	mux.HandleFunc(driver.PathCacheEvents, serve(s, (*engineLife).cacheEvents, reply))
+	mux.HandleFunc(driver.PathHolds, serve(s, (*engineLife).holds, reply))
+	mux.HandleFunc(driver.PathOrder, serve(s, (*engineLife).order, reply))
+	mux.HandleFunc(driver.PathRelease, serve(s, (*engineLife).release, reply))
+	mux.HandleFunc(pathExport, serve(s, (*engineLife).export, reply))
+	mux.HandleFunc(driver.PathPrefill, serve(s, (*engineLife).prefill, (*engineLife).finish))
+	mux.HandleFunc(driver.PathImport, serve(s, (*engineLife).importKV, (*engineLife).finish))
+	mux.HandleFunc(driver.PathDecode, serve(s, (*engineLife).decode, (*engineLife).stream))
+	mux.HandleFunc(driver.PathResume, serve(s, (*engineLife).resume, (*engineLife).stream))
 	var err error
 	s.endpoint, err = newEndpoint(listen, mux)
 	return s, err
@@ -59,13 +58,17 @@
 }
 
 // Kill breaks all connections and loses the memory.
-func (s *EngineServer) Kill() {
+func (s *EngineServer) Kill() { s.kill(s.current()) }
+
+// kill ends a life unless it has ended before.
+func (s *EngineServer) kill(life *engineLife) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.life != nil {
-		s.life.end()
+	if life == nil || s.life != life {
+		return
 	}
-	s.life = nil
+	life.end()
+	s.life, s.thaw = nil, nil
 	s.Close()
 }
 
@@ -79,22 +82,22 @@
 	return s.start()
 }
 
-// Freeze stops the engine as a paused process, with its connections open.
+// Freeze stops the engine as a paused process, with its connections open,
+// until Thaw.
 func (s *EngineServer) Freeze() {
-	thaw := make(chan struct{})
 	s.mu.Lock()
-	life := s.life
-	s.thaw = thaw
-	s.mu.Unlock()
-	if life == nil {
+	defer s.mu.Unlock()
+	if s.thaw != nil || s.life == nil {
 		return
 	}
-	life.calls <- func() {
+	thaw, ended := make(chan struct{}), s.life.ctx.Done()
+	s.thaw = thaw
+	go s.life.tell(func() {
 		select {
 		case <-thaw:
-		case <-life.ctx.Done():
+		case <-ended:
 		}
-	}
+	})
 }
 
 // Thaw lets a frozen engine go on.
@@ -110,7 +113,7 @@
 // StallTransfers stops the engine's import link for a time.
 func (s *EngineServer) StallTransfers(d time.Duration) {
 	if l := s.current(); l != nil {
-		l.do(context.Background(), func() { l.step(StallLink{Until: time.Now().Add(d)}) })
+		l.tell(func() { l.step(StallLink{Until: time.Now().Add(d)}) })
 	}
 }
 
@@ -147,47 +150,32 @@
 	return s.life
 }
 
-// serve makes a handler of one call. A call that the engine did not live to
-// answer breaks its connection.
-func serve[Q, A any](s *EngineServer, call func(*engineLife, context.Context, Q) (A, *driver.Refusal)) http.HandlerFunc {
+// serve makes a handler of a call that runs on the engine's goroutine, and of
+// what follows it if it is not refused. Where the engine did not live to
+// answer, the connection breaks.
+func serve[Q, A any](s *EngineServer, call func(*engineLife, Q) (A, *driver.Refusal), then func(*engineLife, http.ResponseWriter, *http.Request, A)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		life, query := receive[Q](s, r)
-		reply, refusal := call(life, r.Context(), query)
-		switch {
-		case life.ctx.Err() != nil || r.Context().Err() != nil:
+		var query Q
+		life := s.current()
+		if err := json.NewDecoder(r.Body).Decode(&query); err != nil || life == nil {
+			panic(http.ErrAbortHandler)
+		}
+		var refusal *driver.Refusal
+		result, ok := do(r.Context(), life, func() (result A) {
+			result, refusal = call(life, query)
+			return result
+		})
+		if !ok {
 			panic(http.ErrAbortHandler)
-		case refusal != nil:
+		}
+		if refusal != nil {
 			answer(w, http.StatusConflict, refusal)
-		default:
-			answer(w, http.StatusOK, reply)
+			return
 		}
+		then(life, w, r, result)
 	}
 }
 
-// receive reads a request and returns the life that it reached.
-func receive[Q any](s *EngineServer, r *http.Request) (*engineLife, Q) {
-	var query Q
-	life := s.current()
-	if err := json.NewDecoder(r.Body).Decode(&query); err != nil || life == nil {
-		panic(http.ErrAbortHandler)
-	}
-	return life, query
-}
-
-func (s *EngineServer) decode(w http.ResponseWriter, r *http.Request) {
-	life, order := receive[driver.DecodeOrder](s, r)
-	if refusal := life.startDecode(r.Context(), order); refusal != nil {
-		answer(w, http.StatusConflict, refusal)
-		return
-	}
-	life.stream(w, r, order.Hold, 0)
-}
-
-func (s *EngineServer) resume(w http.ResponseWriter, r *http.Request) {
-	life, query := receive[driver.HoldQuery](s, r)
-	if _, refusal := life.await(r.Context(), query.Hold, (*engineJob).known); refusal != nil {
-		answer(w, http.StatusConflict, refusal)
-		return
-	}
-	life.stream(w, r, query.Hold, query.From)
+func reply[A any](_ *engineLife, w http.ResponseWriter, _ *http.Request, result A) {
+	answer(w, http.StatusOK, result)
 }
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -38,9 +38,13 @@
 // engineJob is one attempt on the engine.
 type engineJob struct {
 	prompt string
+	// from is the address of the prefill engine.
+	from   string
 	most   identifier.Tokens
 	pieces identifier.Pieces
 	since  time.Time
+	// read is when a reader last took a token; zero before the first one.
+	read time.Time
 	// done says that the prefill or the import has ended.
 	done   bool
 	cached identifier.Tokens
@@ -52,7 +56,6 @@
 	changed chan struct{}
 }
 
-func (j *engineJob) known() bool   { return true }
 func (j *engineJob) isDone() bool  { return j.done }
 func (j *engineJob) isEnded() bool { return j.length > 0 && j.made == j.length }
 
@@ -90,28 +93,33 @@
 	}
 }
 
-// do runs a function on the engine's goroutine. It returns false if the
-// caller or the engine was gone before.
-func (l *engineLife) do(ctx context.Context, call func()) bool {
-	done := make(chan struct{})
-	run := func() {
-		call()
-		close(done)
-	}
+// do runs a function on the engine's goroutine and returns its result, or
+// false if the caller or the engine was gone before. The function runs even
+// if its caller is gone by then.
+func do[T any](ctx context.Context, l *engineLife, call func() T) (T, bool) {
+	result := make(chan T, 1)
+	var none T
 	select {
-	case l.calls <- run:
+	case l.calls <- func() { result <- call() }:
 	case <-ctx.Done():
-		return false
+		return none, false
 	case <-l.ctx.Done():
-		return false
+		return none, false
 	}
 	select {
-	case <-done:
-		return true
+	case value := <-result:
+		return value, true
 	case <-ctx.Done():
-		return false
 	case <-l.ctx.Done():
-		return false
+	}
+	return none, false
+}
+
+// tell runs a function on the engine's goroutine as long as that lives.
+func (l *engineLife) tell(call func()) {
+	select {
+	case l.calls <- call:
+	case <-l.ctx.Done():
 	}
 }
 
@@ -129,9 +137,9 @@
 		l.events = append(l.events, driver.CacheEvent(o))
 		l.events = l.events[max(0, len(l.events)-maxCacheEvents):]
 	case PrefillDone:
-		l.finish(o.Hold, o.Cached, o.Took)
+		l.prefilled(o)
 	case ImportDone:
-		l.finish(o.Hold, 0, o.Took)
+		l.arrived(o)
 	case TokenMade:
 		l.made(o)
 	case PrefillRefused:
@@ -146,13 +154,24 @@
 	}
 }
 
-func (l *engineLife) finish(hold identifier.Hold, cached identifier.Tokens, took time.Duration) {
-	job := l.jobs[hold]
-	if job == nil || l.crash(job.prompt) {
+func (l *engineLife) prefilled(o PrefillDone) {
+	if job := l.jobs[o.Hold]; job != nil && !l.crash(job.prompt) {
+		job.done, job.cached, job.took = true, o.Cached, o.Took
+		job.signal()
+	}
+}
+
+// arrived ends an import unless the prefill result was lost meanwhile.
+func (l *engineLife) arrived(o ImportDone) {
+	job := l.jobs[o.Hold]
+	if job == nil {
 		return
 	}
-	job.done, job.cached, job.took = true, cached, took
-	job.signal()
+	job.took = o.Took
+	go l.pull(o.Hold, job.from, true, func(exportReply) {
+		job.done = true
+		job.signal()
+	})
 }
 
 func (l *engineLife) made(token TokenMade) {
@@ -164,7 +183,7 @@
 	job.signal()
 	if token.Last {
 		time.AfterFunc(streamLives, func() {
-			l.do(l.ctx, func() { l.fail(token.Hold, driver.KindGone, "the stream ended long ago") })
+			l.tell(func() { l.fail(token.Hold, driver.KindGone, "the stream ended long ago") })
 		})
 	}
 }
@@ -174,7 +193,7 @@
 	if !l.crashesOn(prompt) {
 		return false
 	}
-	l.Kill()
+	l.kill(l)
 	return true
 }
 
@@ -189,34 +208,32 @@
 	job.signal()
 }
 
-// start adds a job unless the attempt has one. It returns false if it has.
-func (l *engineLife) start(hold identifier.Hold, job engineJob) bool {
+// start adds a job. It returns false if the attempt has one or if the engine
+// takes no new work.
+func (l *engineLife) start(hold identifier.Hold, job engineJob) (bool, *driver.Refusal) {
 	if l.jobs[hold] != nil {
-		return false
+		return false, nil
+	}
+	if l.isLeaving() {
+		return false, &driver.Refusal{Kind: driver.KindLeaving, Reason: "no new work is taken"}
 	}
 	job.since = time.Now()
 	job.changed = make(chan struct{})
 	l.jobs[hold] = &job
-	return true
+	return true, nil
 }
 
-// await waits until a job is ready and returns a copy of it.
+// await waits until a job is ready and returns a copy of it. It breaks the
+// connection if the caller or the engine is gone before.
 func (l *engineLife) await(ctx context.Context, hold identifier.Hold, ready func(*engineJob) bool) (engineJob, *driver.Refusal) {
-	var job *engineJob
-	var view engineJob
-	look := func() {
-		if job == nil {
-			job = l.jobs[hold]
-		}
-		if job != nil {
-			view = *job
-		}
+	job, ok := do(ctx, l, func() *engineJob { return l.jobs[hold] })
+	if ok && job == nil {
+		return engineJob{}, gone("the hold is not known")
 	}
-	for l.do(ctx, look) {
-		switch {
-		case job == nil:
-			return view, &driver.Refusal{Kind: driver.KindGone, Reason: "the hold is not known"}
-		case view.refusal != nil || ready(&view):
+	for ok {
+		var view engineJob
+		view, ok = do(ctx, l, func() engineJob { return *job })
+		if ok && (view.refusal != nil || ready(&view)) {
 			return view, view.refusal
 		}
 		select {
@@ -228,28 +245,49 @@
 	panic(http.ErrAbortHandler)
 }
 
+func gone(reason string) *driver.Refusal {
+	return &driver.Refusal{Kind: driver.KindGone, Reason: reason}
+}
+
+// finish answers when a prefill or an import has ended.
+func (l *engineLife) finish(w http.ResponseWriter, r *http.Request, query driver.HoldQuery) {
+	job, refusal := l.await(r.Context(), query.Hold, (*engineJob).isDone)
+	if refusal != nil {
+		answer(w, http.StatusConflict, refusal)
+		return
+	}
+	result := driver.PrefillResult{Cached: job.cached, Took: job.took}
+	answer(w, http.StatusOK, driver.PrefillReply{Hold: query.Hold, PrefillResult: result})
+}
+
 // stream writes the tokens of a job from one on, as they are made.
-func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, hold identifier.Hold, from identifier.Tokens) {
+func (l *engineLife) stream(w http.ResponseWriter, r *http.Request, query driver.HoldQuery) {
 	lines := json.NewEncoder(w)
-	err := lines.Encode(driver.StreamLine{Hold: &hold})
-	for err == nil {
-		if err = http.NewResponseController(w).Flush(); err != nil {
-			return
-		}
-		job, refusal := l.await(r.Context(), hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
+	err := lines.Encode(driver.StreamLine{Hold: &query.Hold})
+	from := query.From
+	for err == nil && http.NewResponseController(w).Flush() == nil {
+		job, refusal := l.await(r.Context(), query.Hold, func(j *engineJob) bool { return j.made > from || j.isEnded() })
 		if refusal != nil {
-			err = lines.Encode(driver.StreamLine{Refusal: refusal})
+			// An error means that the caller is gone.
+			_ = lines.Encode(driver.StreamLine{Refusal: refusal})
 			return
 		}
 		for ; from < job.made && err == nil; from++ {
 			err = lines.Encode(driver.StreamLine{Token: job.token(from)})
 		}
+		l.tell(func() { l.wasRead(query.Hold) })
 		if job.isEnded() {
 			return
 		}
 	}
 }
 
+func (l *engineLife) wasRead(hold identifier.Hold) {
+	if job := l.jobs[hold]; job != nil {
+		job.read = time.Now()
+	}
+}
+
 func (j *engineJob) token(i identifier.Tokens) *driver.Token {
 	token := driver.Token{Index: i, Text: tokenText(j.prompt, i)}
 	switch {
--- a/keeper/settings.go
+++ b/keeper/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/figtrack/figtrack/poster"
 )
 
 // The defaults of Settings.
@@ -39,15 +41,18 @@
 	// Shares holds the rates by purpose. A purpose without a share may not
 	// make calls.
 	Shares map[Purpose]Share
-	// Transport carries the calls; nil means a transport of its own.
-	Transport http.RoundTripper
+	// Client carries the calls and has no timeout of its own; nil means a
+	// client of poster's.
+	Client *http.Client
 }
 
 // DefaultShares returns the rates of one VM in a deployment of up to ten.
+// Claims are written by the leaders of the claim shards only, so that their
+// sum doesn't grow with the VMs; the share lets one VM lead all of them.
 func DefaultShares() map[Purpose]Share {
 	return map[Purpose]Share{
 		PurposeConfiguration: {ReadsPerSecond: 4, WritesPerSecond: 2, ReadBurst: 16, WriteBurst: 4},
-		PurposeClaim:         {ReadsPerSecond: 60, WritesPerSecond: 30, ReadBurst: 60, WriteBurst: 30},
+		PurposeClaim:         {ReadsPerSecond: 60, WritesPerSecond: 110, ReadBurst: 60, WriteBurst: 30},
 		PurposeFence:         {ReadsPerSecond: 4, WritesPerSecond: 2, ReadBurst: 8, WriteBurst: 4},
 		PurposeMembership:    {ReadsPerSecond: 2, WritesPerSecond: 1, ReadBurst: 8, WriteBurst: 4},
 	}
@@ -66,16 +71,8 @@
 	if cfg.Shares == nil {
 		cfg.Shares = DefaultShares()
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-		}
+	if cfg.Client == nil {
+		cfg.Client = poster.NewClient()
 	}
 	return cfg
 }
-
-const (
-	maxIdleConnections = 8
-	idleTimeout        = 90 * time.Second
-)
