--- a/replayer/size.go
+++ b/replayer/size.go
@@ -28,7 +28,8 @@
 
 // sizeOfOutcome returns the bytes of a message to an entry VM.
 func sizeOfOutcome(from identifier.VM, outcome admitter.Outcome) int64 {
-	return sizeOfPlacement(from, admitter.OutcomeToWire(outcome))
+	_, placement := admitter.OutcomeToWire(shard, outcome)
+	return sizeOfPlacement(from, placement)
 }
 
 func sizeOfPlacement(from identifier.VM, placement *wire.Placement) int64 {
