Let a second attempt decode from where the first one died

It now expects From.

The stand-in engine keeps PrefillOrder.Generated with the KV cache, refuses a decode whose From is not the token after it, and numbers its tokens from From. TestSecondAttemptGoesOnWhereTheFirstDied kills an engine after seven tokens and reads the rest from a new life of it.

--- a/driver/http.go
+++ b/driver/http.go
@@ -56,7 +56,7 @@
 }
 
 func (e *httpEngine) Decode(ctx context.Context, order DecodeOrder) (Stream, error) {
-	return e.stream(ctx, PathDecode, order, order.Hold, 0)
+	return e.stream(ctx, PathDecode, order, order.Hold, order.From)
 }
 
 func (e *httpEngine) Resume(ctx context.Context, hold identifier.Hold, from identifier.Tokens) (Stream, error) {
--- a/driver/http_test.go
+++ b/driver/http_test.go
@@ -160,6 +160,35 @@
 	})
 }
 
+func TestSecondAttemptGoesOnWhereTheFirstDied(t *testing.T) {
+	onSite(t, nil, func(s *site) {
+		stream := s.decoding("a")
+		first, err := read(stream, 7)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.decodeServer.Kill()
+		s.Expect(s.decodeServer.Restart()).To(Succeed())
+		again := order("a")
+		again.Generated = first
+		_, err = s.prefill.Prefill(s.ctx, again)
+		s.Expect(err).NotTo(HaveOccurred())
+		_, err = s.decode.Import(s.ctx, s.importOf("a"))
+		s.Expect(err).NotTo(HaveOccurred())
+		_, err = s.decode.Decode(s.ctx, driver.DecodeOrder{Hold: hold("a"), From: 6, MaxOutput: 40})
+		s.Expect(kindOf(err)).To(Equal(driver.KindNotRun))
+		stream, err = s.decode.Decode(s.ctx, driver.DecodeOrder{Hold: hold("a"), From: 7, MaxOutput: 40})
+		s.Expect(err).NotTo(HaveOccurred())
+		token, err := stream.Next()
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(token.Index).To(Equal(identifier.Tokens(7)))
+		rest, err := read(stream, 1000)
+		s.Expect(err).To(Equal(io.EOF))
+		s.Expect(first + token.Text + rest).To(Equal(wholeAnswer("a")))
+		holds, err := s.decode.Holds(s.ctx)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(holds.Holds).To(BeEmpty())
+	})
+}
+
 func TestReleaseFreesEveryStage(t *testing.T) {
 	onSite(t, nil, func(s *site) {
 		running := make(chan error, 1)
--- a/faker/engine_calls.go
+++ b/faker/engine_calls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,8 +27,8 @@
 
 // exportReply stands for the KV cache: all that the stand-in needs of it.
 type exportReply struct {
-	Prompt    string
-	MaxOutput identifier.Tokens
+	Prompt, Generated string
+	MaxOutput         identifier.Tokens
 }
 
 func (l *engineLife) load(struct{}) (driver.Load, *driver.Refusal) {
@@ -96,7 +97,7 @@
 
 func (l *engineLife) prefill(order driver.PrefillOrder) (driver.HoldQuery, *driver.Refusal) {
 	query := driver.HoldQuery{Hold: order.Hold}
-	started, refusal := l.start(order.Hold, engineJob{prompt: order.Prompt, most: order.MaxOutput})
+	started, refusal := l.start(order.Hold, engineJob{prompt: order.Prompt, generated: order.Generated, most: order.MaxOutput})
 	if started {
 		l.step(StartPrefill{Hold: order.Hold, Prompt: order.Tokens, Prefix: order.Prefix, Priority: order.Priority})
 	}
@@ -111,7 +112,7 @@
 	if started {
 		go l.pull(order.Hold, order.From, false, func(kv exportReply) {
 			job := l.jobs[order.Hold]
-			job.prompt, job.most = kv.Prompt, kv.MaxOutput
+			job.prompt, job.generated, job.most = kv.Prompt, kv.Generated, kv.MaxOutput
 			l.step(StartImport{Hold: order.Hold, Tokens: order.Tokens, Pieces: order.Pieces})
 		})
 	}
@@ -119,16 +120,20 @@
 }
 
 func (l *engineLife) decode(order driver.DecodeOrder) (driver.HoldQuery, *driver.Refusal) {
-	query := driver.HoldQuery{Hold: order.Hold}
+	query := driver.HoldQuery{Hold: order.Hold, From: order.From}
 	job := l.jobs[order.Hold]
 	if job == nil || !job.done {
 		return query, gone("no KV cache is here")
 	}
-	if job.length == 0 {
-		job.most = order.MaxOutput
-		job.length = AnswerLength(job.prompt, order.MaxOutput)
-		l.step(StartDecode{Hold: order.Hold, Output: job.length})
+	if job.length > 0 {
+		return query, nil
+	}
+	length := AnswerLength(job.prompt, order.MaxOutput)
+	if order.From >= length || strings.Join(Answer(job.prompt, order.From), "") != job.generated {
+		return query, &driver.Refusal{Kind: driver.KindNotRun, Reason: "the KV cache does not end before the first token that is wanted"}
 	}
+	job.most, job.length, job.first, job.made = order.MaxOutput, length, order.From, order.From
+	l.step(StartDecode{Hold: order.Hold, Output: length - order.From})
 	return query, nil
 }
 
@@ -158,7 +163,7 @@
 	if order.Ended {
 		l.drop(order.Hold, "the result was exported")
 	}
-	return exportReply{Prompt: job.prompt, MaxOutput: job.most}, nil
+	return exportReply{Prompt: job.prompt, Generated: job.generated, MaxOutput: job.most}, nil
 }
 
 // pull asks a prefill engine for a result. Then it runs next on the engine's
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -38,6 +38,8 @@
 // engineJob is one attempt on the engine.
 type engineJob struct {
 	prompt string
+	// generated is what earlier attempts made of the answer.
+	generated string
 	// from is the address of the prefill engine.
 	from   string
 	most   identifier.Tokens
@@ -49,8 +51,10 @@
 	done   bool
 	cached identifier.Tokens
 	took   time.Duration
-	// length is the length of the answer; zero before the stream starts.
-	length, made identifier.Tokens
+	// length is the length of the whole answer; zero before the stream starts.
+	length identifier.Tokens
+	// first is the first token of this stream, made the one after the last.
+	first, made identifier.Tokens
 	refusal      *driver.Refusal
 	// changed is closed and replaced when something above has changed.
 	changed chan struct{}
@@ -179,7 +183,7 @@
 	if job == nil || l.crash(job.prompt) {
 		return
 	}
-	job.made = token.Index + 1
+	job.made = job.first + token.Index + 1
 	job.signal()
 	if token.Last {
 		time.AfterFunc(streamLives, func() {
