--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -55,7 +55,7 @@
 	length identifier.Tokens
 	// first is the first token of this stream, made the one after the last.
 	first, made identifier.Tokens
-	refusal      *driver.Refusal
+	refusal     *driver.Refusal
 	// changed is closed and replaced when something above has changed.
 	changed chan struct{}
 }
