Let a test replace the messenger of a VM

QUIC runs over a real socket, which virtual time can't wait for. With Needs.Messenger a test carries the messages between VMs inside its bubble.

--- a/server/server.go
+++ b/server/server.go
@@ -31,7 +31,14 @@
 	"github.com/figtrack/figtrack/relayer"
 )
 
-// Needs are what a server is built from. All are required.
+// Messenger carries messages between VMs.
+type Messenger interface {
+	messenger.Sender
+	Start(handler messenger.Handler, peers []messenger.Peer) error
+	Close() error
+}
+
+// Needs are what a server is built from. All but Messenger are required.
 type Needs struct {
 	Settings    parser.Settings
 	Incarnation identifier.Incarnation
@@ -39,6 +46,8 @@
 	Store       keeper.Store
 	Callers     net.Listener
 	VMs         net.PacketConn
+	// Messenger is nil for one that speaks QUIC over VMs with Keyring.
+	Messenger Messenger
 	// Dial opens connections to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  zerolog.Logger
@@ -48,7 +57,7 @@
 type Server struct {
 	Needs
 	self       registrar.VM
-	messenger  *messenger.Messenger
+	messenger  Messenger
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
@@ -85,7 +94,10 @@
 	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
 		return driver.NewHTTP(u.ID, "http://"+u.Address, engines)
 	})
-	s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+	s.messenger = n.Messenger
+	if s.messenger == nil {
+		s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+	}
 	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
 	s.members = s.newMembers()
 	s.health = newHealth(s)
