Don't deny the runs of a forwarded call that failed on every instance

A repeatable call that lost its answer on each instance was refused as NoUpstream with 'Ran: No', though every instance had run it: the loop fell through to the outcome of a call that was never sent. The outcome now knows of all tries. An answer that breaks off gets its decision line too, and the upstream is no longer blamed where the caller didn't read.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,7 +96,12 @@
 	ctx, cancel := context.WithTimeout(r.Context(), f.timeout)
 	defer cancel()
 	c := &call{Forwarder: f, pool: pool, r: r.WithContext(ctx), key: r.Header.Get(headerKey)}
-	if out := c.run(w, members); out != nil {
+	switch out := c.run(w, members).(type) {
+	case nil:
+	case outcomer.BrokenOff, outcomer.CallerGone:
+		// The caller must see that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	default:
 		_ = outcomer.Write(w, identifier.Request(c.key), out)
 	}
 }
@@ -111,7 +116,7 @@
 	body []byte
 }
 
-// run sends the call and returns nil once an answer has been begun.
+// run sends the call and returns nil once a whole answer was passed on.
 func (c *call) run(w http.ResponseWriter, members []registrar.Upstream) outcomer.Outcome {
 	if len(c.key) > maxKeyBytes {
 		return outcomer.Malformed{}
@@ -120,16 +125,20 @@
 	if out := c.prepare(repeatable); out != nil {
 		return out
 	}
-	tried := 0
-	for _, u := range c.order(members) {
-		tried++
+	instances := c.order(members)
+	instances = instances[:min(len(instances), maxTries)]
+	ran := outcomer.RanNo
+	for _, u := range instances {
 		result := c.send(w, u)
 		c.record(u, result)
-		if !c.again(result, repeatable) || tried == maxTries {
-			return result.outcome()
+		if result == sentNoAnswer {
+			ran = outcomer.RanUnknown
+		}
+		if !c.again(result, repeatable) {
+			return result.outcome(ran)
 		}
 	}
-	return noUpstream()
+	return sentNothing.outcome(ran)
 }
 
 // again says whether the call may go to another instance: always when it was
@@ -198,7 +207,7 @@
 	switch {
 	case result == sentAnswered:
 		c.health.Succeeded(u.ID)
-	case c.r.Context().Err() == nil:
+	case result != sentUnread && c.r.Context().Err() == nil:
 		c.health.Failed(u.ID, driver.KindUnknown)
 	}
 	c.log.Info().
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -24,18 +24,27 @@
 	sentNoAnswer sent = "NoAnswer"
 	// sentAnswered means that the answer was passed on to its end.
 	sentAnswered sent = "Answered"
-	// sentBrokenAnswer means that the answer broke off and the caller's
-	// connection was closed.
+	// sentBrokenAnswer means that the answer broke off.
 	sentBrokenAnswer sent = "BrokenAnswer"
+	// sentUnread means that the caller did not take the answer to its end.
+	sentUnread sent = "Unread"
 )
 
-// outcome is nil where the answer was begun.
-func (s sent) outcome() outcomer.Outcome {
+// outcome is what the last try came to; ran is what is known of all tries. It
+// is nil after a whole answer.
+func (s sent) outcome(ran outcomer.Ran) outcomer.Outcome {
 	switch s {
 	case sentNothing:
+		if ran != outcomer.RanNo {
+			return outcomer.UpstreamLost{}
+		}
 		return noUpstream()
 	case sentNoAnswer:
 		return outcomer.UpstreamLost{}
+	case sentBrokenAnswer:
+		return outcomer.BrokenOff{}
+	case sentUnread:
+		return outcomer.CallerGone{}
 	default:
 		return nil
 	}
@@ -120,10 +129,8 @@
 		w.Header().Add("Trailer", name)
 	}
 	w.WriteHeader(answer.StatusCode)
-	if err := copyFlushing(w, answer.Body); err != nil {
-		c.log.Warn().Err(err).Str("Pool", string(c.pool.ID)).Msg("AnswerBroken")
-		// The caller must see that the answer is not whole.
-		panic(http.ErrAbortHandler)
+	if result := copyFlushing(w, answer.Body); result != sentAnswered {
+		return result
 	}
 	for name, values := range answer.Trailer {
 		for _, v := range values {
@@ -137,22 +144,22 @@
 
 // copyFlushing copies a body and flushes each part, so that a streamed answer
 // reaches the caller as it comes.
-func copyFlushing(w http.ResponseWriter, r io.Reader) error {
+func copyFlushing(w http.ResponseWriter, r io.Reader) sent {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := r.Read(buffer)
 		if n > 0 {
 			if _, failed := w.Write(buffer[:n]); failed != nil {
-				return errors.Wrap(failed, "write to the caller")
+				return sentUnread
 			}
 			_ = control.Flush()
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return sentAnswered
 		}
 		if err != nil {
-			return errors.Wrap(err, "read the answer")
+			return sentBrokenAnswer
 		}
 	}
 }
