Keep the caller's body open while a service answers

net/http closes a request's body at the first byte of the reply unless full duplex is asked for. A service that answered before the end of the body lost the rest of it, and the caller got a broken answer: 'read/write on closed pipe', in most runs of a chunked PUT with trailers.

--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -128,6 +128,9 @@
 	for name := range answer.Trailer {
 		w.Header().Add("Trailer", name)
 	}
+	// A service may answer while the caller's body still comes. Without this
+	// the server closes the body at the first byte of the answer.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	w.WriteHeader(answer.StatusCode)
 	if result := copyFlushing(w, answer.Body); result != sentAnswered {
 		return result
--- a/piper/piper.go
+++ b/piper/piper.go
@@ -50,10 +50,11 @@
 
 // Client returns an HTTP client whose connections stay inside the network.
 func (n *Network) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: n.dial}}
+	return &http.Client{Transport: &http.Transport{DialContext: n.Dial}}
 }
 
-func (n *Network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial opens a connection to a listener of the network.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	refused := errors.Errorf("nothing listens on %s", address)
 	n.mu.Lock()
 	l := n.listeners[address]
