--- a/commands.go
+++ b/commands.go
@@ -25,6 +25,7 @@
 		serveCommand,
 		checkCommand,
 		demoCommand,
+		fakeCommand,
 		statusCommand,
 		classesCommand,
 		upstreamsCommand,
--- a/faker/endpoint.go
+++ b/faker/endpoint.go
@@ -12,10 +12,7 @@
 
 // Loopback listens on an ephemeral port of the loopback interface.
 func Loopback(address string) (net.Listener, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	return net.Listen("tcp", address)
+	return At("127.0.0.1:0")(address)
 }
 
 // endpoint is an HTTP server that can be stopped and started again on the
@@ -73,3 +70,13 @@
 	// A failed write means that the client is gone.
 	_ = json.NewEncoder(w).Encode(reply)
 }
+
+// At listens on a TCP address at the start, and again on the one it got.
+func At(first string) Listen {
+	return func(address string) (net.Listener, error) {
+		if address == "" {
+			address = first
+		}
+		return net.Listen("tcp", address)
+	}
+}
