--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -29,7 +29,7 @@
 
 const (
 	deployment = "demo"
-	model      = identifier.Model("timber-7b")
+	model      = identifier.Model("kit-spec")
 	engines    = identifier.Pool("spec-desk")
 	orders     = identifier.Pool("order-desk")
 	// keysLive is the life of the fleet's certificates.
@@ -38,8 +38,8 @@
 
 // The classes of the demonstration.
 const (
-	longReading  = identifier.Class("LongReading")
-	quickReplies = identifier.Class("QuickReplies")
+	specReading  = identifier.Class("SpecReading")
+	loadNote = identifier.Class("LoadNote")
 )
 
 // Shape is the size of a fleet.
@@ -188,11 +188,11 @@
 func (f *Fleet) document() configurer.Document {
 	return configurer.Document{
 		Classes: []configurer.Class{
-			{Name: quickReplies, FirstToken: duration(380 * time.Millisecond), PerToken: duration(43 * time.Millisecond), Patience: duration(time.Second)},
-			{Name: longReading, FirstToken: duration(2500 * time.Millisecond), PerToken: duration(60 * time.Millisecond), Patience: duration(30 * time.Second)},
+			{Name: loadNote, FirstToken: duration(380 * time.Millisecond), PerToken: duration(43 * time.Millisecond), Patience: 0},
+			{Name: specReading, FirstToken: duration(2500 * time.Millisecond), PerToken: duration(60 * time.Millisecond), Patience: duration(20 * time.Second)},
 		},
 		Pools: []configurer.Pool{
-			{Name: engines, Models: []identifier.Model{model}, DefaultClass: quickReplies},
+			{Name: engines, Models: []identifier.Model{model}, DefaultClass: loadNote},
 			{Name: orders, Prefix: "/orders", Repeatable: []string{"GET /stock"}},
 		},
 		Upstreams: f.upstreams,
--- a/demonstrator/surge.go
+++ b/demonstrator/surge.go
@@ -81,7 +81,7 @@
 	var out []ask
 	for i := range s.Quick {
 		out = append(out, ask{
-			class:     quickReplies,
+			class:     loadNote,
 			workspace: fmt.Sprintf("franchise-%d", i%12),
 			prompt:    question(rng),
 			maxOutput: 24 + rng.IntN(40),
@@ -89,7 +89,7 @@
 	}
 	for i := range s.Long {
 		out = append(out, ask{
-			class:     longReading,
+			class:     specReading,
 			workspace: fmt.Sprintf("franchise-%d", i%12),
 			prompt:    specification(rng, 16_000+rng.IntN(48_000)),
 			maxOutput: 60 + rng.IntN(60),
--- a/process_test.go
+++ b/process_test.go
@@ -178,8 +178,8 @@
 // configuration starts upstreams and writes the file that names them.
 func (d *deployment) configuration() string {
 	var w strings.Builder
-	w.WriteString("Classes:\n  - {Name: QuickReplies, FirstToken: 5s, PerToken: 500ms, Patience: 30s}\n")
-	w.WriteString("Pools:\n  - {Name: desk, Models: [timber-7b], DefaultClass: QuickReplies}\n")
+	w.WriteString("Classes:\n  - {Name: LoadNote, FirstToken: 5s, PerToken: 500ms, Patience: 30s}\n")
+	w.WriteString("Pools:\n  - {Name: desk, Models: [kit-spec], DefaultClass: LoadNote}\n")
 	w.WriteString("  - {Name: orders, Prefix: /orders, Repeatable: [GET /stock]}\nUpstreams:\n")
 	for _, kind := range []string{"prefill", "decode", "decode"} {
 		id := fmt.Sprintf("desk-%d", strings.Count(w.String(), "Pool: desk")+1)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/relayer"
+	"github.com/figtrack/figtrack/tracer"
 )
 
 // Targets gives a class with its targets.
@@ -67,9 +68,28 @@
 	return prometheus.NewHistogramVec(opts, []string{"class"})
 }
 
+// Began implements relayer.Recorder. The lines of arrivals and cancels make the
+// log of a run a trace that figtrack replay reads.
+func (r *Recorder) Began(job relayer.Job, on identifier.VM) {
+	r.log.Info().EmbedObject(tracer.Arrival{
+		Time:      job.Arrived,
+		Request:   job.Request,
+		Class:     job.Class,
+		Workspace: job.Workspace,
+		Model:     job.Model,
+		VM:        on,
+		Prompt:    job.Tokens,
+		MaxOutput: job.MaxOutput,
+		Prefix:    job.Prefix,
+	}).Msg("Arrival")
+}
+
 // Ended implements relayer.Recorder.
 func (r *Recorder) Ended(one relayer.Record) {
 	class := string(one.Class)
+	if _, gone := one.Outcome.(outcomer.CallerGone); gone {
+		r.log.Info().EmbedObject(tracer.Cancel{Time: time.Now(), Request: one.Request}).Msg("Cancel")
+	}
 	reason := outcomer.Describe(one.Outcome).Reason
 	r.requests.WithLabelValues(class, reason).Inc()
 	r.prefill.WithLabelValues(class, "true").Add(one.PrefillUsed.Seconds())
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -27,6 +27,7 @@
 
 // Recorder keeps what requests came to.
 type Recorder interface {
+	Began(job Job, on identifier.VM)
 	Ended(r Record)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -100,6 +100,7 @@
 // to sink; each is written once, whatever the number of attempts.
 func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) outcomer.Outcome {
 	run := &run{Relayer: r, job: job, sink: sink, ran: outcomer.RanNo}
+	r.recorder.Began(job, r.vm)
 	out := run.final(run.all(ctx))
 	r.recorder.Ended(run.record(out))
 	return out
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -19,7 +19,7 @@
 const prompt = "Is a 160 by 240 sill beam in sal enough for a span of 4200 mm?"
 
 func completionBody(max int, stream bool) string {
-	return fmt.Sprintf(`{"model":"timber-7b","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, max, stream)
+	return fmt.Sprintf(`{"model":"kit-spec","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, max, stream)
 }
 
 func wholeAnswer(max int) string {
@@ -67,17 +67,17 @@
 			out, stderr, status := d.operate(0, "explain", answer.Header.Get("Figtrack-Request"))
 			g.Expect(status).To(Equal(exitOK), stderr)
 			g.Expect(out).To(ContainSubstring("placed attempt 1 for vm-3: prefill on desk-1, decode on desk-"))
-			g.Expect(out).To(ContainSubstring("vm-3: ended as Answered after 1 attempts, class QuickReplies"))
+			g.Expect(out).To(ContainSubstring("vm-3: ended as Answered after 1 attempts, class LoadNote"))
 		}
 	}
-	out, stderr, status := d.operate(1, "classes", "set", "QuickReplies", "--first-token", "4s", "--wait")
+	out, stderr, status := d.operate(1, "classes", "set", "LoadNote", "--first-token", "4s", "--wait")
 	g.Expect(status).To(Equal(exitOK), stderr)
 	g.Expect(out).To(Equal("revision 2 is in force on all live VMs\n"))
 	out, _, _ = d.operate(2, "classes")
 	g.Expect(out).To(ContainSubstring("4s"))
-	_, stderr, status = d.operate(0, "classes", "add", "QuickReplies", "--first-token", "1s", "--per-token", "1s")
+	_, stderr, status = d.operate(0, "classes", "add", "LoadNote", "--first-token", "1s", "--per-token", "1s")
 	g.Expect(status).To(Equal(exitFailed))
-	g.Expect(stderr).To(ContainSubstring("QuickReplies"))
+	g.Expect(stderr).To(ContainSubstring("LoadNote"))
 	out, stderr, status = d.operate(0, "status")
 	g.Expect(status).To(Equal(exitOK), stderr)
 	g.Expect(out).To(ContainSubstring("vm-3"))
