--- a/deduper/fuzz_test.go
+++ b/deduper/fuzz_test.go
@@ -11,7 +11,8 @@
 )
 
 // FuzzDecode checks that any bytes are refused or make events that a core
-// and a home with a request of that key can take.
+// and a home with a request of key k can take, and that their answers can be
+// read.
 func FuzzDecode(f *testing.F) {
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := &wire.RequestState{}
@@ -25,15 +26,27 @@
 		now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
 		if event != nil {
 			core := deduper.New()
-			key := deduper.Key("k")
-			core.Step(now, deduper.CallerArrived{Key: key, Request: "r1", Writer: 1, Repeatable: true})
-			core.Step(now, event)
-			core.Step(now.Add(deduper.HomeWait), deduper.Wake{})
+			core.Step(now, deduper.CallerArrived{Key: "k", Request: "r1", Writer: 1, Repeatable: true})
+			for _, o := range append(core.Step(now, event), core.Step(now.Add(deduper.HomeWait), deduper.Wake{})...) {
+				decodes(t, deduper.EncodeOutcome(o))
+			}
 			return
 		}
 		h := deduper.NewHome()
 		h.Step(now, deduper.Asked{From: deduper.Start{VM: "vm1", Incarnation: 1}, Key: "k", Serial: 1})
-		h.Step(now, home)
-		h.Step(now.Add(deduper.YieldWait), deduper.HomeWake{})
+		for _, o := range append(h.Step(now, home), h.Step(now.Add(deduper.YieldWait), deduper.HomeWake{})...) {
+			_, m := deduper.EncodeHomeOutcome(o)
+			decodes(t, m)
+		}
 	})
 }
+
+// decodes checks that what a core sends can be read.
+func decodes(t *testing.T, m *wire.RequestState) {
+	if m == nil {
+		return
+	}
+	if _, _, err := deduper.Decode(deduper.Start{VM: "vm1"}, m); err != nil {
+		t.Fatalf("%v can't be decoded: %v", m, err)
+	}
+}
