--- /dev/null
+++ b/orderer/balance_test.go
@@ -0,0 +1,152 @@
+package orderer_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/orderer"
+)
+
+// moving is how long a runner is lost to both roles while it changes.
+const moving = 20 * time.Second
+
+// mix is the demand on twelve runners over 20 minutes: long reading first,
+// then quick replies, in Poisson-like noise.
+func mix(rng *rand.Rand, second int) orderer.Demand {
+	d := orderer.Demand{Prefill: 6.5, Decode: 4}
+	if second >= 400 {
+		shift := math.Min(1, float64(second-400)/60)
+		d.Prefill -= shift * 4.5
+		d.Decode += shift * 4.5
+	}
+	noise := 1 + 0.25*rng.NormFloat64()
+	return orderer.Demand{Prefill: math.Max(0, d.Prefill*noise), Decode: math.Max(0, d.Decode*(1+0.25*rng.NormFloat64()))}
+}
+
+// trip is the way of one runner to its new role.
+type trip struct {
+	until     time.Time
+	toPrefill bool
+}
+
+// play returns the share of the demand that was met, and the moves. A
+// request needs both roles, so the scarcer one decides.
+func play(seed uint64, begin orderer.Split, decide func(now time.Time, second int, d orderer.Demand, s orderer.Split) orderer.Split) (float64, int) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	now := time.Unix(1_800_000_000, 0)
+	split, moves := begin, 0
+	var away []trip
+	met, wanted := 0.0, 0.0
+	for second := range 1200 {
+		now = now.Add(time.Second)
+		d := mix(rng, second)
+		next := decide(now, second, d, split)
+		if next != split {
+			moves++
+			away = append(away, trip{until: now.Add(moving), toPrefill: next.Prefill > split.Prefill})
+			split = next
+		}
+		have := split
+		for _, a := range away {
+			switch {
+			case !now.Before(a.until):
+			case a.toPrefill:
+				have.Prefill = max(0, have.Prefill-1)
+			default:
+				have.Decode = max(0, have.Decode-1)
+			}
+		}
+		share := math.Min(shareOf(have.Prefill, d.Prefill), shareOf(have.Decode, d.Decode))
+		met += share * (d.Prefill + d.Decode)
+		wanted += d.Prefill + d.Decode
+	}
+	return met / wanted, moves
+}
+
+// shareOf is the share of one role's demand that its runners meet.
+func shareOf(runners int, demand float64) float64 {
+	if demand <= float64(runners) {
+		return 1
+	}
+	return float64(runners) / demand
+}
+
+// TestBalanceOnAShiftingMix compares the policy with fixed splits, with a
+// split that knows the mix, and with moving one runner after the other
+// without hysteresis.
+func TestBalanceOnAShiftingMix(t *testing.T) {
+	g := NewWithT(t)
+	begin := orderer.Split{Prefill: 7, Decode: 5}
+	fixed := func(_ time.Time, _ int, _ orderer.Demand, s orderer.Split) orderer.Split { return s }
+	knowing := func(_ time.Time, second int, _ orderer.Demand, s orderer.Split) orderer.Split {
+		if second < 400 || s.Prefill == 3 {
+			return s
+		}
+		if second%15 == 0 {
+			return orderer.Split{Prefill: s.Prefill - 1, Decode: s.Decode + 1}
+		}
+		return s
+	}
+	moved := time.Time{}
+	greedy := func(now time.Time, _ int, d orderer.Demand, s orderer.Split) orderer.Split {
+		best := s
+		if since := now.Sub(moved); since >= 0 && since < moving {
+			return s
+		}
+		for _, p := range []int{s.Prefill - 1, s.Prefill + 1} {
+			next := orderer.Split{Prefill: p, Decode: s.Prefill + s.Decode - p}
+			if next.Prefill > 0 && next.Decode > 0 && load(d, next) < load(d, best) {
+				best = next
+				moved = now
+			}
+		}
+		return best
+	}
+	fmt.Println("policy            met    moves  (mean of 20 seeds)")
+	met := map[string]float64{}
+	moves := map[string]float64{}
+	for _, name := range []string{"fixed 7:5", "no hysteresis", "policy", "knows the mix"} {
+		for seed := range uint64(20) {
+			b := &orderer.Balancer{}
+			decide := map[string]func(time.Time, int, orderer.Demand, orderer.Split) orderer.Split{
+				"fixed 7:5": fixed, "no hysteresis": greedy, "knows the mix": knowing,
+				"policy": func(now time.Time, _ int, d orderer.Demand, s orderer.Split) orderer.Split { return b.Step(now, d, s) },
+			}[name]
+			share, n := play(seed, begin, decide)
+			met[name] += share / 20
+			moves[name] += float64(n) / 20
+		}
+		fmt.Printf("%-15s  %.3f  %6.1f\n", name, met[name], moves[name])
+	}
+	g.Expect(met["policy"]).To(BeNumerically(">", met["fixed 7:5"]))
+	g.Expect(met["policy"]).To(BeNumerically(">", met["no hysteresis"]))
+	g.Expect(moves["policy"]).To(BeNumerically("<=", 8))
+}
+
+// TestBalanceStaysOnASteadyMix expects no move while a mix that fits the
+// split wavers in strong noise for an hour.
+func TestBalanceStaysOnASteadyMix(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		b := &orderer.Balancer{}
+		now := time.Unix(1_800_000_000, 0)
+		split := orderer.Split{Prefill: 5, Decode: 7}
+		for second := range 3600 {
+			now = now.Add(time.Second)
+			wave := 1 + 0.2*math.Sin(float64(second)/10)
+			noise := 1 + 0.25*rng.NormFloat64()
+			split = b.Step(now, orderer.Demand{Prefill: 4 * wave * noise, Decode: 5.6 / wave}, split)
+			g.Expect(split).To(Equal(orderer.Split{Prefill: 5, Decode: 7}), "second %d", second)
+		}
+	}
+}
+
+func load(d orderer.Demand, s orderer.Split) float64 {
+	return math.Max(d.Prefill/float64(s.Prefill), d.Decode/float64(s.Decode))
+}
--- /dev/null
+++ b/orderer/main_test.go
@@ -0,0 +1,15 @@
+package orderer_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the generated cases.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "6")
+	_ = flag.Set("rapid.checks", "1500")
+	_ = flag.Set("rapid.steps", "60")
+	os.Exit(m.Run())
+}
