Record a scenario whose runners differ in speed

Every runner cost exactly what the cores take as their prior, so that no replay showed whether costs are learned. In the scenario uneven, runners cost 0.85 to 1.25 times as much, and the slowest can't run twenty streams at the pace of quick replies. The capacity formula sums over engines and limits streams to the shortest pace target.

--- a/replayer/clairvoyant.go
+++ b/replayer/clairvoyant.go
@@ -42,7 +42,9 @@
 	gone    map[identifier.Request]time.Time
 	waiting *btree.BTreeG[wish]
 	// up says which upstreams run.
-	up              map[identifier.Upstream]bool
+	up map[identifier.Upstream]bool
+	// prefill is the first prefill engine, decode one with the mean costs of
+	// the decode engines.
 	prefill, decode faker.EngineSettings
 	// credit is the prefill time that is free, below zero when it is lent.
 	credit time.Duration
@@ -93,20 +95,31 @@
 	for _, class := range trace.Header.Classes {
 		o.targets[class.Name] = class
 	}
-	for _, u := range trace.Header.Upstreams {
-		o.up[u.ID] = true
-		if u.Role == identifier.RolePrefill {
-			o.prefill = u.EngineSettings
-		} else {
-			o.decode = u.EngineSettings
-		}
-	}
+	o.takeEngines(trace.Header.Upstreams)
 	for _, c := range trace.Cancels {
 		o.gone[c.Request] = c.Time
 	}
 	return o
 }
 
+func (o *oracle) takeEngines(upstreams []tracer.Upstream) {
+	var base, perStream time.Duration
+	decodes := time.Duration(0)
+	for _, u := range upstreams {
+		o.up[u.ID] = true
+		switch {
+		case u.Role == identifier.RoleDecode:
+			decodes++
+			base += u.StepBase
+			perStream += u.StepPerStream
+			o.decode = u.EngineSettings
+		case o.prefill.ID == "":
+			o.prefill = u.EngineSettings
+		}
+	}
+	o.decode.StepBase, o.decode.StepPerStream = base/decodes, perStream/decodes
+}
+
 func (o *oracle) idle() bool { return len(o.left) == 0 && o.waiting.Len() == 0 }
 
 func (o *oracle) step(now time.Time) {
@@ -116,7 +129,7 @@
 		o.pieces -= stream.pieces
 		o.streams--
 	}
-	o.credit = min(o.credit+time.Duration(o.count(identifier.RolePrefill))*tick, 0)
+	o.credit = min(o.credit+time.Duration(o.speed()*float64(tick)), 0)
 	for o.credit >= 0 {
 		next, ok := o.waiting.Min()
 		if !ok || !o.start(now, next) {
@@ -190,6 +203,17 @@
 	return o.prefill.PrefillBase + time.Duration(uncached)*o.prefill.PrefillPerToken
 }
 
+// speed is that of all prefill engines as a multiple of the first.
+func (o *oracle) speed() float64 {
+	speed := 0.0
+	for _, u := range o.trace.Header.Upstreams {
+		if u.Role == identifier.RolePrefill && o.up[u.ID] {
+			speed += float64(o.prefill.PrefillPerToken) / float64(u.PrefillPerToken)
+		}
+	}
+	return speed
+}
+
 func (o *oracle) count(role identifier.Role) int {
 	n := 0
 	for _, u := range o.trace.Header.Upstreams {
--- a/tracer/capacity.go
+++ b/tracer/capacity.go
@@ -4,87 +4,84 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/identifier"
 )
 
 // capacityFormula says how Capacity is worked out.
-const capacityFormula = "PerSecond = min(Prefill, Memory, Streams); " +
-	"Prefill = prefill engines / E[PrefillBase + uncached x PrefillPerToken]; " +
-	"Memory = decode engines x Pieces / E[pieces x hold]; " +
-	"Streams = decode engines x Streams / E[hold]; " +
+const capacityFormula = "PerSecond = min(Prefill, Memory, Streams); each is a sum over engines; " +
+	"Prefill = 1 / E[PrefillBase + uncached x PrefillPerToken]; " +
+	"Memory = Pieces / E[pieces x hold]; Streams = streams / E[hold]; " +
 	"uncached = prompt - shared prefix; pieces = those of prompt + MaxOutput; " +
-	"hold = (prompt / LinkTokensPerSecond) + (Output + 1/2) x step; " +
-	"step = StepBase + StepPerStream x min(Streams, Pieces x E[hold] / E[pieces x hold])"
+	"hold = prompt / LinkTokensPerSecond + (Output + 1/2) x step; " +
+	"step = StepBase + StepPerStream x min(streams, Pieces x E[hold] / E[pieces x hold]); " +
+	"streams = min(Streams, those at which step is the shortest PerToken target)"
 
-// capacitySamples is how many requests the mean costs are taken from.
+// capacitySamples is how many requests the mean lengths are taken from.
 const capacitySamples = 20_000
 
-// meanCost is what one request costs on average.
-type meanCost struct {
-	// prefill is in seconds of a prefill engine.
-	prefill float64
-	// hold is in seconds of a decode stream, heldPieces in piece-seconds.
-	hold, heldPieces float64
-}
-
-// mix is the mean cost of a mix of requests on the engines of a site.
+// mix holds the mean lengths of a mix of requests.
 type mix struct {
-	prefill, decode faker.EngineSettings
-	cost            meanCost
+	uncached, prompt, output float64
+	// pieces is the memory for the prompt and MaxOutput; the others are
+	// products with it.
+	piecesPrompt, piecesOutput float64
+	// pace is the shortest PerToken target.
+	pace time.Duration
 }
 
-// newMix takes the costs of the requests that draw makes.
-func newMix(draw func(*rand.Rand) Arrival) mix {
-	m := mix{
-		prefill: faker.DefaultEngine(identifier.RolePrefill),
-		decode:  faker.DefaultEngine(identifier.RoleDecode),
+// newMix takes the mean lengths of the requests that gen draws.
+func newMix(gen *generator) mix {
+	rng := rand.New(rand.NewPCG(capacitySamples, 1))
+	m := mix{pace: gen.site.shortestPace()}
+	for range capacitySamples {
+		a := gen.draw(rng)
+		pieces := float64(identifier.PiecesFor(a.Prompt + a.MaxOutput))
+		output := float64(a.Output) + 0.5
+		m.uncached += float64(a.Prompt-a.SharedBlocks()) / capacitySamples
+		m.prompt += float64(a.Prompt) / capacitySamples
+		m.output += output / capacitySamples
+		m.piecesPrompt += pieces * float64(a.Prompt) / capacitySamples
+		m.piecesOutput += pieces * output / capacitySamples
 	}
-	most := float64(m.decode.Streams)
-	m.cost = meanOf(m.prefill, m.decode, most, draw)
-	streams := min(most, float64(m.decode.Pieces)*m.cost.hold/m.cost.heldPieces)
-	m.cost = meanOf(m.prefill, m.decode, streams, draw)
 	return m
 }
 
-// capacity returns what a number of prefill and decode engines carry.
-func (m mix) capacity(prefills, decodes int) Capacity {
-	c := Capacity{
-		Prefill: float64(prefills) / m.cost.prefill,
-		Memory:  float64(decodes) * float64(m.decode.Pieces) / m.cost.heldPieces,
-		Streams: float64(decodes) * float64(m.decode.Streams) / m.cost.hold,
-		Formula: capacityFormula,
+// capacity returns what upstreams carry.
+func (m mix) capacity(upstreams []Upstream) Capacity {
+	c := Capacity{Formula: capacityFormula}
+	for _, u := range upstreams {
+		if u.Role == identifier.RolePrefill {
+			c.Prefill += 1 / (u.PrefillBase.Seconds() + m.uncached*u.PrefillPerToken.Seconds())
+			continue
+		}
+		streams := min(float64(u.Streams), float64(m.pace-u.StepBase)/float64(u.StepPerStream))
+		hold, heldPieces := m.holds(u, streams)
+		running := min(streams, float64(u.Pieces)*hold/heldPieces)
+		hold, heldPieces = m.holds(u, running)
+		c.Memory += float64(u.Pieces) / heldPieces
+		c.Streams += streams / hold
 	}
 	c.PerSecond = min(c.Prefill, c.Memory, c.Streams)
 	return c
 }
 
-// split returns how many of the runners prefill at the highest capacity.
-func (m mix) split(runners int) int {
+// holds returns the mean seconds and piece-seconds that a request holds on a
+// decode engine.
+func (m mix) holds(u Upstream, streams float64) (hold, heldPieces float64) {
+	step := u.StepBase.Seconds() + u.StepPerStream.Seconds()*streams
+	hold = m.prompt/u.LinkTokensPerSecond + m.output*step
+	heldPieces = m.piecesPrompt/u.LinkTokensPerSecond + m.piecesOutput*step
+	return hold, heldPieces
+}
+
+// split returns how many of a site's runners prefill at the highest capacity.
+func (m mix) split(s site) int {
 	best, prefills := 0.0, 1
-	for n := 1; n < runners; n++ {
-		c := m.capacity(n, runners-n).PerSecond
+	for n := 1; n < s.runners; n++ {
+		c := m.capacity(s.upstreams(n)).PerSecond
 		if c > best {
 			best, prefills = c, n
 		}
 	}
 	return prefills
 }
-
-func meanOf(pre, dec faker.EngineSettings, streams float64, draw func(*rand.Rand) Arrival) meanCost {
-	step := dec.StepBase.Seconds() + dec.StepPerStream.Seconds()*streams
-	rng := rand.New(rand.NewPCG(capacitySamples, 1))
-	var sum meanCost
-	for range capacitySamples {
-		a := draw(rng)
-		uncached := a.Prompt - a.SharedBlocks()
-		sum.prefill += (pre.PrefillBase + time.Duration(uncached)*pre.PrefillPerToken).Seconds()
-		hold := float64(a.Prompt)/dec.LinkTokensPerSecond + (float64(a.Output)+0.5)*step
-		sum.hold += hold
-		sum.heldPieces += hold * float64(identifier.PiecesFor(a.Prompt+a.MaxOutput))
-	}
-	sum.prefill /= capacitySamples
-	sum.hold /= capacitySamples
-	sum.heldPieces /= capacitySamples
-	return sum
-}
--- a/tracer/recorder.go
+++ b/tracer/recorder.go
@@ -55,7 +55,7 @@
 	if plan.Load <= 0 || plan.Load > 100 {
 		return nil, errors.Errorf("load %g is out of range, allowed is above 0 up to 100", plan.Load)
 	}
-	prefills := newMix((&generator{site: s}).draw).split(s.runners)
+	prefills := newMix(&generator{site: s}).split(s)
 	if scenario.change != nil {
 		scenario.change(&s)
 	}
@@ -87,12 +87,12 @@
 		PeakTo:       start.Add(lead + rise + hold),
 		Upstreams:    s.upstreams(prefills),
 		VMs:          s.entryVMs(),
-		Capacity:     newMix(gen.draw).capacity(prefills, s.runners-prefills),
 		DelayInside:  delayInside,
 		DelayBetween: delayBetween,
 		LoadEvery:    loadEvery,
 		Returns:      defaultReturns,
 	}
+	h.Capacity = newMix(gen).capacity(h.Upstreams)
 	for _, l := range s.loads {
 		h.Classes = append(h.Classes, l.Class)
 	}
--- a/tracer/scenario.go
+++ b/tracer/scenario.go
@@ -10,7 +10,7 @@
 )
 
 // Scenarios are the names of the scenarios that Record knows.
-var Scenarios = []string{"surge", "hot-prefix", "mixed", "death", "stall", "cancel"}
+var Scenarios = []string{"surge", "hot-prefix", "mixed", "death", "stall", "cancel", "uneven"}
 
 // scenario changes a site's load and adds what breaks.
 type scenario struct {
@@ -33,6 +33,8 @@
 		return scenario{hot: hotPrefix{share: 0.8, tokens: 3072}}, nil
 	case "mixed":
 		return scenario{change: mixed}, nil
+	case "uneven":
+		return scenario{change: uneven}, nil
 	case "death":
 		return scenario{finish: death}, nil
 	case "stall":
@@ -53,6 +55,12 @@
 	s.loads[last].prompt = spread{median: 10_000, sigma: 0.7, min: 1000, max: 60_000}
 }
 
+// uneven makes the runners differ in speed, so that no two cost the same and
+// the slowest can't run all its streams at the pace of quick replies.
+func uneven(s *site) {
+	s.scales = []float64{1.25, 0.85, 1.1, 0.95, 1.2, 0.9, 1.15}
+}
+
 // death ends one runner at the peak: a decode engine at the first site, a
 // prefill engine at the second. It comes back after ten seconds.
 func death(r *recorder) {
--- a/tracer/site.go
+++ b/tracer/site.go
@@ -27,6 +27,8 @@
 	model       identifier.Model
 	workspaces  int
 	loads       []load
+	// scales, if any, multiply the costs of the runners in turn.
+	scales []float64
 }
 
 // load is one class of work with its share of the requests.
@@ -142,11 +144,32 @@
 		engine.ID = identifier.Upstream(fmt.Sprintf("%s-%d", s.runner, i+1))
 		engine.Jitter = 0.02
 		engine.CacheLoss = 0.01
+		if len(s.scales) > 0 {
+			scale(&engine, s.scales[i%len(s.scales)])
+		}
 		upstreams[i] = Upstream{DataCentre: s.dataCentres[i%len(s.dataCentres)], EngineSettings: engine}
 	}
 	return upstreams
 }
 
+// scale multiplies the costs of an engine.
+func scale(engine *faker.EngineSettings, by float64) {
+	for _, cost := range []*time.Duration{
+		&engine.PrefillBase, &engine.PrefillPerToken, &engine.StepBase, &engine.StepPerStream,
+	} {
+		*cost = time.Duration(float64(*cost) * by)
+	}
+}
+
+// shortestPace is the shortest PerToken target of the site's classes.
+func (s site) shortestPace() time.Duration {
+	shortest := s.loads[0].PerToken
+	for _, l := range s.loads {
+		shortest = min(shortest, l.PerToken)
+	}
+	return shortest
+}
+
 func (s site) entryVMs() []VM {
 	vms := make([]VM, s.vms)
 	for i := range vms {
