--- a/replayer/all.go
+++ b/replayer/all.go
@@ -31,12 +31,14 @@
 	return append(makers, Baselines()...)
 }
 
-// RunAll replays every policy on every plan, one after the other on each
-// core. The order of the results is that of the plans.
+// RunAll replays every policy on every plan, as many at once as there are
+// cores. The results are in order of the plans, each beginning with the
+// clairvoyant order.
 func RunAll(seed uint64) ([]Result, error) {
 	makers := compared()
 	plans := Plans(seed)
-	results := make([]Result, len(plans)*len(makers))
+	width := len(makers) + 1
+	results := make([]Result, len(plans)*width)
 	jobs := make(chan func())
 	var workers sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
@@ -53,13 +55,15 @@
 }
 
 func runPlans(plans []tracer.Plan, makers []Maker, results []Result, jobs chan<- func()) error {
+	width := len(makers) + 1
 	for i, plan := range plans {
 		trace, err := tracer.Record(plan)
 		if err != nil {
 			return err
 		}
+		jobs <- func() { results[i*width] = Clairvoyant(trace) }
 		for j, maker := range makers {
-			at := i*len(makers) + j
+			at := i*width + 1 + j
 			jobs <- func() { results[at] = Run(trace, maker, plan.Seed) }
 		}
 	}
--- a/replayer/clairvoyant.go
+++ b/replayer/clairvoyant.go
@@ -19,7 +19,7 @@
 // time, no memory is split between engines, every prefix that was seen is
 // cached, and no request is started that can't meet its target or whose caller
 // goes away.
-func Clairvoyant(trace *tracer.Trace) Measures {
+func Clairvoyant(trace *tracer.Trace) Result {
 	o := newOracle(trace)
 	last := trace.Header.Time
 	if n := len(trace.Arrivals); n > 0 {
@@ -28,8 +28,7 @@
 	for now := trace.Header.Time; now.Before(last) && !o.idle(); now = now.Add(tick) {
 		o.step(now)
 	}
-	peak := trace.Header.PeakTo.Sub(trace.Header.PeakFrom)
-	return o.total.measures(peak)
+	return o.result()
 }
 
 // oracle is the state of the clairvoyant order.
@@ -53,7 +52,7 @@
 	pieces  identifier.Pieces
 	streams int
 	seen    map[uint64]bool
-	total   *tally
+	tallies map[identifier.Class]*tally
 }
 
 // wish is a request that waits.
@@ -90,10 +89,11 @@
 			}
 			return a.request < b.request
 		}),
-		total: newTally(admitter.Class{Name: "clairvoyant"}),
+		tallies: make(map[identifier.Class]*tally),
 	}
 	for _, class := range trace.Header.Classes {
 		o.targets[class.Name] = class
+		o.tallies[class.Name] = newTally(class)
 	}
 	o.takeEngines(trace.Header.Upstreams)
 	for _, c := range trace.Cancels {
@@ -143,7 +143,7 @@
 	for len(o.left) > 0 && !o.left[0].Time.After(now) {
 		a := o.left[0]
 		o.left = o.left[1:]
-		o.total.requests++
+		o.tallies[a.Class].requests++
 		o.waiting.Set(wish{Arrival: a, deadline: a.Time.Add(o.targets[a.Class].FirstToken)})
 	}
 	for len(o.faults) > 0 && !o.faults[0].Time.After(now) {
@@ -173,7 +173,7 @@
 	o.waiting.Delete(w)
 	ends := now.Add(prefill + transfer + step/2 + time.Duration(w.Output)*step)
 	if gone, ok := o.gone[w.Request]; ok && gone.Before(ends) {
-		o.total.gone++
+		o.tallies[w.Class].gone++
 		return true
 	}
 	o.seen[w.Chain] = true
@@ -186,13 +186,32 @@
 }
 
 func (o *oracle) note(w wish) {
-	o.total.good++
+	t := o.tallies[w.Class]
+	t.good++
 	header := o.trace.Header
 	if !w.Time.Before(header.PeakFrom) && w.Time.Before(header.PeakTo) {
-		o.total.goodInPeak++
+		t.goodInPeak++
 	}
 }
 
+// result holds the goodput only.
+func (o *oracle) result() Result {
+	header := o.trace.Header
+	peak := header.PeakTo.Sub(header.PeakFrom)
+	result := Result{
+		Policy: "clairvoyant", Site: header.Site, Scenario: header.Scenario,
+		Load: header.Load, Seed: header.Seed, Capacity: header.Capacity.PerSecond,
+	}
+	whole := newTally(admitter.Class{Name: "all"})
+	for _, class := range header.Classes {
+		t := o.tallies[class.Name]
+		result.Classes = append(result.Classes, t.measures(peak))
+		whole.add(t)
+	}
+	result.Whole = whole.measures(peak)
+	return result
+}
+
 // cost is the prefill time of a request whose prefix is cached if any earlier
 // request had it.
 func (o *oracle) cost(a tracer.Arrival) time.Duration {
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -79,7 +79,7 @@
 		Policy: policy, Site: r.trace.Header.Site, Scenario: r.trace.Header.Scenario,
 		Load: r.trace.Header.Load, Seed: r.trace.Header.Seed,
 		Capacity: r.trace.Header.Capacity.PerSecond,
-		Bound:    Clairvoyant(r.trace).GoodputPerSecond,
+		Bound:    Clairvoyant(r.trace).Whole.GoodputPerSecond,
 		Arrivals: r.book.arrivals, Good: r.book.good,
 	}
 	peak := r.trace.Header.PeakTo.Sub(r.trace.Header.PeakFrom)
--- a/replayer/table.go
+++ b/replayer/table.go
@@ -72,7 +72,7 @@
 		if name := fmt.Sprintf("%s %s %gx", r.Site, r.Scenario, r.Load); name != trace {
 			trace = name
 			t.AppendSeparator()
-			t.AppendRow(table.Row{trace, "", "", tenth(r.Bound), percent(ratio(r.Bound, r.Capacity))})
+			t.AppendRow(table.Row{trace})
 		}
 		t.AppendRow(table.Row{
 			r.Policy, percent(r.Whole.Goodput), percent(r.Worst()), tenth(r.Whole.GoodputPerSecond),
