Take back late requests that can be in time after all

Cause: a request that waits with patience stayed behind all others once a plan had found it late, also when the surge eased. Change: each plan tries late requests again after those in time.

--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -52,7 +52,7 @@
 }
 
 // planLate refuses the late requests that won't be served in time for their
-// class's patience.
+// class's patience, and takes back those that can be in time after all.
 func (c *Core) planLate(now time.Time) {
 	if len(c.queue.late) == 0 {
 		return
@@ -65,6 +65,10 @@
 		p := c.queue.late[i]
 		mark := s.mark()
 		first := s.serve(now, p)
+		if !first.Add(c.safety()).After(p.deadline) {
+			c.queue.restore(p)
+			continue
+		}
 		if !first.After(p.given) {
 			i++
 			continue
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -92,13 +92,20 @@
 	return slices.Delete(s, i, i+1)
 }
 
-// defer moves a request to those that are late.
+// postpone moves a request to those that are late.
 func (q *queue) postpone(p *pending) {
 	q.due = without(q.due, p)
 	p.late = true
 	q.late = insert(q.late, p, byGiven)
 }
 
+// restore moves a late request back to those that can be in time.
+func (q *queue) restore(p *pending) {
+	q.late = without(q.late, p)
+	p.late = false
+	q.due = insert(q.due, p, byDeadline)
+}
+
 // reorder takes changed targets into the order.
 func (q *queue) reorder() {
 	for _, p := range q.byKey {
