Bring callers' trailers to plain services

The request for the upstream was a clone, whose trailer map was copied while it was still empty, so that no trailer of a caller arrived. It now shares the map that the server fills. A body that was read for its claim is sent chunked where trailers follow it.

--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -101,6 +101,8 @@
 	out.URL.Host = u.Address
 	out.Header = endToEnd(c.r.Header)
 	out.Close = false
+	// The server fills the caller's own map when the body has ended.
+	out.Trailer = c.r.Trailer
 	// The transport repeats a request by itself where it has no body or can
 	// rewind it. Only this package decides on a second run, so every request
 	// gets a body that can't be rewound.
@@ -109,6 +111,10 @@
 	case c.body != nil:
 		out.Body = &onceBody{Reader: bytes.NewReader(c.body)}
 		out.ContentLength = int64(len(c.body))
+		if len(c.r.Trailer) > 0 {
+			// Only a chunked body has trailers.
+			out.ContentLength = -1
+		}
 	case c.r.ContentLength == 0:
 		out.Body = &onceBody{Reader: bytes.NewReader(nil)}
 		out.ContentLength = -1
