Send an answer's header on before its body

The header of a plain service's answer waited for the first part of the body. A caller that sends its body only after the header, and a service that answers only after the body, waited for each other until the request's time was over.

--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -136,8 +136,11 @@
 	}
 	// A service may answer while the caller's body still comes. Without this
 	// the server closes the body at the first byte of the answer.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
 	w.WriteHeader(answer.StatusCode)
+	// The header goes out before the first part of the body comes.
+	_ = control.Flush()
 	if result := copyFlushing(w, answer.Body); result != sentAnswered {
 		return result
 	}
