--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -103,6 +103,10 @@
 	out.Close = false
 	// The server fills the caller's own map when the body has ended.
 	out.Trailer = c.r.Trailer
+	if c.r.UserAgent() == "" {
+		// Without an entry the transport writes its own name.
+		out.Header["User-Agent"] = nil
+	}
 	// The transport repeats a request by itself where it has no body or can
 	// rewind it. Only this package decides on a second run, so every request
 	// gets a body that can't be rewound.
