Tell a plain call that was out of time as a timeout

A call that was sent and got no answer in the request's time was told as UpstreamLost, as if the upstream had failed. It is UpstreamTimeout (504).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/claimer"
@@ -101,11 +102,21 @@
 	case outcomer.BrokenOff, outcomer.CallerGone:
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
+	case outcomer.UpstreamLost:
+		_ = outcomer.Write(w, identifier.Request(c.key), c.lost(out))
 	default:
 		_ = outcomer.Write(w, identifier.Request(c.key), out)
 	}
 }
 
+// lost tells a timeout from another loss of the upstream.
+func (c *call) lost(out outcomer.Outcome) outcomer.Outcome {
+	if errors.Is(c.r.Context().Err(), context.DeadlineExceeded) {
+		return outcomer.UpstreamTimeout{}
+	}
+	return out
+}
+
 // call is one request to a service.
 type call struct {
 	*Forwarder
