--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -38,8 +38,8 @@
 
 // The classes of the demonstration.
 const (
-	specReading  = identifier.Class("SpecReading")
-	loadNote = identifier.Class("LoadNote")
+	specReading = identifier.Class("SpecReading")
+	loadNote    = identifier.Class("LoadNote")
 )
 
 // Shape is the size of a fleet.
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -18,12 +18,12 @@
 
 const prompt = "Is a 160 by 240 sill beam in sal enough for a span of 4200 mm?"
 
-func completionBody(max int, stream bool) string {
-	return fmt.Sprintf(`{"model":"kit-spec","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, max, stream)
+func completionBody(most int, stream bool) string {
+	return fmt.Sprintf(`{"model":"kit-spec","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, most, stream)
 }
 
-func wholeAnswer(max int) string {
-	n := faker.AnswerLength(prompt, identifier.Tokens(max))
+func wholeAnswer(most int) string {
+	n := faker.AnswerLength(prompt, identifier.Tokens(most))
 	return strings.Join(faker.Answer(prompt, n), "")
 }
 
