--- a/deduper/fuzz_test.go
+++ b/deduper/fuzz_test.go
@@ -14,7 +14,7 @@
 // and a home with a request of key k can take, and that their answers can be
 // read.
 func FuzzDecode(f *testing.F) {
-	f.Fuzz(func(_ *testing.T, data []byte) {
+	f.Fuzz(func(t *testing.T, data []byte) {
 		m := &wire.RequestState{}
 		if proto.Unmarshal(data, m) != nil {
 			return
