--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,7 @@
 // Core is the part of admitter.Core that is driven here.
 type Core interface {
 	Step(now time.Time, e admitter.Event) []admitter.Outcome
+	Estimates() admitter.Estimates
 }
 
 // NewCore makes the core of a shard with a seeded source.
@@ -59,6 +61,8 @@
 	seed    uint64
 	ring    chan command
 	done    chan struct{}
+	// snapshots are what the metrics tell of the owned shards.
+	snapshots atomic.Pointer[[]snapshot]
 
 	view    View
 	tickets map[admitter.Key]*Ticket
@@ -76,7 +80,7 @@
 
 // New returns a dispatcher; Run drives it.
 func New(self identifier.VM, sender Sender, newCore NewCore, seed uint64, log zerolog.Logger) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		self:    self,
 		sender:  sender,
 		newCore: newCore,
@@ -87,11 +91,10 @@
 		tickets: make(map[admitter.Key]*Ticket),
 		owned:   make(map[identifier.Shard]*owned),
 	}
+	d.snapshots.Store(&[]snapshot{})
+	return d
 }
 
-// RingDepth returns the number of waiting commands.
-func (d *Dispatcher) RingDepth() int { return len(d.ring) }
-
 // Run drives the dispatcher until stop is closed.
 func (d *Dispatcher) Run(stop <-chan struct{}) {
 	defer close(d.done)
@@ -108,6 +111,7 @@
 		case <-d.timer.C:
 		case <-ticker.C:
 			d.askAgain(time.Now())
+			d.publish()
 		}
 		d.wake(time.Now())
 	}
--- /dev/null
+++ b/dispatcher/metrics.go
@@ -0,0 +1,76 @@
+package dispatcher
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/estimator"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// snapshot is what the metrics tell of one owned shard.
+type snapshot struct {
+	shard     identifier.Shard
+	estimates admitter.Estimates
+}
+
+var (
+	queueDesc  = desc("queue_requests", "Requests that wait for a placement, by whether they can still meet their target.", "shard", "late")
+	grantsDesc = desc("grants", "Placed attempts in the ledger of a shard.", "shard")
+	parkedDesc = desc("grants_parked", "Placed attempts whose prefill result waits for decode memory.", "shard")
+	errorDesc  = desc("estimate_error_ratio", "Mean error of an estimate relative to its mean.", "shard", "estimate")
+	depthDesc  = desc("dispatcher_ring_commands", "Commands that wait in the dispatcher's ring.")
+	ownedDesc  = desc("owned_shards", "Shards whose ledger this VM keeps.")
+)
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("figtrack_"+name, help, labels, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (d *Dispatcher) Describe(ch chan<- *prometheus.Desc) {
+	for _, one := range []*prometheus.Desc{queueDesc, grantsDesc, parkedDesc, errorDesc, depthDesc, ownedDesc} {
+		ch <- one
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (d *Dispatcher) Collect(ch chan<- prometheus.Metric) {
+	shards := *d.snapshots.Load()
+	gauge(ch, depthDesc, float64(len(d.ring)))
+	gauge(ch, ownedDesc, float64(len(shards)))
+	for _, s := range shards {
+		name := string(s.shard)
+		gauge(ch, queueDesc, float64(s.estimates.Queue-s.estimates.Late), name, "false")
+		gauge(ch, queueDesc, float64(s.estimates.Late), name, "true")
+		gauge(ch, grantsDesc, float64(s.estimates.Grants), name)
+		gauge(ch, parkedDesc, float64(s.estimates.Parked), name)
+		for estimate, one := range deviations(s.estimates) {
+			gauge(ch, errorDesc, one.Relative(), name, estimate)
+		}
+	}
+}
+
+func deviations(e admitter.Estimates) map[string]estimator.Deviation {
+	return map[string]estimator.Deviation{
+		"prefill":     e.Prefill,
+		"cached":      e.Cached,
+		"transfer":    e.Transfer,
+		"pace":        e.Pace,
+		"output":      e.Output,
+		"first_token": e.FirstToken,
+	}
+}
+
+func gauge(ch chan<- prometheus.Metric, d *prometheus.Desc, value float64, labels ...string) {
+	ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+}
+
+// publish renews the snapshots; the loop calls it.
+func (d *Dispatcher) publish() {
+	out := make([]snapshot, 0, len(d.owned))
+	for _, id := range sortedShards(d.owned) {
+		out = append(out, snapshot{shard: id, estimates: d.owned[id].core.Estimates()})
+	}
+	d.snapshots.Store(&out)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -106,7 +106,6 @@
 
 		drainAsked: make(chan struct{}),
 	}
-	s.metrics.MustRegister(n.StoreMetrics)
 	kept := n.transport(false)
 	engines := &http.Client{Transport: kept}
 	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
@@ -129,6 +128,7 @@
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
 		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
+	s.registerMetrics()
 	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
 	return s
 }
