Reckon with engines that answer faster than the clock tells

Cause: a benchmark of the whole router with instant engines ended in a panic: the learned pace fell to zero, 0/0 tokens made is no number, and the table of lengths was indexed with it.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -201,7 +201,7 @@
 	g.Promised = false
 	g.decoding = now
 	g.areaAt = d.area
-	longest := time.Duration(float64(g.MaxOutput) * 2 * c.pace.At(float64(d.streams)) * float64(time.Second))
+	longest := time.Duration(float64(g.MaxOutput) * 2 * c.paceAt(float64(d.streams)) * float64(time.Second))
 	g.expires = now.Add(longest + c.cfg.Grace)
 	d.drift.note(now, d.onEngine())
 }
@@ -243,7 +243,7 @@
 	g.decode.advance(now)
 	batch := (g.decode.area - g.areaAt) / took
 	pace := took / float64(output-1)
-	c.errs.Pace.Observe(c.pace.At(batch), pace)
+	c.errs.Pace.Observe(c.paceAt(batch), pace)
 	c.pace.Observe(batch, pace)
 }
 
--- a/granter/query.go
+++ b/granter/query.go
@@ -23,7 +23,7 @@
 
 // Pace returns the predicted time of one token in a batch of n streams.
 func (c *Core) Pace(n int) time.Duration {
-	return seconds(c.pace.At(float64(n)))
+	return seconds(c.paceAt(float64(n)))
 }
 
 // Transfer returns the predicted time of a transfer without its queue.
@@ -98,7 +98,7 @@
 
 // made estimates the tokens that a stream has by now.
 func (c *Core) made(now time.Time, e *engine, g *Grant) float64 {
-	return now.Sub(g.decoding).Seconds() / c.pace.At(float64(max(e.running, 1)))
+	return now.Sub(g.decoding).Seconds() / c.paceAt(float64(max(e.running, 1)))
 }
 
 // Freed is the memory that running streams are expected to free.
@@ -116,7 +116,7 @@
 	if e == nil {
 		return f
 	}
-	pace := c.pace.At(float64(max(e.running, 1)))
+	pace := c.paceAt(float64(max(e.running, 1)))
 	for _, g := range e.grants {
 		if g.Stage != StageDecode {
 			continue
@@ -151,7 +151,7 @@
 		if !e.open {
 			continue
 		}
-		pace := c.pace.At(float64(max(len(e.grants), 1)))
+		pace := c.paceAt(float64(max(len(e.grants), 1)))
 		for _, g := range e.grants {
 			to = append(to, End{c.endOf(now, pace, g), g.Pieces})
 		}
