State the store's budget and fuzz what the fleet decodes

Cause: the calls of all purposes had no sum, and messages and records of others are read without a proof that they can't break a VM. A watch that the store's client ends after a minute no longer counts as a failure.

--- /dev/null
+++ b/configurer/fuzz_test.go
@@ -0,0 +1,31 @@
+package configurer_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/figtrack/figtrack/configurer"
+)
+
+// FuzzChange expects that each change is refused, or applied to a document
+// that can be kept and read again.
+func FuzzChange(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var c configurer.Change
+		if json.Unmarshal(data, &c) != nil {
+			return
+		}
+		d, conflict := configurer.ApplyChange(configurer.Document{}, c)
+		if conflict != nil {
+			return
+		}
+		value, err := configurer.Encode(d)
+		if err != nil {
+			return
+		}
+		again, err := configurer.Decode(value)
+		if err != nil || len(configurer.Diff(d, again)) > 0 {
+			t.Fatalf("%s can't be read again: %v %v", value, err, configurer.Diff(d, again))
+		}
+	})
+}
--- /dev/null
+++ b/orderer/calls_test.go
@@ -0,0 +1,48 @@
+package orderer_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/orderer"
+	"github.com/figtrack/figtrack/syncer"
+)
+
+// The rates of the platform's store: "several hundred writes and about two
+// thousand reads a second". Half of them is the margin.
+const (
+	storeReads  = 2000.0
+	storeWrites = 300.0
+	margin      = 0.5
+)
+
+// TestStoreBudget sums the calls of all purposes at their worst, watches
+// counted as calls, and compares them with half of what the store takes.
+func TestStoreBudget(t *testing.T) {
+	g := NewWithT(t)
+	fmt.Println("VMs  purpose        reads/s  writes/s  peak reads  peak writes  watches")
+	for _, size := range []struct{ vms, runners int }{{7, 15}, {320, 640}} {
+		line := func(purpose string, c syncer.Calls) {
+			fmt.Printf("%3d  %-13s %8.1f  %8.1f  %10.1f  %11.1f  %7.0f\n",
+				size.vms, purpose, c.Reads, c.Writes, c.PeakReads, c.PeakWrites, c.Watches)
+		}
+		configuration := syncer.CallsOf(size.vms)
+		line("Configuration", configuration)
+		orders := orderer.CallsOf(size.runners, 60)
+		fence := syncer.Calls{PeakReads: orders.Reads, PeakWrites: orders.Writes}
+		line("Fence", fence)
+		// Each claim shard writes at most one batch per BatchEvery, and its
+		// leader probes the log once per ProbeEvery.
+		claim := syncer.Calls{Writes: claimer.Shards / claimer.BatchEvery.Seconds(), Reads: claimer.Shards / claimer.ProbeEvery.Seconds()}
+		claim.PeakReads, claim.PeakWrites = float64(size.vms)/claimer.ProbeEvery.Seconds(), claim.Writes
+		line("Claim", claim)
+		reads := configuration.PeakReads + configuration.Watches + fence.PeakReads + claim.PeakReads
+		writes := configuration.PeakWrites + fence.PeakWrites + claim.PeakWrites
+		fmt.Printf("%3d  all at once   %8s  %8s  %10.1f  %11.1f\n", size.vms, "", "", reads, writes)
+		g.Expect(reads).To(BeNumerically("<", storeReads*margin))
+		g.Expect(writes).To(BeNumerically("<", storeWrites*margin))
+	}
+}
--- a/orderer/shell.go
+++ b/orderer/shell.go
@@ -24,6 +24,9 @@
 	RecordPrefix = "figtrack/orders/"
 	// BudgetKey is where the budget of loads stands in the store.
 	BudgetKey = "figtrack/loads"
+	// DefaultLoads is the most loads from the weight store that the fleet
+	// begins in one BudgetWindow, if the settings name no other.
+	DefaultLoads = 12
 	// BudgetTries bounds the swaps for one load.
 	BudgetTries = 4
 )
--- a/syncer/fleet_test.go
+++ b/syncer/fleet_test.go
@@ -49,6 +49,8 @@
 	// loseReplies is the share of writes whose reply is lost.
 	loseReplies float64
 	latency     time.Duration
+	// writtenAt is when the last write took effect.
+	writtenAt time.Time
 	// reads and writes count calls by second.
 	reads, writes map[int64]int
 	watches       map[identifier.VM]bool
@@ -227,6 +229,7 @@
 	written := f.store.entry.Version == o.Expected
 	if written {
 		f.store.entry = keeper.Entry{Key: syncer.Key, Value: o.Value, Version: o.Expected + 1}
+		f.store.writtenAt = f.now
 		f.store.history = append(f.store.history, o.Value)
 		f.notify()
 	}
--- /dev/null
+++ b/syncer/fuzz_test.go
@@ -0,0 +1,34 @@
+package syncer_test
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figtrack/figtrack/syncer"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// FuzzDecode expects that each message is refused, or read to one that is
+// the same after another way through the wire, and that a core takes it.
+func FuzzDecode(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m wire.Configuration
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		message, err := syncer.Decode(&m)
+		if err != nil {
+			return
+		}
+		again, err := syncer.Decode(syncer.Encode(message))
+		if err != nil || !reflect.DeepEqual(message, again) {
+			t.Fatalf("%+v became %+v: %v", message, again, err)
+		}
+		core := syncer.New(syncer.Settings{VM: "vm-1"}, rand.New(rand.NewPCG(1, 1)))
+		core.Step(time.Unix(1_800_000_000, 0), syncer.Received{From: "vm-2", Message: message})
+	})
+}
--- a/syncer/store.go
+++ b/syncer/store.go
@@ -16,6 +16,7 @@
 	failures int
 	// watchAt is when the next watch may start.
 	watchAt       time.Time
+	watchedFrom   time.Time
 	watching      bool
 	watchFailures int
 }
@@ -32,9 +33,6 @@
 	return at
 }
 
-// watched notes that the watch works.
-func (p *poll) watched(time.Time) { p.watchFailures = 0 }
-
 // advancePoll reads and watches the store when it is due.
 func (c *Core) advancePoll(now time.Time) {
 	if !c.poll.reading && !now.Before(c.poll.readAt) {
@@ -43,6 +41,7 @@
 	}
 	if c.watches() && c.known && !c.poll.watching && !now.Before(c.poll.watchAt) {
 		c.poll.watching = true
+		c.poll.watchedFrom = now
 		c.emit(StartWatch{After: c.version})
 	}
 	if c.watches() && !c.known && !c.poll.watching {
@@ -64,8 +63,13 @@
 	}
 }
 
+// watchBroken opens another watch: soon after one that lasted, as the store's
+// client ends each after a while, else after a growing pause.
 func (c *Core) watchBroken(now time.Time) {
 	c.poll.watching = false
+	if now.Sub(c.poll.watchedFrom) >= WatchLasted {
+		c.poll.watchFailures = 0
+	}
 	c.poll.watchFailures++
 	c.poll.watchAt = now.Add(c.backoff(WatcherPollEvery, WatcherBackoffMax, c.poll.watchFailures))
 }
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -33,6 +33,8 @@
 	// FirstReadWithin is the time over which VMs started at once spread
 	// their first reads.
 	FirstReadWithin = 2 * time.Second
+	// WatchLasted is the age at which a watch that ends did not fail.
+	WatchLasted = 10 * time.Second
 	// WatcherBackoffMax is the longest pause of a watcher while the store
 	// fails.
 	WatcherBackoffMax = 30 * time.Second
@@ -127,7 +129,7 @@
 	case StoreSwapped:
 		c.storeSwapped(now, e)
 	case StoreChanged:
-		c.poll.watched(now)
+		c.poll.watchFailures = 0
 		c.fromStore(now, e.Entry)
 	case WatchBroken:
 		c.watchBroken(now)
