Count what engines hold for requests that are gone

Holds were counted at the end of a replay only, when streams have run out by themselves, so that a cancel without a release went unseen. Stray counts holds 0.1 s after a request's end.

--- a/faker/engine_core.go
+++ b/faker/engine_core.go
@@ -27,6 +27,7 @@
 	advance(at time.Time)
 	apply(now time.Time, e EngineEvent)
 	holds() []identifier.Hold
+	holding(hold identifier.Hold) bool
 	load() EngineLoad
 }
 
@@ -95,6 +96,9 @@
 	return holds
 }
 
+// Holding says whether an attempt holds memory or a place on the engine.
+func (e *Engine) Holding(hold identifier.Hold) bool { return e.duty.holding(hold) }
+
 // Load returns the engine's load as it was LoadLag ago.
 func (e *Engine) Load(now time.Time) EngineLoad {
 	return e.loads.at(now.Add(-e.cfg.LoadLag))
--- a/faker/engine_decode.go
+++ b/faker/engine_decode.go
@@ -219,6 +219,11 @@
 	return holds
 }
 
+func (d *decodeDuty) holding(hold identifier.Hold) bool {
+	_, ok := d.jobs[hold]
+	return ok
+}
+
 func (d *decodeDuty) load() EngineLoad {
 	return EngineLoad{
 		Running:    len(d.batch) + len(d.joining),
--- a/faker/engine_prefill.go
+++ b/faker/engine_prefill.go
@@ -164,6 +164,11 @@
 	return holds
 }
 
+func (d *prefillDuty) holding(hold identifier.Hold) bool {
+	_, ok := d.jobs[hold]
+	return ok
+}
+
 func (d *prefillDuty) load() EngineLoad {
 	load := EngineLoad{Queued: d.queue.Len()}
 	if d.running != nil {
--- a/replayer/book.go
+++ b/replayer/book.go
@@ -32,6 +32,8 @@
 	// arrivals and good count the first tries and the good answers by the
 	// second of the trace in which their try arrived.
 	arrivals, good []int
+	// stray counts holds of requests that are gone.
+	stray int
 }
 
 // fate is what became of a prefill.
--- a/replayer/caller.go
+++ b/replayer/caller.go
@@ -12,6 +12,10 @@
 // maxAttempts bounds the attempts of one try.
 const maxAttempts = 3
 
+// releaseTime is how long after a request's end an engine may hold memory
+// for it.
+const releaseTime = 100 * time.Millisecond
+
 // caller is one caller with its original request and its later tries.
 type caller struct {
 	*run
@@ -34,6 +38,8 @@
 	// first is when the first token of this try was there.
 	first time.Time
 	end   ending
+	// holds are those of all attempts.
+	holds []identifier.Hold
 }
 
 // ending is how a caller's request ended.
@@ -77,6 +83,7 @@
 	a := &attempt{caller: c, hold: holdOf(c.vm.ID, key), prompt: c.Prompt + c.sent}
 	c.current = a
 	c.attempts[a.hold] = a
+	c.holds = append(c.holds, a.hold)
 	c.report(admitter.Ask{
 		Key: key, Class: c.Class, Workspace: c.Workspace, Model: c.Model,
 		From: c.vm.ID, FromDataCentre: c.vm.DataCentre,
@@ -141,4 +148,16 @@
 	c.end = end
 	c.open--
 	c.book.close(c)
+	c.after(releaseTime, c.countStray)
+}
+
+// countStray counts what engines still hold for a request that is gone.
+func (c *caller) countStray() {
+	for _, e := range c.engines {
+		for _, hold := range c.holds {
+			if !e.dead && e.Holding(hold) {
+				c.book.stray++
+			}
+		}
+	}
 }
--- a/replayer/driver_test.go
+++ b/replayer/driver_test.go
@@ -96,7 +96,7 @@
 	g.Expect(result.Whole.PerToken.P50).To(BeNumerically("~", step.Seconds()*1000, 0.1))
 	g.Expect(result.Whole.PrefillSeconds).To(BeNumerically("~", prefill.Seconds(), 1e-9))
 	g.Expect(result.Whole.Wasted).To(BeZero())
-	g.Expect(result.HeldAfter).To(BeZero())
+	g.Expect(result.Stray).To(BeZero())
 	g.Expect(policy.heard).To(HaveExactElements(
 		BeAssignableToTypeOf(admitter.Ask{}),
 		BeAssignableToTypeOf(admitter.PrefillEnded{}),
@@ -128,7 +128,7 @@
 	result := replayer.Run(trace, policy.maker(), 1)
 	g.Expect(result.Whole.Answered).To(Equal(1))
 	g.Expect(result.Whole.Wasted).To(BeZero())
-	g.Expect(result.HeldAfter).To(BeZero())
+	g.Expect(result.Stray).To(BeZero())
 }
 
 // TestAbandonedAttemptsAreLostAndWaste abandons every finished prefill.
@@ -148,7 +148,7 @@
 	result := replayer.Run(tinyTrace(), policy.maker(), 1)
 	g.Expect(result.Whole.Lost).To(Equal(1))
 	g.Expect(result.Whole.Wasted).To(Equal(1.0))
-	g.Expect(result.HeldAfter).To(BeZero())
+	g.Expect(result.Stray).To(BeZero())
 	g.Expect(policy.heard).To(HaveLen(6))
 }
 
@@ -191,6 +191,6 @@
 		}}
 		result := replayer.Run(trace, policy.maker(), 1)
 		g.Expect(result.Whole.Withdrawn+result.Whole.Answered).To(Equal(1), "%d ms", at)
-		g.Expect(result.HeldAfter).To(BeZero(), "%d ms", at)
+		g.Expect(result.Stray).To(BeZero(), "%d ms", at)
 	}
 }
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -28,8 +28,9 @@
 	// Arrivals and Good count the requests and the answers inside both
 	// targets for each second of the trace, by the arrival of the try.
 	Arrivals, Good []int
-	// HeldAfter counts the holds left on engines at the end. It must be 0.
-	HeldAfter int
+	// Stray counts the holds that engines had for requests that were gone for
+	// releaseTime, or at the end. It must be 0.
+	Stray int
 }
 
 // Measures are those of one class or of all.
@@ -90,9 +91,10 @@
 	}
 	result.Whole = whole.measures(peak)
 	r.countTraffic(&result)
+	result.Stray = r.book.stray
 	for _, e := range r.engines {
 		if !e.dead {
-			result.HeldAfter += len(e.Holds())
+			result.Stray += len(e.Holds())
 		}
 	}
 	return result
--- a/replayer/run_test.go
+++ b/replayer/run_test.go
@@ -31,7 +31,7 @@
 				g.Expect(whole.Requests).To(Equal(len(trace.Arrivals)))
 				g.Expect(whole.Answered + whole.Refused + whole.Withdrawn + whole.Lost).To(Equal(whole.Requests))
 				g.Expect(whole.Good).To(BeNumerically("<=", whole.Answered))
-				g.Expect(result.HeldAfter).To(BeZero())
+				g.Expect(result.Stray).To(BeZero())
 			})
 		}
 	}
--- a/replayer/table.go
+++ b/replayer/table.go
@@ -24,8 +24,8 @@
 	fmt.Fprintf(w, "%s, %s, load %g, seed %d: %s\n", r.Site, r.Scenario, r.Load, r.Seed, r.Policy)
 	fmt.Fprintf(w, "at the full rate: goodput %.1f/s, capacity %.1f/s, clairvoyant %.1f/s\n",
 		r.Whole.GoodputPerSecond, r.Capacity, r.Bound)
-	fmt.Fprintf(w, "a VM: %.0f messages/s, %.1f KB/s; busiest %.0f/s, %.1f KB/s; held after: %d\n",
-		r.MessagesPerVM, r.BytesPerVM/1000, r.MessagesMax, r.BytesMax/1000, r.HeldAfter)
+	fmt.Fprintf(w, "a VM: %.0f messages/s, %.1f KB/s; busiest %.0f/s, %.1f KB/s; stray holds: %d\n",
+		r.MessagesPerVM, r.BytesPerVM/1000, r.MessagesMax, r.BytesMax/1000, r.Stray)
 }
 
 func writeCounts(w io.Writer, r Result) {
--- a/replayer/target_test.go
+++ b/replayer/target_test.go
@@ -81,7 +81,7 @@
 	name := fmt.Sprintf("%s/%s/%gx/%s", plan.Site, plan.Scenario, plan.Load, prefer)
 	r := results[resultKey(plan, replayer.Figtrack(prefer).Name)]
 	c.most(name+"/lost", float64(r.Whole.Lost), 0)
-	c.most(name+"/held", float64(r.HeldAfter), 0)
+	c.most(name+"/stray", float64(r.Stray), 0)
 	c.most(name+"/waste", r.Whole.Wasted, mostWaste(prefer, faulty[plan.Scenario]))
 	if plan.Load <= 1 {
 		c.goodput(name+"/goodput", r, results[resultKey(plan, clairvoyant)])
