--- a/replay.go
+++ b/replay.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -16,7 +18,7 @@
 type replayOptions struct {
 	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
 	Policy   string   `long:"policy" default:"figtrack" description:"policy that decides"`
-	Compare  []string `long:"compare" description:"further policy to replay beside it; all for each of them"`
+	Compare  []string `long:"compare" description:"further policy to replay beside it, all for each baseline, or the JSON file of an earlier replay"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
 	Header   string   `long:"header" description:"trace whose Header line stands for that of a log without one"`
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
@@ -65,6 +67,11 @@
 	for _, maker := range makers {
 		results = append(results, replayer.Run(trace, maker, options.Seed))
 	}
+	earlier, err := earlierResults(options.Compare, trace.Header)
+	if err != nil {
+		return err
+	}
+	results = append(results, earlier...)
 	if options.Plot != "" {
 		if err := replayer.WritePlot(options.Plot, results); err != nil {
 			return err
@@ -109,6 +116,9 @@
 			makers = append(makers, replayer.Baselines()...)
 			continue
 		}
+		if isFile(name) {
+			continue
+		}
 		other, err := replayer.Find(name)
 		if err != nil {
 			return nil, err
@@ -118,6 +128,38 @@
 	return makers, nil
 }
 
+// isFile says that a name of --compare is a file with results.
+func isFile(name string) bool { return filepath.Ext(name) == ".json" }
+
+// earlierResults reads the results of earlier replays of the same trace.
+func earlierResults(names []string, header tracer.Header) ([]replayer.Result, error) {
+	var earlier []replayer.Result
+	for _, name := range names {
+		if !isFile(name) {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "give the output of figtrack replay --json")
+		}
+		var results []replayer.Result
+		if err := json.Unmarshal(text, &results); err != nil {
+			return nil, errors.Wrapf(err, "%s is no output of figtrack replay --json", name)
+		}
+		for _, r := range results {
+			if !r.Of(header) {
+				continue
+			}
+			r.Policy += " in " + filepath.Base(name)
+			earlier = append(earlier, r)
+		}
+		if len(earlier) == 0 {
+			return nil, errors.Errorf("%s holds no replay of this trace", name)
+		}
+	}
+	return earlier, nil
+}
+
 func replayAll(options replayOptions, rest []string, stdout io.Writer) error {
 	if len(rest) > 0 {
 		return errors.Errorf("--all makes its own traces, leave out %q", rest[0])
--- a/replay_test.go
+++ b/replay_test.go
@@ -29,6 +29,13 @@
 	g.Expect(results[0].Whole.Lost).To(BeZero())
 	g.Expect(results[0].Whole.Requests).To(Equal(results[1].Whole.Requests))
 	g.Expect(picture).To(BeARegularFile())
+
+	before := filepath.Join(dir, "before.json")
+	g.Expect(os.WriteFile(before, stdout.Bytes(), 0o600)).To(Succeed())
+	stdout.Reset()
+	status = runReplay([]string{trace, "--compare", before}, &stdout, &stderr)
+	g.Expect(status).To(Equal(exitOK), stderr.String())
+	g.Expect(stdout.String()).To(ContainSubstring("figtrack in before.json"))
 }
 
 func TestBadInputOfReplayAndRecord(t *testing.T) {
@@ -45,6 +52,7 @@
 		{replayInto, []string{broken}, "line 1: Header: At is missing"},
 		{replayInto, []string{trace, "--policy", "best"}, "unknown policy \"best\", allowed are [figtrack"},
 		{replayInto, []string{trace, "--compare", "best"}, "unknown policy"},
+		{replayInto, []string{trace, "--compare", "none.json"}, "give the output of figtrack replay --json"},
 		{replayInto, []string{trace, "--settings", "none.yaml"}, "give the path of a settings file"},
 		{replayInto, []string{trace, "--plot", "out.txt"}, "allowed are names such as out.png"},
 		{replayInto, []string{trace, "--fast"}, "try --help"},
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/tracer"
 )
 
 // Result holds the measures of one replay. Times are in milliseconds.
@@ -68,6 +69,12 @@
 // Percentiles are in milliseconds.
 type Percentiles struct{ P50, P95, P99 float64 }
 
+// Of says whether the result is one of the trace with a header.
+func (r Result) Of(header tracer.Header) bool {
+	return r.Site == header.Site && r.Scenario == header.Scenario &&
+		r.Load == header.Load && r.Seed == header.Seed
+}
+
 func (r *run) result(policy string) Result {
 	for _, c := range r.callers {
 		if c.end == endingOpen {
