--- a/replayer/timeline.go
+++ b/replayer/timeline.go
@@ -13,7 +13,8 @@
 }
 
 type task struct {
-	at     time.Time
+	// at is in nanoseconds of Unix time.
+	at     int64
 	number uint64
 	do     func()
 }
@@ -24,16 +25,16 @@
 		t = l.now
 	}
 	l.number++
-	heap.Push(&l.tasks, task{at: t, number: l.number, do: do})
+	heap.Push(&l.tasks, task{at: t.UnixNano(), number: l.number, do: do})
 }
 
 func (l *timeline) after(d time.Duration, do func()) { l.at(l.now.Add(d), do) }
 
 // run does all tasks up to a time.
 func (l *timeline) run(until time.Time) {
-	for len(l.tasks) > 0 && !l.tasks[0].at.After(until) {
+	for len(l.tasks) > 0 && l.tasks[0].at <= until.UnixNano() {
 		next := heap.Pop(&l.tasks).(task)
-		l.now = next.at
+		l.now = time.Unix(0, next.at).UTC()
 		next.do()
 	}
 }
@@ -56,8 +57,8 @@
 func (t tasks) Len() int { return len(t) }
 
 func (t tasks) Less(i, j int) bool {
-	if !t[i].at.Equal(t[j].at) {
-		return t[i].at.Before(t[j].at)
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
 	}
 	return t[i].number < t[j].number
 }
