Release engine memory that nobody uses

Cause: a release was tried six times and then forgotten, and memory held for a VM that died stayed held.

Change: reclaimer's shell replaces the releaser of relayer. A release is repeated until the engine acknowledges it; each VM vouches for its holds; the owner of a shard lists the holds of its engines each second and releases what nobody vouches for. A stopping VM waits for its releases.

Ruled out: listing each 5 s to save bytes.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -34,6 +34,8 @@
 	}
 	defer ticket.Close()
 	a := &attempt{run: r, key: key, hold: r.hold(n), ticket: ticket}
+	r.releaser.Vouch(a.hold)
+	defer r.releaser.Disown(a.hold)
 	return a.decision(ctx)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -49,8 +49,12 @@
 	Token(t driver.Token) error
 }
 
-// Releaser drops what an engine holds, repeating until it is acknowledged.
+// Releaser answers for what engines hold for this VM's attempts.
 type Releaser interface {
+	// Vouch says that a hold is in use, Disown that it is not any more.
+	Vouch(hold identifier.Hold)
+	Disown(hold identifier.Hold)
+	// Release drops a hold, repeating until it is acknowledged.
 	Release(u identifier.Upstream, hold identifier.Hold)
 }
 
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/prober"
+	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -44,6 +45,7 @@
 	}
 	s.live = live
 	s.sync.Offer(livePeers(live))
+	s.reclaimer.SetLive(s.ctx, names(live))
 	s.changed()
 }
 
@@ -69,10 +71,32 @@
 		}
 	}
 	s.poller.SetShards(s.ctx, own)
+	s.reclaimer.SetShards(s.ctx, compared(own))
 	s.health.assign(assigned(catalog, own))
 	s.health.feedAll()
 }
 
+func names(vms []registrar.VM) []identifier.VM {
+	var out []identifier.VM
+	for _, v := range vms {
+		out = append(out, v.ID)
+	}
+	return out
+}
+
+// compared gives the reclaimer the runners of the owned shards.
+func compared(own []registrar.Shard) []reclaimer.Shard {
+	var out []reclaimer.Shard
+	for _, shard := range own {
+		one := reclaimer.Shard{ID: shard.ID}
+		for _, u := range shard.Upstreams {
+			one.Upstreams = append(one.Upstreams, u.ID)
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
 // assigned names all upstreams and those that this VM probes: plain services,
 // which every VM calls, and the runners of its own shards.
 func assigned(catalog *registrar.Catalog, own []registrar.Shard) prober.Assigned {
--- a/server/drain.go
+++ b/server/drain.go
@@ -32,7 +32,7 @@
 		case <-signals:
 			events = []drainer.Event{drainer.Signalled{}}
 		case <-ticker.C:
-			events = []drainer.Event{drainer.WorkChanged{Work: drainer.Work{Streams: s.listener.InFlight()}}, drainer.Wake{}}
+			events = []drainer.Event{drainer.WorkChanged{Work: drainer.Work{Streams: s.listener.InFlight(), Releases: s.reclaimer.Pending()}}, drainer.Wake{}}
 		}
 	}
 }
--- a/server/handler.go
+++ b/server/handler.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -14,6 +15,8 @@
 		s.dispatcher.Receive(from, body.Placement)
 	case *wire.Envelope_Membership:
 		return s.members.Handle(ctx, from, e)
+	case *wire.Envelope_RequestState:
+		s.reclaimer.Handle(reclaimer.Start{VM: from, Incarnation: identifier.Incarnation(e.GetIncarnation())}, body.RequestState)
 	case *wire.Envelope_Configuration:
 		return s.sync.Handle(ctx, from, e)
 	case *wire.Envelope_Inquiry:
--- a/server/server.go
+++ b/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
+	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/relayer"
@@ -71,7 +72,7 @@
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
-	cancels    *relayer.Cancels
+	reclaimer  *reclaimer.Shell
 	poller     *poller.Poller
 	claims     *claimer.Shell
 	members    *prober.Shell
@@ -120,9 +121,10 @@
 	s.health = newHealth(s)
 	s.sync = s.newSync()
 	s.operators = operator.New(s, n.Keyring)
-	s.cancels = relayer.NewCancels(s.registrar, n.Log)
+	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
+	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
-	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, s.health,
+	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
@@ -150,6 +152,10 @@
 	}
 }
 
+func (s *Server) engine(u identifier.Upstream) (driver.Engine, bool) {
+	return s.registrar.Catalog().Engine(u)
+}
+
 func (s *Server) newCore(shard identifier.Shard, rng *rand.Rand) dispatcher.Core {
 	return admitter.New(admitter.Settings{
 		Shard:      shard,
@@ -167,7 +173,7 @@
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
-	s.wg.Go(func() { s.cancels.Run(s.ctx) })
+	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
 		if err := s.listener.Serve(s.Callers); err != nil {
@@ -216,9 +222,5 @@
 func (s *Server) claimLeaders(shard claimer.Shard) []identifier.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var live []identifier.VM
-	for _, v := range s.live {
-		live = append(live, v.ID)
-	}
-	return claimer.Leaders(shard, live, claimer.MaxLeaders)
+	return claimer.Leaders(shard, names(s.live), claimer.MaxLeaders)
 }
