Keep requests that crash upstreams from running again

Cause: quarantiner's core had no part in the server, so a request that kills each engine it meets went on to the next one, and came back with new keys.

Change: quarantiner's shell (verdict before each attempt, runs in flight, guard of a suspect's upstream on the shard's owner, certainty of a death by the engine's incarnation) and its place in the relayer.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
+	"github.com/figtrack/figtrack/quarantiner"
 )
 
 // attempt is one attempt of a request. Its methods return nil where another
@@ -22,6 +23,8 @@
 	hold   identifier.Hold
 	ticket *dispatcher.Ticket
 	place  admitter.Place
+	// begun are the runs that the quarantine knows of.
+	begun []quarantiner.Run
 	// output is the number of tokens that this attempt has generated.
 	output identifier.Tokens
 }
@@ -36,7 +39,9 @@
 	a := &attempt{run: r, key: key, hold: r.hold(n), ticket: ticket}
 	r.releaser.Vouch(a.hold)
 	defer r.releaser.Disown(a.hold)
-	return a.decision(ctx)
+	out := a.decision(ctx)
+	a.over(out)
+	return out
 }
 
 func (r *run) ask(key admitter.Key) admitter.Ask {
@@ -108,6 +113,9 @@
 		a.excluded = append(a.excluded, a.place.Prefill)
 		return a.end()
 	}
+	if !a.begin(ctx, a.place.Prefill) {
+		return a.end()
+	}
 	result, err := engine.Prefill(ctx, driver.PrefillOrder{
 		Hold:      a.hold,
 		Model:     a.job.Model,
@@ -132,6 +140,10 @@
 // owner names it.
 func (a *attempt) transfer(ctx context.Context) outcomer.Outcome {
 	for {
+		if !a.begin(ctx, a.place.Decode) {
+			a.releaser.Release(a.place.Prefill, a.hold)
+			return a.afterMove(ctx)
+		}
 		result, err := a.importOnce(ctx)
 		if err == nil {
 			a.releaser.Release(a.place.Prefill, a.hold)
@@ -185,7 +197,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !full {
+	switch {
+	case full:
+	case errors.Is(err, context.DeadlineExceeded):
+		a.excluded = append(a.excluded, a.place.Decode)
+	default:
 		a.fail(a.place.Decode, kindOf(err))
 	}
 	a.log.Info().
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
+	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -58,6 +59,15 @@
 	Release(u identifier.Upstream, hold identifier.Hold)
 }
 
+// Quarantine keeps requests that crash upstreams from running.
+type Quarantine interface {
+	Check(ctx context.Context, request identifier.Request, f quarantiner.Fingerprint) quarantiner.Verdict
+	Start(ctx context.Context, r quarantiner.Run, f quarantiner.Fingerprint, alone bool) bool
+	End(r quarantiner.Run, whole, alone bool)
+	// Lost says that a connection broke with a request in flight.
+	Lost(u identifier.Upstream)
+}
+
 // Dispatcher asks for placements.
 type Dispatcher interface {
 	Open(ask admitter.Ask) *dispatcher.Ticket
@@ -71,6 +81,7 @@
 	dispatcher  Dispatcher
 	registrar   *registrar.Registrar
 	releaser    Releaser
+	quarantine  Quarantine
 	health      Health
 	recorder    Recorder
 	log         zerolog.Logger
@@ -85,7 +96,7 @@
 // New returns a relayer for one start of a VM.
 func New(
 	vm identifier.VM, dc identifier.DataCentre, incarnation identifier.Incarnation,
-	d Dispatcher, r *registrar.Registrar, releaser Releaser, health Health, recorder Recorder, log zerolog.Logger,
+	d Dispatcher, r *registrar.Registrar, releaser Releaser, quarantine Quarantine, health Health, recorder Recorder, log zerolog.Logger,
 ) *Relayer {
 	return &Relayer{
 		vm:          vm,
@@ -94,6 +105,7 @@
 		dispatcher:  d,
 		registrar:   r,
 		releaser:    releaser,
+		quarantine:  quarantine,
 		health:      health,
 		recorder:    recorder,
 		log:         log,
@@ -103,7 +115,13 @@
 // Run runs a request to its end and returns what became of it. The tokens go
 // to sink; each is written once, whatever the number of attempts.
 func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) outcomer.Outcome {
-	run := &run{Relayer: r, job: job, sink: sink, ran: outcomer.RanNo}
+	run := &run{
+		Relayer: r,
+		job:     job,
+		sink:    sink,
+		print:   quarantiner.Print(job.Model, []byte(job.Prompt)),
+		ran:     outcomer.RanNo,
+	}
 	r.recorder.Began(job, r.vm)
 	out := run.final(run.all(ctx))
 	r.recorder.Ended(run.record(out))
@@ -113,6 +131,9 @@
 // all makes attempts until one ends the request.
 func (r *run) all(ctx context.Context) outcomer.Outcome {
 	for r.attempts < maxAttempts {
+		if out := r.admit(ctx); out != nil {
+			return out
+		}
 		r.attempts++
 		if out := r.attempt(ctx, r.attempts); out != nil {
 			return out
@@ -129,6 +150,10 @@
 	*Relayer
 	job  Job
 	sink Sink
+	// print names the content, whatever its key.
+	print quarantiner.Fingerprint
+	// alone says that the content is suspect and runs beside no other.
+	alone bool
 	// excluded are the upstreams that failed this request.
 	excluded []identifier.Upstream
 	// written is the number of tokens that the caller has been sent.
@@ -168,6 +193,9 @@
 	r.excluded = append(r.excluded, u)
 	r.health.Failed(u, kind)
 	r.last = kind
+	if kind == driver.KindUnknown || kind == driver.KindNotRun {
+		r.quarantine.Lost(u)
+	}
 	if kind == driver.KindUnknown && r.ran == outcomer.RanNo {
 		r.ran = outcomer.RanUnknown
 	}
--- a/server/handler.go
+++ b/server/handler.go
@@ -16,7 +16,7 @@
 	case *wire.Envelope_Membership:
 		return s.members.Handle(ctx, from, e)
 	case *wire.Envelope_RequestState:
-		s.reclaimer.Handle(reclaimer.Start{VM: from, Incarnation: identifier.Incarnation(e.GetIncarnation())}, body.RequestState)
+		return s.handleRequestState(ctx, from, e.GetIncarnation(), body.RequestState)
 	case *wire.Envelope_Configuration:
 		return s.sync.Handle(ctx, from, e)
 	case *wire.Envelope_Inquiry:
@@ -26,3 +26,14 @@
 	}
 	return nil
 }
+
+// handleRequestState tells apart the messages about requests in flight.
+func (s *Server) handleRequestState(ctx context.Context, from identifier.VM, incarnation uint64, m *wire.RequestState) *wire.Envelope {
+	switch m.GetBody().(type) {
+	case *wire.RequestState_VouchAsk, *wire.RequestState_VouchAnswer:
+		s.reclaimer.Handle(reclaimer.Start{VM: from, Incarnation: identifier.Incarnation(incarnation)}, m)
+		return nil
+	default:
+		return s.suspects.Handle(ctx, from, m)
+	}
+}
--- a/server/membership.go
+++ b/server/membership.go
@@ -30,6 +30,9 @@
 	case prober.LiveChanged:
 		s.SetLive(liveVMs(out.Live))
 	case prober.MemberChanged:
+		if out.Record.State == prober.Alive {
+			s.suspects.Joined(out.Record.VM)
+		}
 		s.Log.Info().
 			Str("Member", string(out.Record.VM)).
 			Stringer("State", out.Record.State).
--- /dev/null
+++ b/server/quarantine.go
@@ -0,0 +1,32 @@
+package server
+
+import (
+	"context"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/quarantiner"
+)
+
+// quarantine is a relayer.Quarantine whose probes end with the server.
+type quarantine struct {
+	*quarantiner.Shell
+	ctx context.Context
+}
+
+// Lost implements relayer.Quarantine.
+func (q quarantine) Lost(u identifier.Upstream) { q.Shell.Lost(q.ctx, u) }
+
+// guardOf names the VM that guards an upstream: the owner of its shard.
+func (s *Server) guardOf(u identifier.Upstream) identifier.VM {
+	live := s.Live()
+	for _, shard := range s.registrar.Catalog().Shards() {
+		for _, member := range shard.Upstreams {
+			if member.ID == u {
+				return shard.Owner(live)
+			}
+		}
+	}
+	return s.self.ID
+}
+
+func (s *Server) liveNames() []identifier.VM { return names(s.Live()) }
--- a/server/server.go
+++ b/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
+	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
@@ -73,6 +74,7 @@
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
 	reclaimer  *reclaimer.Shell
+	suspects   *quarantiner.Shell
 	poller     *poller.Poller
 	claims     *claimer.Shell
 	members    *prober.Shell
@@ -123,8 +125,9 @@
 	s.operators = operator.New(s, n.Keyring)
 	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
 	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
+	s.suspects = quarantiner.NewShell(n.Settings.VM, s.engine, s.guardOf, s.liveNames, s.messenger, n.Log)
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
-	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, s.health,
+	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, ctx}, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
@@ -173,6 +176,7 @@
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
+	s.wg.Go(func() { s.suspects.Run(s.ctx) })
 	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
