Learn the costs of each engine by itself

Cause: runners of different speed shared one learned cost and pace. Change: each engine has its own lines, started at the mean; an empty engine is never too slow to be tried; a prefill that is overdue counts as slower the longer it lasts; late requests no longer count against themselves as demand. The state machine found the second and third: one engine was never tried again, and requests waited for a silent one. Its last check now tells the end of each prefill, since with learned costs waiting for a faster engine is right.

--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -44,7 +44,14 @@
 }
 
 func (c *Core) countDemand(now time.Time, p *pending) {
-	c.demand.arrive(now, float64(p.pieces)*c.hold(p).Seconds())
+	p.memory = float64(p.pieces) * c.hold(p).Seconds()
+	c.demand.arrive(now, p.memory)
+}
+
+// leave takes out what a request adds that is to be served late.
+func (d *demand) leave(now time.Time, memory float64) {
+	d.arrive(now, -memory)
+	d.memory = max(0, d.memory)
 }
 
 // spare says whether the memory that arriving work leaves free is enough for
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -46,7 +46,7 @@
 	b.engines = c.granter.Engines(now, identifier.RoleDecode, b.engines[:0])
 	b.decodes = b.decodes[:0]
 	for _, e := range b.engines {
-		b.decodes = append(b.decodes, placer.Decode{Engine: e, Pace: c.granter.Pace(e.Streams + 1)})
+		b.decodes = append(b.decodes, placer.Decode{Engine: e, Pace: c.granter.PaceOn(e.ID, e.Streams+1)})
 	}
 	c.earmark(now)
 	return true
@@ -149,7 +149,7 @@
 	d.Free -= p.pieces
 	d.Streams++
 	d.Room--
-	d.Pace = c.granter.Pace(d.Streams + 1)
+	d.Pace = c.granter.PaceOn(d.ID, d.Streams+1)
 	return true
 }
 
--- a/admitter/machine_test.go
+++ b/admitter/machine_test.go
@@ -339,6 +339,7 @@
 		if x := m.find(k); x.stage != prefilling || x.promised {
 			t.Fatalf("an empty engine isn't free: %+v", *x)
 		}
+		m.do(admitter.PrefillEnded{Key: k})
 	}
 }
 
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -100,6 +100,7 @@
 	}
 	if !p.accepted() && p.given.After(p.deadline) && p.given.After(now) {
 		c.queue.postpone(p)
+		c.demand.leave(now, p.memory)
 		return
 	}
 	c.queue.remove(p)
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -20,6 +20,8 @@
 	late bool
 	// cost is the least predicted time of the prefill.
 	cost time.Duration
+	// memory is the predicted use of decode memory in piece seconds.
+	memory float64
 	// number orders requests with the same deadline.
 	number uint64
 }
--- a/admitter/transfer.go
+++ b/admitter/transfer.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		b.decodes = append(b.decodes, placerDecode{
-			Engine: e, Pace: c.granter.Pace(e.Streams + 1),
+			Engine: e, Pace: c.granter.PaceOn(e.ID, e.Streams+1),
 			Transfer: c.granter.Transfer(g.Prompt, g.Prefill, e.ID),
 		})
 	}
--- a/granter/engine.go
+++ b/granter/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/figtrack/figtrack/estimator"
 	"github.com/figtrack/figtrack/identifier"
 )
 
@@ -33,9 +34,11 @@
 	// running counts the streams in StageDecode; area is its integral over
 	// time in stream seconds up to areaAt.
 	running int
-	area    float64
-	areaAt  time.Time
-	drift   drift
+	// pace is the learned time of a token by batch size, in seconds.
+	pace   *estimator.Line
+	area   float64
+	areaAt time.Time
+	drift  drift
 }
 
 // advance brings the area up to date.
@@ -104,16 +107,20 @@
 	}
 }
 
+// overdueGrace is how late the report of a prefill's end may be before the
+// engine counts as slow.
+const overdueGrace = 25 * time.Millisecond
+
 // idleAt returns when the prefill engine is predicted to have nothing left.
+// The longer its first prefill is overdue, the longer it is expected to take.
 func (e *engine) idleAt(now time.Time) time.Time {
 	if len(e.queue) == 0 {
 		return now
 	}
-	last := e.queue[len(e.queue)-1]
-	first := e.queue[0]
+	first, last := e.queue[0], e.queue[len(e.queue)-1]
 	ends := last.Started.Add(last.Cost)
-	if over := now.Sub(first.Started.Add(first.Cost)); over > 0 && len(e.queue) > 1 {
-		ends = ends.Add(over)
+	if over := now.Sub(first.Started.Add(first.Cost)); over > 0 {
+		ends = ends.Add(over + max(0, over-overdueGrace))
 	}
 	if ends.Before(now) {
 		return now
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -17,8 +17,9 @@
 	order  []*engine
 	grants map[Key]*Grant
 	// byAge holds the grants in order of their reservation.
-	byAge    []*Grant
-	lengths  map[identifier.Class]*estimator.Lengths
+	byAge   []*Grant
+	lengths map[identifier.Class]*estimator.Lengths
+	// pace is that of all engines together; each has its own beside it.
 	pace     *estimator.Line
 	transfer *estimator.Line
 	errs     Deviations
@@ -83,7 +84,7 @@
 		if len(c.engines) >= maxEngines || !ev.Alive {
 			return
 		}
-		e = &engine{id: ev.ID, areaAt: now}
+		e = &engine{id: ev.ID, areaAt: now, pace: estimator.NewLine(c.pace.Base(), c.pace.Slope(), batchSpan, priorWeight)}
 		c.engines[ev.ID] = e
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, e)
@@ -201,7 +202,7 @@
 	g.Promised = false
 	g.decoding = now
 	g.areaAt = d.area
-	longest := time.Duration(float64(g.MaxOutput) * 2 * c.pace.At(float64(d.streams)) * float64(time.Second))
+	longest := time.Duration(float64(g.MaxOutput) * 2 * d.pace.At(float64(d.streams)) * float64(time.Second))
 	g.expires = now.Add(longest + c.cfg.Grace)
 	d.drift.note(now, d.onEngine())
 }
@@ -243,7 +244,8 @@
 	g.decode.advance(now)
 	batch := (g.decode.area - g.areaAt) / took
 	pace := took / float64(output-1)
-	c.errs.Pace.Observe(c.pace.At(batch), pace)
+	c.errs.Pace.Observe(g.decode.pace.At(batch), pace)
+	g.decode.pace.Observe(batch, pace)
 	c.pace.Observe(batch, pace)
 }
 
--- a/granter/query.go
+++ b/granter/query.go
@@ -21,7 +21,18 @@
 	return l
 }
 
-// Pace returns the predicted time of one token in a batch of n streams.
+// PaceOn returns the predicted time of one token in a batch of n streams on
+// an engine.
+func (c *Core) PaceOn(id identifier.Upstream, n int) time.Duration {
+	e := c.engines[id]
+	if e == nil {
+		return c.Pace(n)
+	}
+	return seconds(e.pace.At(float64(n)))
+}
+
+// Pace returns the predicted time of one token in a batch of n streams, as a
+// mean of all engines.
 func (c *Core) Pace(n int) time.Duration {
 	return seconds(c.pace.At(float64(n)))
 }
@@ -98,7 +109,7 @@
 
 // made estimates the tokens that a stream has by now.
 func (c *Core) made(now time.Time, e *engine, g *Grant) float64 {
-	return now.Sub(g.decoding).Seconds() / c.pace.At(float64(max(e.running, 1)))
+	return now.Sub(g.decoding).Seconds() / e.pace.At(float64(max(e.running, 1)))
 }
 
 // Freed is the memory that running streams are expected to free.
@@ -116,7 +127,7 @@
 	if e == nil {
 		return f
 	}
-	pace := c.pace.At(float64(max(e.running, 1)))
+	pace := e.pace.At(float64(max(e.running, 1)))
 	for _, g := range e.grants {
 		if g.Stage != StageDecode {
 			continue
@@ -151,7 +162,7 @@
 		if !e.open {
 			continue
 		}
-		pace := c.pace.At(float64(max(len(e.grants), 1)))
+		pace := e.pace.At(float64(max(len(e.grants), 1)))
 		for _, g := range e.grants {
 			to = append(to, End{c.endOf(now, pace, g), g.Pieces})
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,8 +28,10 @@
 // Core knows costs and caches. It is advanced only by Step; the other
 // methods read.
 type Core struct {
-	cfg     Settings
+	cfg Settings
+	// cost is that of all engines together; each has its own in costs.
 	cost    *estimator.Line
+	costs   map[identifier.Upstream]*estimator.Line
 	indexes map[identifier.Upstream]*index
 	errs    Deviations
 	out     []Outcome
@@ -46,6 +48,7 @@
 	return &Core{
 		cfg:     cfg,
 		cost:    estimator.NewLine(cfg.PrefillBase.Seconds(), cfg.PrefillPerToken.Seconds(), tokenSpan, priorWeight),
+		costs:   map[identifier.Upstream]*estimator.Line{},
 		indexes: map[identifier.Upstream]*index{},
 	}
 }
@@ -79,10 +82,25 @@
 		return
 	}
 	x := float64(max(0, ev.Prompt-ev.Cached))
-	c.errs.Prefill.Observe(c.cost.At(x), ev.Took.Seconds())
+	line := c.costOf(ev.Upstream)
+	c.errs.Prefill.Observe(line.At(x), ev.Took.Seconds())
+	line.Observe(x, ev.Took.Seconds())
 	c.cost.Observe(x, ev.Took.Seconds())
 }
 
+// costOf returns the learned cost of an engine. A new one starts at the mean.
+func (c *Core) costOf(id identifier.Upstream) *estimator.Line {
+	l, ok := c.costs[id]
+	if ok {
+		return l
+	}
+	l = estimator.NewLine(c.cost.Base(), c.cost.Slope(), tokenSpan, priorWeight)
+	if len(c.costs) < maxIndexes {
+		c.costs[id] = l
+	}
+	return l
+}
+
 func (c *Core) index(id identifier.Upstream) *index {
 	x, ok := c.indexes[id]
 	if ok {
@@ -104,7 +122,18 @@
 	return x.hit(now, prefix)
 }
 
-// Cost returns the predicted time of a prefill of n uncached tokens.
+// CostOn returns the predicted time of a prefill of n uncached tokens on an
+// engine.
+func (c *Core) CostOn(id identifier.Upstream, n identifier.Tokens) time.Duration {
+	l, ok := c.costs[id]
+	if !ok {
+		l = c.cost
+	}
+	return seconds(l.At(float64(max(0, n))))
+}
+
+// Cost returns the predicted time of a prefill of n uncached tokens, as a
+// mean of all engines.
 func (c *Core) Cost(n identifier.Tokens) time.Duration {
 	return seconds(c.cost.At(float64(max(0, n))))
 }
--- a/placer/score.go
+++ b/placer/score.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		hit := min(c.Hit(now, p.ID, r.Prefix), r.Prompt)
-		cost := c.Cost(r.Prompt - hit)
+		cost := c.CostOn(p.ID, r.Prompt-hit)
 		if total := p.Wait + cost; total < best.Total {
 			best = Choice{Index: i, Cost: cost, Expected: hit, Total: total}
 		}
@@ -77,7 +77,7 @@
 		if d.Paused || !room(d) || slices.Contains(r.Excluded, d.ID) {
 			continue
 		}
-		if limit := strictest(r.PerToken, d.Strictest); d.Pace > limit {
+		if d.tooSlow(r.PerToken) {
 			continue
 		}
 		total := max(0, d.LinkFree.Sub(prefillEnds)) + d.Transfer + paceWeight*d.Pace
@@ -91,6 +91,13 @@
 	return best, least - paceWeight*from[best].Pace + from[best].Pace*3/2
 }
 
+// tooSlow says that one more stream would break a target for the token pace.
+// An empty engine is never too slow: its pace may be out of date, and only a
+// stream can show it.
+func (d *Decode) tooSlow(target time.Duration) bool {
+	return d.Streams > 0 && d.Pace > strictest(target, d.Strictest)
+}
+
 // paceWeight is the number of tokens by whose pace an engine is judged.
 const paceWeight = 8
 
