--- a/demonstrator/surge.go
+++ b/demonstrator/surge.go
@@ -81,7 +81,7 @@
 	var out []ask
 	for i := range s.Quick {
 		out = append(out, ask{
-			class:     quickReplies,
+			class:     loadNote,
 			workspace: fmt.Sprintf("franchise-%d", i%12),
 			prompt:    question(rng),
 			maxOutput: 24 + rng.IntN(40),
@@ -89,7 +89,7 @@
 	}
 	for i := range s.Long {
 		out = append(out, ask{
-			class:     longReading,
+			class:     specReading,
 			workspace: fmt.Sprintf("franchise-%d", i%12),
 			prompt:    specification(rng, 16_000+rng.IntN(48_000)),
 			maxOutput: 60 + rng.IntN(60),
@@ -101,7 +101,7 @@
 
 func (f *Fleet) report(replies []reply, orders *reservations, keys []string) Report {
 	var out Report
-	for _, class := range f.configuration().Classes {
+	for _, class := range f.document().Classes {
 		line := Line{Class: class.Name}
 		var first, pace []time.Duration
 		for _, r := range replies {
@@ -120,7 +120,7 @@
 				line.Answered++
 				first = append(first, r.firstToken)
 				pace = append(pace, r.perToken)
-				if r.firstToken <= class.FirstToken && r.perToken <= class.PerToken {
+				if r.firstToken <= time.Duration(class.FirstToken) && r.perToken <= time.Duration(class.PerToken) {
 					line.InTarget++
 				}
 			}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -202,7 +202,7 @@
 	g.Promised = false
 	g.decoding = now
 	g.areaAt = d.area
-	longest := time.Duration(float64(g.MaxOutput) * 2 * d.pace.At(float64(d.streams)) * float64(time.Second))
+	longest := time.Duration(float64(g.MaxOutput) * 2 * d.paceAt(float64(d.streams)) * float64(time.Second))
 	g.expires = now.Add(longest + c.cfg.Grace)
 	d.drift.note(now, d.onEngine())
 }
@@ -244,7 +244,7 @@
 	g.decode.advance(now)
 	batch := (g.decode.area - g.areaAt) / took
 	pace := took / float64(output-1)
-	c.errs.Pace.Observe(g.decode.pace.At(batch), pace)
+	c.errs.Pace.Observe(g.decode.paceAt(batch), pace)
 	g.decode.pace.Observe(batch, pace)
 	c.pace.Observe(batch, pace)
 }
