Share a class's capacity between its workspaces

Cause: a request that could not be in time was always the one given up, so one workspace could fill the queue. Change: if a workspace of the class uses more than 1.5 times the mean, its latest request gives way (WorkspaceShare); late requests go to the workspace served least. Focused tests: flood, refusal at once, patience, retry budget, stalled transfer, dead engines, dead VM, hot prefix.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -24,8 +24,7 @@
 	queue     *queue
 	// active holds the placed attempts; its keys are those of the granter.
 	active map[Key]*active
-	// largest is the most pieces that any open decode engine has.
-	largest identifier.Pieces
+	capacity
 	// planned is the time of the last plan; stale says that the queue has
 	// changed since.
 	planned time.Time
@@ -42,6 +41,13 @@
 	out        []Outcome
 }
 
+// capacity sums up the open engines.
+type capacity struct {
+	prefills, decodes int
+	// pieces is the memory of all decode engines, largest the most of one.
+	pieces, largest identifier.Pieces
+}
+
 // active is an attempt that was placed.
 type active struct {
 	*pending
--- a/admitter/ask.go
+++ b/admitter/ask.go
@@ -56,7 +56,7 @@
 	switch {
 	case p.class == nil:
 		return ReasonUnknownClass
-	case !c.has(identifier.RolePrefill) || !c.has(identifier.RoleDecode):
+	case !c.serves():
 		return ReasonNoUpstream
 	case p.pieces > c.largest:
 		return ReasonPromptTooLong
@@ -103,22 +103,12 @@
 	for _, p := range c.queue.late {
 		sum += p.cost
 	}
-	return sum / time.Duration(max(1, c.count(identifier.RolePrefill)))
-}
-
-func (c *Core) count(role identifier.Role) int {
-	n := 0
-	for _, u := range c.upstreams {
-		if u.Role == role && u.State == UpstreamUp {
-			n++
-		}
-	}
-	return n
+	return sum / time.Duration(max(1, c.prefills))
 }
 
 // refuseAllIfNone empties the queue when nothing can serve it.
-func (c *Core) refuseAllIfNone(_ time.Time) {
-	if c.has(identifier.RolePrefill) && c.has(identifier.RoleDecode) {
+func (c *Core) refuseAllIfNone() {
+	if c.serves() {
 		return
 	}
 	c.refuseAll(c.queue.due)
--- a/admitter/budget.go
+++ b/admitter/budget.go
@@ -5,6 +5,8 @@
 	firstRetries = 50
 	// maxRetries is the most that a budget saves up.
 	maxRetries = 200
+	// rounding allows for the sum of many small shares.
+	rounding = 1e-6
 )
 
 // budget allows retries as a share of the fresh requests of one class.
@@ -23,9 +25,9 @@
 
 // take spends one retry, or returns false if none is left.
 func (b *budget) take() bool {
-	if b.left < 1 {
+	if b.left < 1-rounding {
 		return false
 	}
-	b.left--
+	b.left = max(0, b.left-1)
 	return true
 }
--- a/admitter/class.go
+++ b/admitter/class.go
@@ -44,19 +44,29 @@
 	if u.State == UpstreamDown {
 		delete(c.upstreams, u.ID)
 	}
-	c.refuseAllIfNone(now)
+	c.refuseAllIfNone()
 }
 
-// measure finds the largest open decode engine.
+// measure sums up the open engines.
 func (c *Core) measure() {
-	c.largest = 0
+	c.capacity = capacity{}
 	for _, u := range c.upstreams {
-		if u.Role == identifier.RoleDecode && u.State == UpstreamUp {
+		switch {
+		case u.State != UpstreamUp:
+			continue
+		case u.Role == identifier.RolePrefill:
+			c.prefills++
+		case u.Role == identifier.RoleDecode:
+			c.decodes++
+			c.pieces += u.Pieces
 			c.largest = max(c.largest, u.Pieces)
 		}
 	}
 }
 
+// serves says whether both roles have an open engine.
+func (c *Core) serves() bool { return c.prefills > 0 && c.decodes > 0 }
+
 func engineChanged(u Upstream) granter.EngineChanged {
 	return granter.EngineChanged{
 		ID:         u.ID,
@@ -72,13 +82,3 @@
 func (c *Core) forgetCache(now time.Time, id identifier.Upstream) {
 	c.placer.Step(now, placer.Gone{Upstream: id})
 }
-
-// has says whether an open upstream of a role exists.
-func (c *Core) has(role identifier.Role) bool {
-	for _, u := range c.upstreams {
-		if u.Role == role && u.State == UpstreamUp {
-			return true
-		}
-	}
-	return false
-}
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figtrack/figtrack/granter"
@@ -25,7 +26,7 @@
 	if !c.dispatchFrom(now, c.queue.due) {
 		return
 	}
-	c.dispatchFrom(now, c.queue.late)
+	c.dispatchFrom(now, c.fairLate(now))
 }
 
 // prepare reads the engines and says whether a prefill engine is ready.
@@ -77,17 +78,22 @@
 			i++
 			continue
 		}
-		if p.late && !c.spare(now, p) {
+		late := p.late
+		if late && !c.spare(now, p) {
 			return false
 		}
 		if !c.placeOn(now, p, choice) {
-			if p.late || !c.claim(now, p.pieces, now.Add(choice.Total)) {
+			if late || !c.claim(now, p.pieces, now.Add(choice.Total)) {
 				return false
 			}
 			i++
 			continue
 		}
-		list = c.listOf(p)
+		if late {
+			list = slices.Delete(list, i, i+1)
+		} else {
+			list = c.queue.due
+		}
 		if !c.anyReady() {
 			return false
 		}
@@ -95,13 +101,6 @@
 	return true
 }
 
-func (c *Core) listOf(p *pending) []*pending {
-	if p.late {
-		return c.queue.late
-	}
-	return c.queue.due
-}
-
 func (c *Core) anyReady() bool {
 	for i := range c.buf.prefills {
 		if c.buf.prefills[i].Ready {
@@ -133,7 +132,7 @@
 	d := &b.decodes[i]
 	first := ends.Add(after + c.messages(p, target.DataCentre, d.DataCentre))
 	if !p.late && first.Add(c.safety()).After(p.due(now)) {
-		c.giveUp(now, p, first.Sub(p.deadline))
+		c.giveUp(now, p, ReasonTargetOutOfReach, first.Sub(p.deadline))
 		return true
 	}
 	place := Place{
@@ -165,7 +164,7 @@
 		Reaches: reaches, Cost: choice.Cost, Transfer: transfer, Promised: place.Promised,
 	})
 	c.placer.Step(now, placer.Placed{Upstream: place.Prefill, Prefix: p.Prefix})
-	p.class.shares.serve(now, p.Workspace, choice.Cost.Seconds())
+	p.class.shares.serve(now, p.Workspace, c.service(p))
 	c.emit(place)
 }
 
--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -10,7 +10,7 @@
 const (
 	// safeChance and likelyChance are the least probabilities of memory on
 	// which a prefill is started.
-	safeChance   = 0.98
+	safeChance   = 0.9
 	likelyChance = 0.8
 	// promiseShare is the share of a prefill result's life in which promised
 	// memory may still come.
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -19,6 +19,9 @@
 	ends     []granter.End
 	idle     []time.Time
 	stranded []granter.Stranded
+	// claimants and late are used by the fairness between workspaces.
+	claimants []claimant
+	late      []*pending
 }
 
 // plan gives up the requests whose predicted first token is too late. It
@@ -45,7 +48,8 @@
 		if !first.After(p.due(now)) {
 			continue
 		}
-		c.giveUp(now, c.victim(now, i), first.Sub(p.deadline))
+		victim, reason := c.victim(now, i)
+		c.giveUp(now, victim, reason, first.Sub(p.deadline))
 		return true
 	}
 	return false
@@ -79,12 +83,6 @@
 	}
 }
 
-// victim returns the request to give up when the one at position i of those
-// due can't be in time.
-func (c *Core) victim(_ time.Time, i int) *pending {
-	return c.queue.due[i]
-}
-
 // due is the time by which the first token has to come.
 func (p *pending) due(now time.Time) time.Time {
 	if p.accepted() && now.Before(p.given) {
@@ -94,7 +92,7 @@
 }
 
 // giveUp refuses a request, or lets it wait if late beats lost.
-func (c *Core) giveUp(now time.Time, p *pending, over time.Duration) {
+func (c *Core) giveUp(now time.Time, p *pending, reason Reason, over time.Duration) {
 	if p.cost+c.tail(p) < p.class.FirstToken {
 		c.demand.strained = now
 	}
@@ -104,7 +102,7 @@
 		return
 	}
 	c.queue.remove(p)
-	c.refuse(p, ReasonTargetOutOfReach, over)
+	c.refuse(p, reason, over)
 }
 
 // schedule predicts when requests are served one after another.
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -22,6 +22,8 @@
 	cost time.Duration
 	// memory is the predicted use of decode memory in piece seconds.
 	memory float64
+	// used is the service of its workspace when the late were last ordered.
+	used float64
 	// number orders requests with the same deadline.
 	number uint64
 }
