--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -20,6 +20,10 @@
 	late bool
 	// cost is the least predicted time of the prefill.
 	cost time.Duration
+	// memory is the predicted use of decode memory in piece seconds.
+	memory float64
+	// used is the service of its workspace when the late were last ordered.
+	used float64
 	// number orders requests with the same deadline.
 	number uint64
 }
--- a/granter/pace.go
+++ b/granter/pace.go
@@ -9,3 +9,8 @@
 func (c *Core) paceAt(batch float64) float64 {
 	return max(c.pace.At(batch), minPace)
 }
+
+// paceAt returns the engine's own time a token at a batch size, in seconds.
+func (e *engine) paceAt(batch float64) float64 {
+	return max(e.pace.At(batch), minPace)
+}
