Let innocents finish beside a request that crashes engines

Ruled out: the engines (the stand-in goes on at the next token) and the guard's core. Tried first and dropped: leaving out the guarded upstreams in the next ask; with all prefill engines left out the request waited 30 s in the owner's queue.

Change: a suspect keeps its placement and waits for the guard, prefill before decode; a prefill engine is free again after the transfer; an answer that was begun counts its target from its last token, is no retry, and waits as it is told instead of breaking off.

--- a/admitter/ask.go
+++ b/admitter/ask.go
@@ -65,7 +65,7 @@
 		p.class.retries.fresh()
 		return ""
 	}
-	if !p.class.retries.take() {
+	if !p.Continues && !p.class.retries.take() {
 		return ReasonRetryBudget
 	}
 	return ""
--- a/admitter/event.go
+++ b/admitter/event.go
@@ -35,6 +35,9 @@
 	Arrived time.Time
 	// Excluded lists the upstreams that failed this request before.
 	Excluded []identifier.Upstream
+	// Continues says that a part of the answer has gone to the caller. Such a
+	// request was accepted: it is no retry that a budget may refuse.
+	Continues bool
 }
 
 // Withdraw ends an attempt whose caller is gone, at any stage.
--- a/admitter/message.go
+++ b/admitter/message.go
@@ -67,6 +67,7 @@
 		Prefix:         convert[uint64](e.Prefix),
 		Waited:         int64(now.Sub(e.Arrived)),
 		Excluded:       namesOf[string](e.Excluded),
+		Continues:      e.Continues,
 	}
 }
 
@@ -113,6 +114,7 @@
 		Prefix:         convert[identifier.Block](a.GetPrefix()),
 		Arrived:        now.Add(-waited),
 		Excluded:       namesOf[identifier.Upstream](a.GetExcluded()),
+		Continues:      a.GetContinues(),
 	}
 	err := checkAll(
 		checkTokens("Prompt", e.Prompt),
--- a/demonstrator/prompt.go
+++ b/demonstrator/prompt.go
@@ -36,3 +36,5 @@
 	w.WriteString(pick(rng, asks))
 	return w.String()
 }
+
+func newSource(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
--- a/demonstrator/surge.go
+++ b/demonstrator/surge.go
@@ -51,7 +51,7 @@
 
 // Run plays a surge and checks every reply.
 func (f *Fleet) Run(ctx context.Context, surge Surge) Report {
-	rng := rand.New(rand.NewPCG(surge.Seed, 0))
+	rng := newSource(surge.Seed)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
 	asks := surge.asks(rng)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -25,23 +25,39 @@
 	place  admitter.Place
 	// begun are the runs that the quarantine knows of.
 	begun []quarantiner.Run
+	// again says that nothing was sent and the attempt may be made anew.
+	again bool
 	// output is the number of tokens that this attempt has generated.
 	output identifier.Tokens
 }
 
+// attempt makes one attempt. An answer that was begun asks again as the same
+// attempt where it was refused: nothing was sent.
 func (r *run) attempt(ctx context.Context, n identifier.Attempt) outcomer.Outcome {
+	for {
+		out, again := r.attemptOnce(ctx, n)
+		if !again {
+			return out
+		}
+		if ctx.Err() != nil {
+			return outcomer.CallerGone{}
+		}
+	}
+}
+
+func (r *run) attemptOnce(ctx context.Context, n identifier.Attempt) (out outcomer.Outcome, again bool) {
 	key := admitter.Key{Request: r.job.Request, Attempt: n}
 	ticket := r.dispatcher.Open(r.ask(key))
 	if ticket == nil {
-		return outcomer.NewBusy(retryAfter)
+		return outcomer.NewBusy(retryAfter), false
 	}
 	defer ticket.Close()
 	a := &attempt{run: r, key: key, hold: r.hold(n), ticket: ticket}
 	r.releaser.Vouch(a.hold)
 	defer r.releaser.Disown(a.hold)
-	out := a.decision(ctx)
+	out = a.decision(ctx)
 	a.over(out)
-	return out
+	return out, a.again
 }
 
 func (r *run) ask(key admitter.Key) admitter.Ask {
@@ -55,11 +71,21 @@
 		Prompt:         r.job.Tokens + r.written,
 		MaxOutput:      max(1, r.job.MaxOutput-r.written),
 		Prefix:         r.job.Prefix,
-		Arrived:        r.job.Arrived,
+		Arrived:        r.since(),
 		Excluded:       r.excluded,
+		Continues:      r.written > 0,
 	}
 }
 
+// since is when the wait for the next token began. The target of the first
+// token is over once it was sent.
+func (r *run) since() time.Time {
+	if r.written == 0 {
+		return r.job.Arrived
+	}
+	return r.lastAt
+}
+
 // decision waits for the owner's first answer.
 func (a *attempt) decision(ctx context.Context) outcomer.Outcome {
 	select {
@@ -69,8 +95,14 @@
 		switch out := out.(type) {
 		case admitter.Place:
 			a.place = out
+			if !a.begin(ctx, a.place.Prefill) || !a.begin(ctx, a.place.Decode) {
+				return a.withdraw()
+			}
 			return a.prefill(ctx)
 		case admitter.Refuse:
+			if a.goesOn(ctx, out) {
+				return nil
+			}
 			return outcomer.FromAdmission(out.Reason, out.RetryAfter)
 		default:
 			return nil
@@ -113,9 +145,6 @@
 		a.excluded = append(a.excluded, a.place.Prefill)
 		return a.end()
 	}
-	if !a.begin(ctx, a.place.Prefill) {
-		return a.end()
-	}
 	result, err := engine.Prefill(ctx, driver.PrefillOrder{
 		Hold:      a.hold,
 		Model:     a.job.Model,
@@ -142,11 +171,12 @@
 	for {
 		if !a.begin(ctx, a.place.Decode) {
 			a.releaser.Release(a.place.Prefill, a.hold)
-			return a.afterMove(ctx)
+			return a.withdraw()
 		}
 		result, err := a.importOnce(ctx)
 		if err == nil {
 			a.releaser.Release(a.place.Prefill, a.hold)
+			a.overOn(a.place.Prefill)
 			a.health.Succeeded(a.place.Decode)
 			a.ticket.Report(admitter.TransferEnded{Key: a.key, Took: result.Took})
 			return a.decode(ctx)
