Bound the store calls of claim leaders in their test

A planted fault showed that the test itself would wait for ever where a leader calls the store without end; it fails now. go test ./claimer passes.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -305,8 +305,15 @@
 	}
 }
 
+// maxCalls is the most store calls that the leaders may make without time
+// passing, while the store answers.
+const maxCalls = 50
+
 func (w *world) drain(t *rapid.T) {
-	for len(w.calls) > 0 {
+	for n := 0; len(w.calls) > 0; n++ {
+		if n == maxCalls {
+			t.Fatalf("the leaders call the store without end")
+		}
 		call := w.calls[0]
 		w.calls = w.calls[1:]
 		w.deliver(t, reply{leader: call.leader, core: call.core, e: w.apply(call)})
--- /dev/null
+++ b/scripts/plant-faults.sh
@@ -0,0 +1,129 @@
+#!/usr/bin/env bash
+# Plants faults in a scratch copy of the cores, one at a time, and shows that
+# the tests of the package fail for each. Ends with status 1 if one isn't
+# caught. Not part of the CI.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | xargs -0 cp --parents -t "$copy"
+cd "$copy" || exit 2
+
+# An argument runs only the faults whose names begin with it.
+only=${1:-}
+caught=0
+missed=0
+
+# plant NAME FILE FROM TO: replaces the text FROM, which must stand in FILE
+# once, and runs the tests of FILE's package.
+plant() {
+	local name=$1 file=$2
+	[[ "$name" == "$only"* ]] || return
+	cp "$file" "$file.sound"
+	if ! FROM=$3 TO=$4 perl -0pi -e 'my $n = s/\Q$ENV{FROM}\E/$ENV{TO}/g; END { exit($n == 1 ? 0 : 1) }' "$file"; then
+		printf 'stale   %-58s %s\n' "$name" "$file"
+		missed=$((missed + 1))
+	elif ! go build "./$(dirname "$file")" 2>build.log; then
+		printf 'broken  %-58s %s\n' "$name" "$(tail -1 build.log)"
+		missed=$((missed + 1))
+	elif go test -count=1 -timeout 60s "./$(dirname "$file")" -rapid.shrinktime=1s >test.log 2>&1; then
+		printf 'MISSED  %-58s %s\n' "$name" "$file"
+		missed=$((missed + 1))
+	else
+		printf 'caught  %-58s %s\n' "$name" "$(grep -m1 -oE '--- FAIL: .*|panic: .*' test.log)"
+		caught=$((caught + 1))
+	fi
+	mv "$file.sound" "$file"
+}
+
+plant "claimer: failed swap counts as written" claimer/append.go \
+	'if e.Done {' 'if true {'
+plant "claimer: lost reply counts as written" claimer/calls.go \
+	'c.list(now, callSlot, slotKey(c.shard, c.mem.slot(done.segment.Number)))' 'c.mem.apply(done.segment, 0); c.settle(now)'
+plant "claimer: found claim is granted to any holder" claimer/claimer.go \
+	'case holder == p.claim.Holder:' 'case holder == p.claim.Holder || holder.VM != "" && holder.VM == p.claim.Holder.VM:'
+plant "claimer: base is dropped before its time" claimer/compact.go \
+	'old.Number != 0 && !old.forgettable(now)' 'old.Number == 0 && false'
+plant "claimer: claims are forgotten within retention" claimer/limits.go \
+	'forgetAfter = Retention + 2*MaxClockSkew' 'forgetAfter = Retention / 2'
+plant "claimer: expired keys are claimed again" claimer/claimer.go \
+	'return now.Sub(minted) > Retention || minted.Sub(now) > MaxClockSkew' 'return false'
+plant "claimer: new leader reads no bases" claimer/load.go \
+	'l.mem.absorb(b, entry.Version)' 'l.mem.trim(b.Through)'
+plant "claimer: asks stay without an answer" claimer/claimer.go \
+	'c.answer(p, VerdictUnavailable, ReasonTimeout)' 'kept = append(kept, p)'
+
+plant "deduper: token of another reader is written" deduper/attempt.go \
+	'r.phase == phaseRunning && r.attempt == attempt && r.reader == reader' 'r.phase == phaseRunning && r.attempt == attempt'
+plant "deduper: repeated token is written" deduper/attempt.go \
+	'!r.reads(e.Attempt, e.Reader) || r.next != e.Index' '!r.reads(e.Attempt, e.Reader)'
+plant "deduper: earlier connection is left open" deduper/deduper.go \
+	'	c.closeWriter(r)
+	c.setWriter(r, w)' '	c.setWriter(r, w)'
+plant "deduper: VM yields without closing its writer" deduper/attempt.go \
+	'	c.closeWriter(r)
+	switch {
+	case r.phase == phaseRunning && r.attached() && !e.Discard:' '	switch {
+	case r.phase == phaseRunning && r.attached() && !e.Discard:'
+plant "deduper: lost payment is sent again" deduper/attempt.go \
+	'mayRepeat := r.repeatable || e.Ran == outcomer.RanNo' 'mayRepeat := true'
+plant "deduper: request without a caller is kept" deduper/deduper.go \
+	'c.await(r, now.Add(Grace))' 'break'
+plant "deduper: home answers before the other VM has yielded" deduper/home.go \
+	'h.order(now, r, a)' 'h.order(now, r, a); h.handOver(now, r, a, true)'
+plant "deduper: attempt begins again at token 0" deduper/request.go \
+	'c.readers, 0, Place{}, r.next, len(r.text)' 'c.readers, 0, Place{}, 0, len(r.text)'
+
+plant "reclaimer: late answer disowns a newer use" reclaimer/hold.go \
+	'if q.round < h.first {' 'if false {'
+plant "reclaimer: silent VM counts as one that disowns" reclaimer/reclaimer.go \
+	'	if now.Sub(h.askedAt) < AnswerWait {
+		return
+	}
+	if c.silentTooLong(now, e, h) {' '	if now.Sub(h.askedAt) < AnswerWait {
+		return
+	}
+	if true {'
+plant "reclaimer: reads are not looked at" reclaimer/reclaimer.go \
+	' && now.Sub(h.readAt) >= patience' ''
+plant "reclaimer: only the first VM is asked" reclaimer/hold.go \
+	'vms := slices.Clone(c.live)' 'vms := []identifier.VM{h.id.VM}'
+plant "reclaimer: disowned hold is never released" reclaimer/reclaimer.go \
+	'	if len(h.waiting) == 0 {
+		c.release(now, e, h)' '	if len(h.waiting) == 0 {
+		h.stage = stageVouched'
+plant "reclaimer: release is sent once" reclaimer/canceller.go \
+	'	if e.Done {
+		c.drop(r)' '	if true {
+		c.drop(r)'
+
+plant "quarantiner: marks are not told" quarantiner/spread.go \
+	'if len(marks) == 0 {' 'if true {'
+plant "quarantiner: marks are told once" quarantiner/spread.go \
+	'if now.Before(r.at) {' 'if true {'
+plant "quarantiner: guard lets all suspects in" quarantiner/guard.go \
+	'Allowed: free' 'Allowed: true'
+plant "quarantiner: one death convicts" quarantiner/quarantiner.go \
+	'deathsToConvict = 2' 'deathsToConvict = 1'
+plant "quarantiner: prefill and decode deaths count as two" quarantiner/suspect.go \
+	'm.State == state && !slices.Contains(trials, m.Trial)' 'm.State == state'
+plant "quarantiner: connection that was lost stays a death" quarantiner/suspect.go \
+	'm := s.mark(d).told(content, StateAlive)' 'm := s.mark(d).told(content, StateDied)'
+plant "quarantiner: conviction lasts for ever" quarantiner/suspect.go \
+	'if now.Sub(s.last) >= Life {' 'if false {'
+
+plant "drainer: exit with open streams" drainer/drainer.go \
+	'return !c.idle.IsZero() && (' 'return ('
+plant "drainer: streams are cut at the notice" drainer/drainer.go \
+	'now.Sub(c.began) >= c.cfg.Limit {' 'now.Sub(c.began) >= c.cfg.Notice {'
+plant "drainer: cut is not counted" drainer/drainer.go \
+	'phaseCutting, now, c.work.Streams' 'phaseCutting, now, 0'
+
+plant "outcomer: unknown failure is told as not run" outcomer/lost.go \
+	'case driver.KindNotRun, driver.KindFull, driver.KindLeaving:' 'case driver.KindNotRun, driver.KindFull, driver.KindLeaving, driver.KindGone:'
+plant "outcomer: later refusal denies an earlier run" outcomer/following.go \
+	'if earlier == RanNo || earlier == "" {' 'if true {'
+
+printf '%d caught, %d missed\n' "$caught" "$missed"
+[ "$missed" -eq 0 ]
