--- a/replay.go
+++ b/replay.go
@@ -102,13 +102,9 @@
 		return nil, err
 	}
 	if options.Settings != "" {
-		settings, err := parser.Load(options.Settings)
-		if err != nil {
+		if first, err = preferred(options); err != nil {
 			return nil, err
 		}
-		if options.Policy == replayer.Figtrack("").Name {
-			first = replayer.Figtrack(settings.Prefer)
-		}
 	}
 	makers := []replayer.Maker{first}
 	for _, name := range options.Compare {
@@ -128,6 +124,15 @@
 	return makers, nil
 }
 
+// preferred returns the router's core with the preference of a settings file.
+func preferred(options replayOptions) (replayer.Maker, error) {
+	if options.Policy != replayer.Figtrack("").Name {
+		return replayer.Maker{}, errors.Errorf("--settings holds for the policy figtrack only, not for %q", options.Policy)
+	}
+	settings, err := parser.Load(options.Settings)
+	return replayer.Figtrack(settings.Prefer), err
+}
+
 // isFile says that a name of --compare is a file with results.
 func isFile(name string) bool { return filepath.Ext(name) == ".json" }
 
@@ -164,6 +169,9 @@
 	if len(rest) > 0 {
 		return errors.Errorf("--all makes its own traces, leave out %q", rest[0])
 	}
+	if options.Plot != "" || len(options.Compare) > 0 || options.Settings != "" || options.Header != "" {
+		return errors.New("--all goes with --seed and --json only")
+	}
 	results, err := replayer.RunAll(options.Seed)
 	if err != nil {
 		return err
