--- a/server/handler.go
+++ b/server/handler.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -14,6 +15,8 @@
 		s.dispatcher.Receive(from, body.Placement)
 	case *wire.Envelope_Membership:
 		return s.members.Handle(ctx, from, e)
+	case *wire.Envelope_RequestState:
+		return s.handleRequestState(ctx, from, e.GetIncarnation(), body.RequestState)
 	case *wire.Envelope_Configuration:
 		return s.sync.Handle(ctx, from, e)
 	case *wire.Envelope_Inquiry:
@@ -23,3 +26,14 @@
 	}
 	return nil
 }
+
+// handleRequestState tells apart the messages about requests in flight.
+func (s *Server) handleRequestState(ctx context.Context, from identifier.VM, incarnation uint64, m *wire.RequestState) *wire.Envelope {
+	switch m.GetBody().(type) {
+	case *wire.RequestState_VouchAsk, *wire.RequestState_VouchAnswer:
+		s.reclaimer.Handle(reclaimer.Start{VM: from, Incarnation: identifier.Incarnation(incarnation)}, m)
+		return nil
+	default:
+		return s.suspects.Handle(ctx, from, m)
+	}
+}
