--- a/tracer/capacity.go
+++ b/tracer/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -55,9 +56,7 @@
 			continue
 		}
 		streams := min(float64(u.Streams), float64(m.pace-u.StepBase)/float64(u.StepPerStream))
-		hold, heldPieces := m.holds(u, streams)
-		running := min(streams, float64(u.Pieces)*hold/heldPieces)
-		hold, heldPieces = m.holds(u, running)
+		hold, heldPieces := m.holds(u, m.running(u, streams))
 		c.Memory += float64(u.Pieces) / heldPieces
 		c.Streams += streams / hold
 	}
@@ -65,6 +64,35 @@
 	return c
 }
 
+// running returns how many streams a full decode engine runs at once.
+func (m mix) running(u Upstream, streams float64) float64 {
+	hold, heldPieces := m.holds(u, streams)
+	return min(streams, float64(u.Pieces)*hold/heldPieces)
+}
+
+// offered returns the work that arrivals bring within a time as a multiple of
+// what upstreams of a capacity carry.
+func (m mix) offered(arrivals []Arrival, within time.Duration, c Capacity, upstreams []Upstream) float64 {
+	pre := upstreams[slices.IndexFunc(upstreams, func(u Upstream) bool { return u.Role == identifier.RolePrefill })]
+	dec := upstreams[slices.IndexFunc(upstreams, func(u Upstream) bool { return u.Role == identifier.RoleDecode })]
+	streams := m.running(dec, float64(dec.Streams))
+	step := dec.StepBase.Seconds() + dec.StepPerStream.Seconds()*streams
+	var prefills, holds, held float64
+	for _, a := range arrivals {
+		hold := float64(a.Prompt)/dec.LinkTokensPerSecond + (float64(a.Output)+0.5)*step
+		prefills += pre.PrefillBase.Seconds() + float64(a.Prompt-a.SharedBlocks())*pre.PrefillPerToken.Seconds()
+		holds += hold
+		held += hold * float64(identifier.PiecesFor(a.Prompt+a.MaxOutput))
+	}
+	meanPrefill := pre.PrefillBase.Seconds() + m.uncached*pre.PrefillPerToken.Seconds()
+	meanHold, meanHeld := m.holds(dec, streams)
+	return max(
+		prefills/meanPrefill/c.Prefill,
+		holds/meanHold/c.Streams,
+		held/meanHeld/c.Memory,
+	) / within.Seconds()
+}
+
 // holds returns the mean seconds and piece-seconds that a request holds on a
 // decode engine.
 func (m mix) holds(u Upstream, streams float64) (hold, heldPieces float64) {
--- a/tracer/record.go
+++ b/tracer/record.go
@@ -45,9 +45,11 @@
 	Site     string
 	Scenario string
 	Seed     uint64
-	// Load is the peak rate as a multiple of Capacity.PerSecond.
-	Load   float64
-	Prefer admitter.Prefer
+	// Load is the work at the full rate as a multiple of capacity, as asked
+	// for; Offered is the work that the arrivals bring.
+	Load    float64
+	Offered float64
+	Prefer  admitter.Prefer
 	// PeakFrom and PeakTo bound the time at the full rate.
 	PeakFrom, PeakTo time.Time
 	Upstreams        []Upstream
--- a/tracer/recorder.go
+++ b/tracer/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -63,7 +64,6 @@
 	r := &recorder{
 		plan:      plan,
 		generator: gen,
-		rng:       rand.New(rand.NewPCG(plan.Seed, xxhash.Sum64String(plan.Site+"/"+plan.Scenario))),
 		trace:     &Trace{Header: newHeader(plan, s, prefills, gen)},
 	}
 	r.arrivals()
@@ -107,25 +107,72 @@
 	trace *Trace
 }
 
-// arrivals draws a Poisson process whose rate has the shape of the trace.
+const (
+	// offeredWithin is how near the offered work is meant to come to the asked
+	// load. One long prompt at the edge of the time can make it miss more.
+	offeredWithin = 0.005
+	// maxRounds bounds the search for the rate.
+	maxRounds = 40
+)
+
+// arrivals draws a Poisson process whose rate has the shape of the trace. The
+// rate is set so that the work at the full rate is what the plan asks for: a
+// few long prompts more or less would make another load of it.
 func (r *recorder) arrivals() {
-	peak := r.trace.Header.Capacity.PerSecond * r.plan.Load
-	at := time.Duration(0)
-	for {
-		at += time.Duration(r.rng.ExpFloat64() / peak * float64(time.Second))
-		if at > lead+rise+hold+fall+tail {
-			return
+	h := &r.trace.Header
+	mix := newMix(r.generator)
+	rate := h.Capacity.PerSecond * r.plan.Load
+	best, bestRate := math.Inf(1), rate
+	for range maxRounds {
+		r.drawAll(rate)
+		miss := mix.offered(r.atPeak(), hold, h.Capacity, h.Upstreams)/r.plan.Load - 1
+		if math.Abs(miss) < best {
+			best, bestRate = math.Abs(miss), rate
 		}
-		if r.rng.Float64() > shape(at) {
-			continue
+		if best < offeredWithin {
+			break
+		}
+		rate /= 1 + miss/2
+	}
+	r.drawAll(bestRate)
+	h.Offered = mix.offered(r.atPeak(), hold, h.Capacity, h.Upstreams)
+}
+
+// drawAll draws the arrivals at a rate. The requests and their order are the
+// same at each rate, only the times differ.
+func (r *recorder) drawAll(rate float64) {
+	r.rng = rand.New(rand.NewPCG(r.plan.Seed, xxhash.Sum64String(r.plan.Site+"/"+r.plan.Scenario)))
+	gaps := rand.New(rand.NewPCG(r.plan.Seed, xxhash.Sum64String(r.plan.Scenario+"/"+r.plan.Site)))
+	r.trace.Arrivals = nil
+	const step = 100 * time.Microsecond
+	next, passed := gaps.ExpFloat64(), 0.0
+	for at := time.Duration(0); at < lead+rise+hold+fall+tail; at += step {
+		passed += shape(at) * rate * step.Seconds()
+		for ; next < passed; next += gaps.ExpFloat64() {
+			r.arrive(at + time.Duration(gaps.Int64N(int64(step))).Truncate(time.Microsecond))
+		}
+	}
+	slices.SortStableFunc(r.trace.Arrivals, func(a, b Arrival) int { return a.Time.Compare(b.Time) })
+}
+
+func (r *recorder) arrive(at time.Duration) {
+	a := r.draw(r.rng)
+	a.Kind = KindArrival
+	a.Time = r.trace.Header.Time.Add(at)
+	a.Request = identifier.Request(fmt.Sprintf("request-%d", len(r.trace.Arrivals)+1))
+	a.VM = r.trace.Header.VMs[r.rng.IntN(len(r.trace.Header.VMs))].ID
+	r.trace.Arrivals = append(r.trace.Arrivals, a)
+}
+
+// atPeak returns the arrivals at the full rate.
+func (r *recorder) atPeak() []Arrival {
+	var peak []Arrival
+	for _, a := range r.trace.Arrivals {
+		if !a.Time.Before(r.trace.Header.PeakFrom) && a.Time.Before(r.trace.Header.PeakTo) {
+			peak = append(peak, a)
 		}
-		a := r.draw(r.rng)
-		a.Kind = KindArrival
-		a.Time = r.trace.Header.Time.Add(at.Truncate(time.Microsecond))
-		a.Request = identifier.Request(fmt.Sprintf("request-%d", len(r.trace.Arrivals)+1))
-		a.VM = r.trace.Header.VMs[r.rng.IntN(len(r.trace.Header.VMs))].ID
-		r.trace.Arrivals = append(r.trace.Arrivals, a)
 	}
+	return peak
 }
 
 // shape returns the rate at a time as a share of the peak.
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -55,6 +55,17 @@
 	g.Expect(float64(peak)).To(BeNumerically("~", want, 0.06*want))
 }
 
+func TestTracesBringTheAskedWork(t *testing.T) {
+	for _, site := range tracer.Sites {
+		for _, scenario := range tracer.Scenarios {
+			for seed := range uint64(5) {
+				trace := record(t, tracer.Plan{Site: site, Scenario: scenario, Load: 1.5, Seed: seed})
+				NewWithT(t).Expect(trace.Header.Offered).To(BeNumerically("~", 1.5, 0.03), "%s %s %d", site, scenario, seed)
+			}
+		}
+	}
+}
+
 func TestSharedPrefixGivesSharedBlocks(t *testing.T) {
 	g := NewWithT(t)
 	a := tracer.Arrival{Request: "a", Prompt: 1100, Chain: 9, Shared: 600}
