--- a/replay.go
+++ b/replay.go
@@ -17,13 +17,13 @@
 
 type replayOptions struct {
 	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
-	Policy   string   `long:"policy" default:"figtrack" description:"policy that decides"`
+	Policy   string   `long:"policy" description:"policy that decides, figtrack if it is not given"`
 	Compare  []string `long:"compare" description:"further policy to replay beside it, all for each baseline, or the JSON file of an earlier replay"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
 	Header   string   `long:"header" description:"trace whose Header line stands for that of a log without one"`
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
 	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
-	All      bool     `long:"all" description:"replay every policy on the recorded traces of both sites, without TRACE"`
+	All      bool     `long:"all" description:"replay every policy, or that of --policy, on the recorded traces of both sites"`
 }
 
 // runReplay replays a trace and prints the measures.
@@ -97,6 +97,9 @@
 
 // chosen returns the policies that the options name.
 func chosen(options replayOptions) ([]replayer.Maker, error) {
+	if options.Policy == "" {
+		options.Policy = replayer.Figtrack("").Name
+	}
 	first, err := replayer.Find(options.Policy)
 	if err != nil {
 		return nil, err
@@ -170,9 +173,17 @@
 		return errors.Errorf("--all makes its own traces, leave out %q", rest[0])
 	}
 	if options.Plot != "" || len(options.Compare) > 0 || options.Settings != "" || options.Header != "" {
-		return errors.New("--all goes with --seed and --json only")
+		return errors.New("--all goes with --policy, --seed and --json only")
+	}
+	makers := replayer.Compared()
+	if options.Policy != "" {
+		only, err := replayer.Find(options.Policy)
+		if err != nil {
+			return err
+		}
+		makers = []replayer.Maker{only}
 	}
-	results, err := replayer.RunAll(options.Seed)
+	results, err := replayer.RunAll(options.Seed, makers)
 	if err != nil {
 		return err
 	}
--- a/replay_test.go
+++ b/replay_test.go
@@ -58,7 +58,7 @@
 		{replayInto, []string{trace, "--plot", "out.txt"}, "allowed are names such as out.png"},
 		{replayInto, []string{trace, "--fast"}, "try --help"},
 		{replayInto, []string{"--all", trace}, "leave out"},
-		{replayInto, []string{"--all", "--plot", "out.png"}, "--all goes with --seed and --json only"},
+		{replayInto, []string{"--all", "--plot", "out.png"}, "--all goes with --policy, --seed and --json only"},
 		{recordInto, []string{"--site", "paris"}, "Allowed values are: himal or tafelbaai"},
 		{recordInto, []string{"--scenario", "flood"}, "unknown scenario \"flood\", allowed are"},
 		{recordInto, []string{"--load", "0"}, "allowed is above 0"},
--- a/replayer/all.go
+++ b/replayer/all.go
@@ -25,17 +25,16 @@
 	return plans
 }
 
-// compared are the policies of a measurement.
-func compared() []Maker {
+// Compared returns the policies of a whole measurement.
+func Compared() []Maker {
 	makers := []Maker{Figtrack(admitter.PreferWastedPrefill), Figtrack(admitter.PreferGoodput)}
 	return append(makers, Baselines()...)
 }
 
-// RunAll replays every policy on every plan, as many at once as there are
+// RunAll replays policies on every plan, as many at once as there are
 // cores. The results are in order of the plans, each beginning with the
 // clairvoyant order.
-func RunAll(seed uint64) ([]Result, error) {
-	makers := compared()
+func RunAll(seed uint64, makers []Maker) ([]Result, error) {
 	plans := Plans(seed)
 	width := len(makers) + 1
 	results := make([]Result, len(plans)*width)
