Test that a plain call which may not repeat goes out once

Five ways of failing on two instances at once, with an empty, a short and a long body; both bodies streamed part by part; trailers and headers of one hop; a caller that leaves; a slow service; keyed calls out of bounds.

--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,249 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figtrack/figtrack/outcomer"
+)
+
+// TestCallThatMayNotRepeatGoesOutOnce sends calls to two instances that fail
+// in one way. Both do, so that a second try would show wherever it went.
+func TestCallThatMayNotRepeatGoesOutOnce(t *testing.T) {
+	dieAfterRun := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	dieUnread := func(c net.Conn) { c.Close() }
+	dieAfterHeader := func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		c.Close()
+	}
+	cases := map[string]struct {
+		one    instance
+		method string
+		runs   int64
+		ran    outcomer.Ran
+	}{
+		"dies after the run":             {instance{handler: dieAfterRun}, http.MethodPost, 1, outcomer.RanUnknown},
+		"dies before reading":            {instance{conn: dieUnread}, http.MethodPost, 1, outcomer.RanUnknown},
+		"dies after the header":          {instance{conn: dieAfterHeader}, http.MethodDelete, 1, outcomer.RanUnknown},
+		"an unnamed GET is no exception": {instance{handler: dieAfterRun}, http.MethodGet, 1, outcomer.RanUnknown},
+		"refuses connections":            {instance{closed: true}, http.MethodPost, 0, outcomer.RanNo},
+	}
+	for name, one := range cases {
+		for _, body := range []string{"", "7", strings.Repeat("7", maxBody+1)} {
+			t.Run(name, func(t *testing.T) {
+				var s *site
+				if h := one.one.handler; h != nil {
+					one.one.handler = func(w http.ResponseWriter, r *http.Request) { s.counted(h)(w, r) }
+				}
+				onSite(t, []instance{one.one, one.one}, func(made *site) {
+					s = made
+					answer := s.do(one.method, "/orders/kits", body, nil)
+					defer answer.Body.Close()
+					s.Expect(s.runs.Load()).To(Equal(one.runs))
+					s.Expect(ranOf(answer)).To(Equal(one.ran))
+				})
+			})
+		}
+	}
+}
+
+func (s *site) do(method, path, body string, header http.Header) *http.Response {
+	r, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
+	s.Expect(err).NotTo(HaveOccurred())
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	answer, err := s.client.Do(r)
+	s.Expect(err).NotTo(HaveOccurred())
+	return answer
+}
+
+func TestUnsentCallGoesToAnotherInstance(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+	onSite(t, []instance{{closed: true}, {handler: echo}}, func(s *site) {
+		for range 4 {
+			answer := s.do(http.MethodPost, "/orders/kits", "7", nil)
+			body, err := io.ReadAll(answer.Body)
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(string(body)).To(Equal("7"))
+		}
+	})
+}
+
+func TestRepeatableCallThatRanIsNotDenied(t *testing.T) {
+	die := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for name, instances := range map[string][]instance{
+		"both die":                {{handler: die}, {handler: die}},
+		"the second is not there": {{closed: true}, {handler: die}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			onSite(t, instances, func(s *site) {
+				for range 2 {
+					answer := s.do(http.MethodGet, "/orders/stock", "", nil)
+					answer.Body.Close()
+					s.Expect(ranOf(answer)).To(Equal(outcomer.RanUnknown))
+				}
+			})
+		})
+	}
+}
+
+// TestGoneCallerEndsTheCall leaves while a slow service works. The call is
+// not sent again and the service's request ends.
+func TestGoneCallerEndsTheCall(t *testing.T) {
+	ended := make(chan time.Time, 2)
+	slow := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- time.Now()
+	}
+	var s *site
+	one := instance{handler: func(w http.ResponseWriter, r *http.Request) { s.counted(slow)(w, r) }}
+	onSite(t, []instance{one, one}, func(made *site) {
+		s = made
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+"/orders/stock", nil)
+		s.Expect(err).NotTo(HaveOccurred())
+		_, err = s.client.Do(r)
+		s.Expect(err).To(HaveOccurred())
+		s.Expect((<-ended).Sub(began)).To(Equal(time.Second))
+		time.Sleep(timeout)
+		s.Expect(s.runs.Load()).To(Equal(int64(1)))
+		s.Expect(s.blamed.failures.Load()).To(BeZero())
+	})
+}
+
+func TestSlowServiceIsLeftInTime(t *testing.T) {
+	slow := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	onSite(t, []instance{{handler: slow}}, func(s *site) {
+		began := time.Now()
+		answer := s.do(http.MethodPost, "/orders/kits", "7", nil)
+		answer.Body.Close()
+		s.Expect(time.Since(began)).To(Equal(timeout))
+		s.Expect(answer.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		s.Expect(ranOf(answer)).To(Equal(outcomer.RanUnknown))
+	})
+}
+
+// TestBodiesStreamBothWays answers each part of a body before the next one
+// is sent.
+func TestBodiesStreamBothWays(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		w.Header().Set("Trailer", "Sum")
+		_ = control.Flush()
+		buffer := make([]byte, 100)
+		for {
+			n, err := r.Body.Read(buffer)
+			_, _ = w.Write(buffer[:n])
+			_ = control.Flush()
+			if err != nil {
+				break
+			}
+		}
+		w.Header().Set("Sum", "of "+r.Trailer.Get("Sum"))
+	}
+	onSite(t, []instance{{handler: echo}}, func(s *site) {
+		out, in := io.Pipe()
+		r, err := http.NewRequest(http.MethodPost, s.url+"/orders/kits", out)
+		s.Expect(err).NotTo(HaveOccurred())
+		r.Trailer = http.Header{"Sum": {"7"}}
+		answer, err := s.client.Do(r)
+		s.Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		buffer := make([]byte, 100)
+		for _, part := range []string{"two", "beams", "of oak"} {
+			_, err := in.Write([]byte(part))
+			s.Expect(err).NotTo(HaveOccurred())
+			n, err := io.ReadFull(answer.Body, buffer[:len(part)])
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(string(buffer[:n])).To(Equal(part))
+		}
+		s.Expect(in.Close()).To(Succeed())
+		rest, err := io.ReadAll(answer.Body)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(rest).To(BeEmpty())
+		s.Expect(answer.Trailer).To(HaveKeyWithValue("Sum", []string{"of 7"}))
+	})
+}
+
+func TestBrokenAnswerIsSeenBroken(t *testing.T) {
+	half := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	onSite(t, []instance{{handler: half}}, func(s *site) {
+		answer := s.do(http.MethodGet, "/orders/stock", "", nil)
+		_, err := io.ReadAll(answer.Body)
+		s.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		s.Expect(s.blamed.failures.Load()).To(Equal(int64(1)))
+	})
+}
+
+// TestHeadersOfOneHopStay checks what goes on in both directions.
+func TestHeadersOfOneHopStay(t *testing.T) {
+	var got http.Header
+	note := func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		w.Header().Set("Connection", "X-Back")
+		w.Header().Set("X-Back", "1")
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("Proxy-Authenticate", "Basic")
+		w.Header()["X-Kit"] = []string{"7", "8"}
+		w.WriteHeader(http.StatusTeapot)
+	}
+	onSite(t, []instance{{handler: note}}, func(s *site) {
+		answer := s.do(http.MethodGet, "/orders/stock", "", http.Header{
+			"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-Kit": {"7", "8"},
+			"Proxy-Authorization": {"secret"}, "User-Agent": nil, "Accept-Encoding": {"br"},
+		})
+		answer.Body.Close()
+		s.Expect(got).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Accept-Encoding": {"br"}}))
+		answer.Header.Del("Date")
+		s.Expect(answer.Header).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Content-Length": {"0"}}))
+		s.Expect(answer.StatusCode).To(Equal(http.StatusTeapot))
+	})
+}
+
+func TestKeyedCallsAreBounded(t *testing.T) {
+	var s *site
+	one := instance{handler: func(w http.ResponseWriter, r *http.Request) {
+		s.counted(func(http.ResponseWriter, *http.Request) {})(w, r)
+	}}
+	onSite(t, []instance{one}, func(made *site) {
+		s = made
+		for _, c := range []struct {
+			key, body string
+			status    int
+		}{
+			{"a", strings.Repeat("7", maxBody+1), http.StatusRequestEntityTooLarge},
+			{strings.Repeat("k", 256), "7", http.StatusBadRequest},
+		} {
+			answer := s.do(http.MethodPost, "/orders/kits", c.body, http.Header{"Idempotency-Key": {c.key}})
+			answer.Body.Close()
+			s.Expect(answer.StatusCode).To(Equal(c.status))
+			s.Expect(ranOf(answer)).To(Equal(outcomer.RanNo))
+		}
+		s.Expect(s.runs.Load()).To(BeZero())
+		for _, status := range []int{http.StatusOK, http.StatusConflict} {
+			answer := s.do(http.MethodPost, "/orders/kits", "7", http.Header{"Idempotency-Key": {"a"}})
+			answer.Body.Close()
+			s.Expect(answer.StatusCode).To(Equal(status))
+		}
+		s.Expect(s.runs.Load()).To(Equal(int64(1)))
+	})
+}
--- /dev/null
+++ b/forwarder/site_test.go
@@ -0,0 +1,152 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/forwarder"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
+	"github.com/figtrack/figtrack/piper"
+	"github.com/figtrack/figtrack/registrar"
+)
+
+const (
+	maxBody = 64 << 10
+	timeout = 10 * time.Second
+)
+
+// site is a forwarder before two instances of a service, on virtual time.
+type site struct {
+	*WithT
+	network piper.Network
+	client  *http.Client
+	url     string
+	// runs counts the requests that reached a handler of a service.
+	runs    atomic.Int64
+	claims  claims
+	blamed  health
+	servers []*http.Server
+	sockets []net.Listener
+}
+
+// instance serves one instance of the service: a handler, or a function that
+// is given each connection.
+type instance struct {
+	handler http.HandlerFunc
+	conn    func(net.Conn)
+	// closed says that nothing listens.
+	closed bool
+}
+
+func onSite(t *testing.T, instances []instance, test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{WithT: NewWithT(t)}
+		s.client = s.network.Client()
+		var upstreams []registrar.Upstream
+		for i, one := range instances {
+			upstreams = append(upstreams, registrar.Upstream{
+				ID: identifier.Upstream(fmt.Sprintf("order-desk-%d", i+1)), Pool: "order-desk",
+				Role: identifier.RolePlain, Address: s.serve(one),
+			})
+		}
+		r := registrar.New(nil)
+		r.Replace([]registrar.Pool{{ID: "order-desk", Prefix: "/orders", Repeatable: []string{"GET /stock"}}}, upstreams)
+		kept, fresh := &http.Transport{DialContext: s.network.Dial}, &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}
+		f := forwarder.New(r, &s.claims, &s.blamed, forwarder.Transports{Kept: kept, Fresh: fresh}, maxBody, timeout, zerolog.Nop())
+		s.url = "http://" + s.serve(instance{handler: f.ServeHTTP})
+		defer s.close()
+		defer kept.CloseIdleConnections()
+		test(s)
+	})
+}
+
+func (s *site) close() {
+	s.client.CloseIdleConnections()
+	for _, one := range s.servers {
+		one.Close()
+	}
+	for _, one := range s.sockets {
+		one.Close()
+	}
+}
+
+func (s *site) serve(one instance) string {
+	l, err := s.network.Listen("")
+	s.Expect(err).NotTo(HaveOccurred())
+	if one.closed {
+		l.Close()
+		return l.Addr().String()
+	}
+	s.sockets = append(s.sockets, l)
+	if one.conn != nil {
+		go s.accept(l, one.conn)
+		return l.Addr().String()
+	}
+	server := &http.Server{Handler: one.handler}
+	s.servers = append(s.servers, server)
+	go server.Serve(l)
+	return l.Addr().String()
+}
+
+func (s *site) accept(l net.Listener, handle func(net.Conn)) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.runs.Add(1)
+		go handle(conn)
+	}
+}
+
+// counted counts the runs of a handler.
+func (s *site) counted(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.runs.Add(1)
+		h(w, r)
+	}
+}
+
+// claims grants each key once.
+type claims struct {
+	mu    sync.Mutex
+	taken map[claimer.Key]bool
+}
+
+func (c *claims) Claim(_ context.Context, id claimer.Identity) claimer.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken[id.Key] {
+		return claimer.Result{Verdict: claimer.VerdictTaken}
+	}
+	if c.taken == nil {
+		c.taken = make(map[claimer.Key]bool)
+	}
+	c.taken[id.Key] = true
+	return claimer.Result{Verdict: claimer.VerdictGranted}
+}
+
+// health counts the failures that are put down to upstreams.
+type health struct{ failures atomic.Int64 }
+
+func (*health) Usable(identifier.Upstream) bool           { return true }
+func (*health) Succeeded(identifier.Upstream)             {}
+func (h *health) Failed(identifier.Upstream, driver.Kind) { h.failures.Add(1) }
+
+func ranOf(answer *http.Response) outcomer.Ran {
+	return outcomer.Ran(answer.Header.Get(outcomer.HeaderRan))
+}
