--- /dev/null
+++ b/server/site_test.go
@@ -0,0 +1,204 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/faker"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/piper"
+	"github.com/figtrack/figtrack/registrar"
+	"github.com/figtrack/figtrack/server"
+)
+
+const (
+	model = identifier.Model("timber-7b")
+	quick = identifier.Class("QuickReplies")
+	// settle is the time that VMs get to know each other and the engines. It
+	// is no multiple of any period, so that nothing else happens at the
+	// instant of a request.
+	settle = 5*time.Second + 33*time.Millisecond
+	// releasedWithin is the longest time that an engine may hold memory for a
+	// request that is gone.
+	releasedWithin = time.Second
+)
+
+// site is two VMs before two prefill engines, two decode engines and two
+// instances of a service, all on virtual time.
+type site struct {
+	*WithT
+	network   piper.Network
+	links     *links
+	client    *http.Client
+	store     *faker.Store
+	engines   []*faker.EngineServer
+	services  []*faker.Service
+	upstreams []registrar.Upstream
+	servers   []*server.Server
+	// callers are the addresses of the VMs.
+	callers []string
+	journal journal
+}
+
+// onSite runs a test on a site.
+func onSite(t *testing.T, change func(*parser.Settings), test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{WithT: NewWithT(t), links: newLinks()}
+		s.client = s.network.Client()
+		s.startUpstreams()
+		for i := range 2 {
+			s.startVM(i, change)
+		}
+		for _, vm := range s.servers {
+			vm.SetConfiguration(s.configuration())
+		}
+		defer s.close()
+		time.Sleep(settle)
+		s.journal.begin()
+		test(s)
+	})
+}
+
+func (s *site) close() {
+	s.client.CloseIdleConnections()
+	for _, vm := range s.servers {
+		s.Expect(vm.Shutdown(context.Background())).To(BeZero())
+	}
+	for _, e := range s.engines {
+		e.Kill()
+	}
+	for _, one := range s.services {
+		one.Close()
+	}
+	s.store.Close()
+	s.links.close()
+}
+
+func (s *site) startUpstreams() {
+	var err error
+	s.store, err = faker.NewStore(s.network.Listen)
+	s.Expect(err).NotTo(HaveOccurred())
+	for i, role := range []identifier.Role{identifier.RolePrefill, identifier.RolePrefill, identifier.RoleDecode, identifier.RoleDecode} {
+		cfg := faker.DefaultEngine(role)
+		cfg.ID = identifier.Upstream(fmt.Sprintf("spec-desk-%d", i+1))
+		e, err := faker.NewEngineServer(cfg, s.network.Listen, s.client)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.engines = append(s.engines, e)
+		s.upstreams = append(s.upstreams, registrar.Upstream{
+			ID: cfg.ID, Pool: "spec-desk", Role: role, DataCentre: "thamel-room",
+			Address: e.Address(), Pieces: cfg.Pieces, Streams: cfg.Streams,
+		})
+	}
+	for i := range 2 {
+		one, err := faker.NewService(s.network.Listen)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.services = append(s.services, one)
+		s.upstreams = append(s.upstreams, registrar.Upstream{
+			ID: identifier.Upstream(fmt.Sprintf("order-desk-%d", i+1)), Pool: "order-desk", Role: identifier.RolePlain,
+			DataCentre: "thamel-room", Address: one.Address(),
+		})
+	}
+}
+
+func (s *site) configuration() server.Configuration {
+	return server.Configuration{
+		Revision: 1,
+		Classes: []admitter.Class{
+			{Name: quick, FirstToken: 380 * time.Millisecond, PerToken: 43 * time.Millisecond, Patience: time.Second},
+			{Name: "LongReading", FirstToken: 2500 * time.Millisecond, PerToken: 60 * time.Millisecond, Patience: 30 * time.Second},
+		},
+		Pools: []registrar.Pool{
+			{ID: "spec-desk", Models: []identifier.Model{model}},
+			{ID: "order-desk", Prefix: "/orders", Repeatable: []string{"GET /stock"}},
+		},
+		Upstreams:    s.upstreams,
+		ModelClasses: map[identifier.Model]identifier.Class{model: quick},
+	}
+}
+
+// vmName numbers the VMs from 0.
+func vmName(i int) identifier.VM { return identifier.VM(fmt.Sprintf("vm-%d", i+1)) }
+
+func (s *site) startVM(i int, change func(*parser.Settings)) {
+	callers, err := s.network.Listen("")
+	s.Expect(err).NotTo(HaveOccurred())
+	cfg := parser.Default()
+	cfg.Deployment = "himal"
+	cfg.VM = vmName(i)
+	cfg.DataCentre = "thamel-room"
+	cfg.VMs.Peers = []parser.Peer{{VM: vmName(1 - i), DataCentre: "thamel-room", Address: string(vmName(1 - i))}}
+	cfg.Prefer = admitter.PreferWastedPrefill
+	if change != nil {
+		change(&cfg)
+	}
+	store := keeper.New(keeper.Settings{Endpoints: []string{s.store.URL()}, Client: s.client}, keeper.NewMetrics())
+	vm := server.New(server.Needs{
+		Settings:    cfg,
+		Incarnation: identifier.Incarnation(i + 1),
+		Store:       store,
+		Callers:     callers,
+		VMs:         socket(cfg.VM),
+		Messenger:   s.links.of(cfg.VM),
+		Dial:        s.network.Dial,
+		Log:         zerolog.New(&s.journal).With().Str("VM", string(cfg.VM)).Logger(),
+	})
+	s.Expect(vm.Start()).To(Succeed())
+	s.servers = append(s.servers, vm)
+	s.callers = append(s.callers, callers.Addr().String())
+}
+
+// holds lists what the engines that live hold.
+func (s *site) holds() []driver.HoldState {
+	var all []driver.HoldState
+	for i, e := range s.engines {
+		engine := driver.NewHTTP(s.upstreams[i].ID, e.URL(), s.client)
+		if held, err := engine.Holds(context.Background()); err == nil {
+			all = append(all, held.Holds...)
+		}
+	}
+	return all
+}
+
+// socket is the address of a VM for the others. Nothing is sent through it.
+func socket(vm identifier.VM) net.PacketConn { return addressOnly{address: address(vm)} }
+
+type addressOnly struct {
+	net.PacketConn
+	address
+}
+
+func (a addressOnly) LocalAddr() net.Addr { return a.address }
+
+type address string
+
+func (address) Network() string  { return "bubble" }
+func (a address) String() string { return string(a) }
+
+func (s *site) background() context.Context { return context.Background() }
+
+func (s *site) holdsOf(e *faker.EngineServer) int {
+	held, err := driver.NewHTTP("any", e.URL(), s.client).Holds(context.Background())
+	s.Expect(err).NotTo(HaveOccurred())
+	return len(held.Holds)
+}
+
+func (s *site) runsOf(path string) int {
+	runs := 0
+	for _, one := range s.services {
+		runs += one.RunsOf(path)
+	}
+	return runs
+}
