--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -25,10 +25,8 @@
 	// active holds the placed attempts; its keys are those of the granter.
 	active map[Key]*active
 	capacity
-	// planned is the time of the last plan; stale says that the queue has
-	// changed since.
-	planned time.Time
-	stale   bool
+	// stale says that the queue or the ledger has changed since the last plan.
+	stale bool
 	// nextExpiry is when silent grants are looked for again.
 	nextExpiry time.Time
 	// wakeAt is the last WakeAt that was sent.
@@ -99,8 +97,10 @@
 	c.handle(now, e)
 	c.expire(now)
 	c.rescue(now)
-	c.plan(now)
 	c.dispatch(now)
+	if c.plan(now) {
+		c.dispatch(now)
+	}
 	c.wake(now)
 	return c.out
 }
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -26,17 +26,17 @@
 
 // plan gives up the requests whose predicted first token is too late. It
 // serves the queue in order on the prefill engines and on the memory as it
-// is predicted to become free.
-func (c *Core) plan(now time.Time) {
+// is predicted to become free. It returns true if the queue has changed.
+func (c *Core) plan(now time.Time) bool {
 	if !c.stale || c.queue.len() == 0 {
-		return
+		return false
 	}
 	c.stale = false
-	c.planned = now
+	changed := false
 	for c.planDue(now) {
-		continue
+		changed = true
 	}
-	c.planLate(now)
+	return c.planLate(now) || changed
 }
 
 // planDue walks the requests that can still be in time. It gives one up and
@@ -57,10 +57,11 @@
 
 // planLate refuses the late requests that won't be served in time for their
 // class's patience, and takes back those that can be in time after all.
-func (c *Core) planLate(now time.Time) {
+func (c *Core) planLate(now time.Time) bool {
 	if len(c.queue.late) == 0 {
-		return
+		return false
 	}
+	changed := false
 	s := c.newSchedule(now)
 	for _, p := range c.queue.due {
 		s.serve(now, p)
@@ -71,6 +72,7 @@
 		first := s.serve(now, p)
 		if !first.Add(c.safety()).After(p.deadline) {
 			c.queue.restore(p)
+			changed = true
 			continue
 		}
 		if !first.After(p.given) {
@@ -80,7 +82,9 @@
 		s.undo(mark)
 		c.queue.remove(p)
 		c.refuse(p, ReasonTargetOutOfReach, first.Sub(p.given))
+		changed = true
 	}
+	return changed
 }
 
 // due is the time by which the first token has to come.
@@ -110,8 +114,10 @@
 	c *Core
 	// idle holds the times at which prefill engines are free, in order.
 	idle []time.Time
-	// ends holds the predicted ends of holds on decode memory, in order.
+	// ends holds the predicted ends of holds on decode memory, in order. It
+	// is read when the free memory is used up.
 	ends []granter.End
+	read bool
 	// free is the memory that is free when the last request was served.
 	free  identifier.Pieces
 	since time.Time
@@ -136,12 +142,16 @@
 	for _, e := range c.buf.engines {
 		s.free += e.Free
 	}
-	s.ends = c.granter.Ends(now, c.buf.ends[:0])
-	slices.SortFunc(s.ends, func(a, b granter.End) int { return a.At.Compare(b.At) })
-	c.buf.ends = s.ends
 	return s
 }
 
+func (s *schedule) readEnds(now time.Time) {
+	s.read = true
+	s.ends = s.c.granter.Ends(now, s.c.buf.ends[:0])
+	slices.SortFunc(s.ends, func(a, b granter.End) int { return a.At.Compare(b.At) })
+	s.c.buf.ends = s.ends
+}
+
 func (s *schedule) mark() scheduleMark {
 	return scheduleMark{slices.Clone(s.idle), s.free, s.since}
 }
@@ -164,6 +174,9 @@
 // memory takes pieces and returns when they are free.
 func (s *schedule) memory(now time.Time, n identifier.Pieces) time.Time {
 	at := s.since
+	if s.free < n && !s.read {
+		s.readEnds(now)
+	}
 	for s.free < n && len(s.ends) > 0 {
 		at = s.ends[0].At
 		s.free += s.ends[0].Pieces
--- a/granter/engine.go
+++ b/granter/engine.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	// reserved is the sum of the pieces of grants. It exceeds pieces only by
 	// promises.
 	reserved identifier.Pieces
+	// strictest is the lowest target for the token pace among grants.
+	strictest time.Duration
 	// foreign is memory that the engine reports beyond the ledger.
 	foreign identifier.Pieces
 	// linkFree is when the last booked transfer is predicted to end.
@@ -58,6 +61,7 @@
 	g.decode = e
 	e.grants = append(e.grants, g)
 	e.reserved += g.Pieces
+	e.strictest = min(e.strictest, g.pace())
 	e.drift.note(now, e.onEngine())
 }
 
@@ -68,6 +72,9 @@
 	}
 	e.grants = slices.Delete(e.grants, i, i+1)
 	e.reserved -= g.Pieces
+	if g.pace() == e.strictest {
+		e.findStrictest()
+	}
 	if g.Stage == StageDecode {
 		e.advance(now)
 		e.running--
@@ -76,6 +83,24 @@
 	e.drift.note(now, e.onEngine())
 }
 
+func (e *engine) findStrictest() {
+	e.strictest = noTarget
+	for _, g := range e.grants {
+		e.strictest = min(e.strictest, g.pace())
+	}
+}
+
+// noTarget stands for a class without a target for the token pace.
+const noTarget time.Duration = math.MaxInt64
+
+// pace is the target for the token pace.
+func (g *Grant) pace() time.Duration {
+	if g.PerToken <= 0 {
+		return noTarget
+	}
+	return g.PerToken
+}
+
 // onEngine returns the pieces that the engine itself should hold by now.
 func (e *engine) onEngine() identifier.Pieces {
 	var n identifier.Pieces
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -84,7 +84,7 @@
 		if len(c.engines) >= maxEngines || !ev.Alive {
 			return
 		}
-		e = &engine{id: ev.ID, areaAt: now, pace: estimator.NewLine(c.pace.Base(), c.pace.Slope(), batchSpan, priorWeight)}
+		e = &engine{id: ev.ID, areaAt: now, strictest: noTarget, pace: estimator.NewLine(c.pace.Base(), c.pace.Slope(), batchSpan, priorWeight)}
 		c.engines[ev.ID] = e
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, e)
--- a/granter/query.go
+++ b/granter/query.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-	"math"
 	"time"
 
 	"github.com/figtrack/figtrack/estimator"
@@ -85,17 +84,11 @@
 }
 
 func (e *engine) read(now time.Time) Engine {
-	r := Engine{
+	return Engine{
 		ID: e.id, DataCentre: e.dataCentre, IdleAt: e.idleAt(now), Depth: len(e.queue),
 		Free: e.free(), Pieces: e.pieces, Streams: len(e.grants), Room: e.streams - len(e.grants),
-		LinkFree: e.linkFree, Paused: e.paused(now), Strictest: math.MaxInt64,
+		LinkFree: e.linkFree, Paused: e.paused(now), Strictest: e.strictest,
 	}
-	for _, g := range e.grants {
-		if g.PerToken > 0 {
-			r.Strictest = min(r.Strictest, g.PerToken)
-		}
-	}
-	return r
 }
 
 // paused says that no transfer is to go to an engine whose link stalled. Once
