--- a/replayer/book.go
+++ b/replayer/book.go
@@ -51,7 +51,8 @@
 	requests                      int
 	answered, refused, lost, gone int
 	good, goodInPeak              int
-	placedThenRefused, returns    int
+	placedThenRefused             int
+	returns, retries              int
 	reasons                       map[admitter.Reason]int
 	first, pace                   *hdrhistogram.Histogram
 	// spent is the prefill time by fate.
@@ -99,6 +100,7 @@
 	t := b.classes[c.Class]
 	t.requests++
 	t.returns += c.try
+	t.retries += c.retries
 	switch c.end {
 	case endingAnswered:
 		if t.answer(c, b.inPeak(c.arrived)) {
--- a/replayer/caller.go
+++ b/replayer/caller.go
@@ -25,6 +25,8 @@
 	target admitter.Class
 	// try counts how often the caller came again.
 	try int
+	// retries counts the attempts of all tries after their first.
+	retries int
 	// arrived is when the current try reached the entry VM.
 	arrived time.Time
 	// current is the attempt that runs.
@@ -79,6 +81,9 @@
 
 func (c *caller) ask() {
 	c.number++
+	if c.number > 1 {
+		c.retries++
+	}
 	key := admitter.Key{Request: c.request(), Attempt: c.number}
 	a := &attempt{caller: c, hold: holdOf(c.vm.ID, key), prompt: c.Prompt + c.sent}
 	c.current = a
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -49,6 +49,8 @@
 	PlacedThenRefused int
 	// Returns counts the tries of refused callers who came again.
 	Returns int
+	// Retries counts the attempts after the first of each try.
+	Retries int
 	// Good counts the requests answered within both targets, Goodput is its
 	// share of the requests not withdrawn.
 	Good    int
@@ -138,6 +140,7 @@
 	t.goodInPeak += o.goodInPeak
 	t.placedThenRefused += o.placedThenRefused
 	t.returns += o.returns
+	t.retries += o.retries
 	for reason, n := range o.reasons {
 		t.reasons[reason] += n
 	}
@@ -152,7 +155,7 @@
 	m := Measures{
 		Class: t.class.Name, Requests: t.requests, Answered: t.answered, Refused: t.refused,
 		Withdrawn: t.gone, Lost: t.lost, PlacedThenRefused: t.placedThenRefused,
-		Returns: t.returns, Good: t.good,
+		Returns: t.returns, Retries: t.retries, Good: t.good,
 		Goodput:        ratio(float64(t.good), float64(t.requests-t.gone)),
 		FirstToken:     percentiles(t.first),
 		PerToken:       percentiles(t.pace),
--- a/replayer/table.go
+++ b/replayer/table.go
@@ -45,12 +45,13 @@
 func writeTimes(w io.Writer, r Result) {
 	t := newTable(w)
 	t.AppendHeader(table.Row{
-		"Class", "First p50", "p95", "p99 ms", "Token p50", "p95", "p99 ms", "Good/s",
+		"Class", "First p50", "p95", "p99 ms", "Token p50", "p95", "p99 ms", "Good/s", "Retries",
 	})
 	for _, m := range r.rows() {
 		t.AppendRow(table.Row{
 			m.Class, whole(m.FirstToken.P50), whole(m.FirstToken.P95), whole(m.FirstToken.P99),
 			tenth(m.PerToken.P50), tenth(m.PerToken.P95), tenth(m.PerToken.P99), tenth(m.GoodputPerSecond),
+			m.Retries,
 		})
 	}
 	t.Render()
