Bound what a trace may hold

A trace with negative costs, tiny report intervals, huge lengths or a year between two lines kept a replay busy without end. The reader now names the field and what is allowed. FuzzRead checks that the reader never panics and reads back what it takes: go test ./tracer -fuzz FuzzRead -fuzztime 10s -parallel 2 -fuzzminimizetime 10x passes.

--- a/tracer/checker.go
+++ b/tracer/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -9,6 +10,13 @@
 	"github.com/figtrack/figtrack/identifier"
 )
 
+const (
+	// maxTokens bounds the lengths of one request.
+	maxTokens identifier.Tokens = 1 << 20
+	// maxReturns bounds how often a refused caller comes again.
+	maxReturns = 10
+)
+
 func checkHeader(h Header) error {
 	switch {
 	case h.Time.IsZero():
@@ -17,8 +25,10 @@
 		return errors.New("VMs is empty: name at least one entry VM")
 	case len(h.Classes) == 0:
 		return errors.New("Classes is empty: name at least one class with its targets")
-	case h.LoadEvery <= 0:
-		return errors.New("LoadEvery must be above 0")
+	case h.LoadEvery < time.Millisecond:
+		return errors.New("LoadEvery must be at least 1 ms, in nanoseconds")
+	case h.Returns < 0 || h.Returns > maxReturns:
+		return errors.Errorf("Returns %d is out of range, allowed is 0 to %d", h.Returns, maxReturns)
 	case h.DelayInside < 0 || h.DelayBetween < 0:
 		return errors.New("DelayInside and DelayBetween must not be below 0")
 	}
@@ -45,6 +55,9 @@
 		if u.Role != identifier.RolePrefill && u.Role != identifier.RoleDecode {
 			return errors.Errorf("upstream %q has Role %q, allowed are Prefill and Decode", u.ID, u.Role)
 		}
+		if err := checkCosts(u); err != nil {
+			return err
+		}
 		if u.Role == identifier.RoleDecode && (u.Streams < 1 || u.Pieces < 1 || u.LinkTokensPerSecond <= 0) {
 			return errors.Errorf("upstream %q needs Streams, Pieces and LinkTokensPerSecond above 0", u.ID)
 		}
@@ -55,6 +68,21 @@
 	return nil
 }
 
+func checkCosts(u Upstream) error {
+	for name, d := range map[string]time.Duration{
+		"PrefillBase": u.PrefillBase, "PrefillPerToken": u.PrefillPerToken, "ResultLives": u.ResultLives,
+		"StepBase": u.StepBase, "StepPerStream": u.StepPerStream, "LoadLag": u.LoadLag, "CacheLag": u.CacheLag,
+	} {
+		if d < 0 || d > time.Hour {
+			return errors.Errorf("upstream %q has %s %s, allowed is 0 to 1h, in nanoseconds", u.ID, name, d)
+		}
+	}
+	if u.Jitter < 0 || u.Jitter > 1 || u.CacheLoss < 0 || u.CacheLoss > 1 {
+		return errors.Errorf("upstream %q needs Jitter and CacheLoss from 0 to 1", u.ID)
+	}
+	return nil
+}
+
 func checkArrival(h Header, a Arrival) error {
 	switch {
 	case h.Kind == "":
@@ -63,6 +91,8 @@
 		return errors.New("Request is missing")
 	case a.Prompt < 1 || a.Output < 1:
 		return errors.Errorf("Prompt %d and Output %d must be at least 1", a.Prompt, a.Output)
+	case a.Prompt > maxTokens || a.MaxOutput > maxTokens:
+		return errors.Errorf("Prompt %d and MaxOutput %d must be at most %d", a.Prompt, a.MaxOutput, maxTokens)
 	case a.MaxOutput < a.Output:
 		return errors.Errorf("MaxOutput %d is below Output %d", a.MaxOutput, a.Output)
 	case !slices.ContainsFunc(h.VMs, func(vm VM) bool { return vm.ID == a.VM }):
--- a/tracer/reader.go
+++ b/tracer/reader.go
@@ -6,14 +6,19 @@
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
 )
 
-// maxLine bounds one line of a trace in bytes.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds one line of a trace in bytes.
+	maxLine = 1 << 20
+	// longestTrace bounds the time from the Header to the last arrival.
+	longestTrace = 24 * time.Hour
+)
 
 // ReadFile reads a trace from a file. See Read.
 func ReadFile(path string, header *Header) (*Trace, error) {
@@ -154,8 +159,15 @@
 	slices.SortStableFunc(t.Arrivals, func(a, b Arrival) int { return a.Time.Compare(b.Time) })
 	slices.SortStableFunc(t.Cancels, func(a, b Cancel) int { return a.Time.Compare(b.Time) })
 	slices.SortStableFunc(t.Faults, func(a, b Fault) int { return a.Time.Compare(b.Time) })
-	if len(t.Arrivals) > 0 && t.Arrivals[0].Time.Before(t.Header.Time) {
+	if len(t.Arrivals) == 0 {
+		return nil
+	}
+	if t.Arrivals[0].Time.Before(t.Header.Time) {
 		t.Header.Time = t.Arrivals[0].Time
 	}
+	lasts := t.Arrivals[len(t.Arrivals)-1].Time.Sub(t.Header.Time)
+	if lasts > longestTrace {
+		return errors.Errorf("the trace lasts %s, allowed are %s: cut it, or give the Header of its day", lasts, longestTrace)
+	}
 	return nil
 }
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -93,6 +94,10 @@
 		"line 2: Fault: Upstream \"x\"":    header + `{"Kind":"Fault","Upstream":"x"}`,
 		"line 2: Fault: Fault \"Burns\"":   header + `{"Kind":"Fault","Upstream":"spec-desk-1","Fault":"Burns"}`,
 		"is not in the Header":             header + strings.Replace(arrival, `"VM":"`, `"VM":"no`, 1),
+		"LoadEvery must be at least 1 ms":  strings.Replace(header, `"LoadEvery":100000000`, `"LoadEvery":100`, 1),
+		"has PrefillBase -1s, allowed is":  strings.Replace(header, `"PrefillBase":10000000`, `"PrefillBase":-1000000000`, 1),
+		"the trace lasts 8760h":            header + strings.Replace(arrival, "2026-", "2027-", 1),
+		"must be at most 1048576":          header + strings.Replace(arrival, `"Prompt":`, `"Prompt":9999`, 1),
 		"must be at least 1":               header + strings.Replace(arrival, `"Prompt":`, `"Prompt":-`, 1),
 		"line 2: Arrival: json: cannot un": header + strings.Replace(arrival, `"Prompt":`, `"Prompt":"a","X":`, 1),
 	} {
@@ -140,3 +145,26 @@
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(want)), fmt.Sprint(plan))
 	}
 }
+
+// FuzzRead checks that no input makes the reader panic and that what it takes
+// can be written and read again.
+func FuzzRead(f *testing.F) {
+	small, err := os.ReadFile("../replayer/testdata/small.jsonl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(bytes.Join(bytes.SplitAfterN(small, []byte("\n"), 4)[:3], nil))
+	f.Add([]byte(`{"Kind":"Cancel","Request":"a"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		trace, err := tracer.Read(bytes.NewReader(text), nil)
+		if err != nil {
+			return
+		}
+		var file bytes.Buffer
+		g := NewWithT(t)
+		g.Expect(tracer.Write(&file, trace)).To(Succeed())
+		again, err := tracer.Read(&file, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(again.Arrivals).To(HaveLen(len(trace.Arrivals)))
+	})
+}
