Record a scenario whose links vary and lose messages

Every message took the same time, so that no replay showed what varying links do to placements. In the scenario links a message between data centres takes up to twice as long, one in a hundred is sent again, and none passes an earlier one.

--- a/record.go
+++ b/record.go
@@ -13,7 +13,7 @@
 
 type recordOptions struct {
 	Site     string  `long:"site" default:"himal" choice:"himal" choice:"tafelbaai" description:"site whose load is recorded"`
-	Scenario string  `long:"scenario" default:"surge" description:"surge, hot-prefix, mixed, death, stall, cancel or uneven"`
+	Scenario string  `long:"scenario" default:"surge" description:"surge, hot-prefix, mixed, death, stall, cancel, uneven or links"`
 	Load     float64 `long:"load" default:"1" description:"peak rate as a multiple of the site's capacity"`
 	Seed     uint64  `long:"seed" default:"1" description:"seed of the trace"`
 	Output   string  `short:"o" long:"output" description:"file to write; standard output if it is not given"`
--- a/replayer/attempt.go
+++ b/replayer/attempt.go
@@ -54,7 +54,7 @@
 func (a *attempt) startImport() {
 	a.importing = true
 	decode := a.decode
-	a.after(a.delay(a.vm.DataCentre, decode.DataCentre), func() {
+	a.carry(a.vm.DataCentre, decode.DataCentre, func() {
 		switch {
 		case decode.dead:
 			decode.broken(a.hold)
@@ -172,7 +172,7 @@
 
 // toEngine sends an order. A dead engine's connection is refused.
 func (a *attempt) toEngine(e *engine, event faker.EngineEvent) {
-	a.after(a.delay(a.vm.DataCentre, e.DataCentre), func() {
+	a.carry(a.vm.DataCentre, e.DataCentre, func() {
 		if e.dead {
 			e.broken(a.hold)
 			return
--- a/replayer/engine.go
+++ b/replayer/engine.go
@@ -73,7 +73,7 @@
 	}
 	a.live = false
 	if decode := a.decode; a.importing {
-		e.after(e.delay(e.DataCentre, decode.DataCentre), func() { decode.tell(faker.Release{Hold: hold}) })
+		e.carry(e.DataCentre, decode.DataCentre, func() { decode.tell(faker.Release{Hold: hold}) })
 		decode.toEntry(hold, func(a *attempt) { a.importFailed(decode, false) })
 	}
 }
@@ -98,7 +98,7 @@
 
 // toEntry runs do at the entry VM if the attempt is not over by then.
 func (e *engine) toEntry(hold identifier.Hold, do func(*attempt)) {
-	e.after(e.delay(e.DataCentre, e.vms[hold.VM].DataCentre), func() {
+	e.carry(e.DataCentre, e.vms[hold.VM].DataCentre, func() {
 		if a, ok := e.attempts[hold]; ok {
 			do(a)
 		}
@@ -109,7 +109,7 @@
 func (e *engine) tellNodes(event admitter.Event) {
 	for _, n := range e.nodes {
 		n.vm.count(sizeOfReport(event))
-		e.after(e.delay(e.DataCentre, n.vm.DataCentre), func() { n.tell(event) })
+		e.carry(e.DataCentre, n.vm.DataCentre, func() { n.tell(event) })
 	}
 }
 
--- a/replayer/run.go
+++ b/replayer/run.go
@@ -17,6 +17,9 @@
 	// probeTime is how long a policy takes to hear that an upstream died or
 	// came back.
 	probeTime = 500 * time.Millisecond
+	// resendAfter is the time after which a lost message is sent again, in
+	// one-way delays.
+	resendAfter = 3
 )
 
 // run is one replay.
@@ -31,6 +34,10 @@
 	// attempts holds the attempts that are not over.
 	attempts map[identifier.Hold]*attempt
 	callers  map[identifier.Request]*caller
+	// rng makes the times of messages vary. paths holds the arrival of the
+	// last message on each path.
+	rng   *rand.Rand
+	paths map[path]time.Time
 	// open counts the callers that still wait.
 	open int
 	book *book
@@ -63,6 +70,8 @@
 		callers:  make(map[identifier.Request]*caller),
 		open:     len(trace.Arrivals),
 		book:     newBook(trace.Header),
+		rng:      rand.New(rand.NewPCG(seed, 4)),
+		paths:    make(map[path]time.Time),
 	}
 	r.now = trace.Header.Time
 	r.addEngines()
@@ -164,7 +173,33 @@
 	r.after(r.trace.Header.LoadEvery, r.reportLoad)
 }
 
-// delay returns the one-way time of a message.
+// carry does something at the other end of a path. Messages on the path
+// between two data centres take varying times, some are sent again after a
+// loss, and none passes an earlier one.
+func (r *run) carry(from, to identifier.DataCentre, do func()) {
+	arrives := r.now.Add(r.delay(from, to))
+	header := r.trace.Header
+	if from == to || header.DelaySpread == 0 && header.Loss == 0 {
+		r.at(arrives, do)
+		return
+	}
+	spread := float64(header.DelayBetween) * header.DelaySpread
+	arrives = arrives.Add(time.Duration(r.rng.Float64() * spread))
+	if r.rng.Float64() < header.Loss {
+		arrives = arrives.Add(resendAfter * header.DelayBetween)
+	}
+	path := path{from, to}
+	if last := r.paths[path]; arrives.Before(last) {
+		arrives = last
+	}
+	r.paths[path] = arrives
+	r.at(arrives, do)
+}
+
+// path leads from one data centre to another.
+type path struct{ from, to identifier.DataCentre }
+
+// delay returns the least one-way time of a message.
 func (r *run) delay(from, to identifier.DataCentre) time.Duration {
 	if from == to {
 		return r.trace.Header.DelayInside
@@ -214,7 +249,7 @@
 	bytes := size()
 	from.count(bytes)
 	to.count(bytes)
-	r.after(r.delay(from.DataCentre, to.DataCentre), do)
+	r.carry(from.DataCentre, to.DataCentre, do)
 }
 
 func (v *vm) count(size int64) {
--- a/tracer/checker.go
+++ b/tracer/checker.go
@@ -25,6 +25,8 @@
 		return errors.New("VMs is empty: name at least one entry VM")
 	case len(h.Classes) == 0:
 		return errors.New("Classes is empty: name at least one class with its targets")
+	case h.DelaySpread < 0 || h.DelaySpread > 100 || h.Loss < 0 || h.Loss > 1:
+		return errors.New("DelaySpread must be from 0 to 100 and Loss from 0 to 1")
 	case h.LoadEvery < time.Millisecond:
 		return errors.New("LoadEvery must be at least 1 ms, in nanoseconds")
 	case h.Returns < 0 || h.Returns > maxReturns:
--- a/tracer/record.go
+++ b/tracer/record.go
@@ -59,6 +59,10 @@
 	// DelayInside and DelayBetween are one-way delays of a message inside a
 	// data centre and between two.
 	DelayInside, DelayBetween time.Duration
+	// DelaySpread is the share by which a message between data centres takes
+	// longer than DelayBetween at most. Loss is the share of these messages
+	// that get lost and are sent again.
+	DelaySpread, Loss float64
 	// LoadEvery is the time between two load reports of an upstream.
 	LoadEvery time.Duration
 	// Returns is how often a refused caller comes again after RetryAfter.
--- a/tracer/scenario.go
+++ b/tracer/scenario.go
@@ -10,7 +10,7 @@
 )
 
 // Scenarios are the names of the scenarios that Record knows.
-var Scenarios = []string{"surge", "hot-prefix", "mixed", "death", "stall", "cancel", "uneven"}
+var Scenarios = []string{"surge", "hot-prefix", "mixed", "death", "stall", "cancel", "uneven", "links"}
 
 // scenario changes a site's load and adds what breaks.
 type scenario struct {
@@ -35,6 +35,8 @@
 		return scenario{change: mixed}, nil
 	case "uneven":
 		return scenario{change: uneven}, nil
+	case "links":
+		return scenario{finish: links}, nil
 	case "death":
 		return scenario{finish: death}, nil
 	case "stall":
@@ -61,6 +63,13 @@
 	s.scales = []float64{1.25, 0.85, 1.1, 0.95, 1.2, 0.9, 1.15}
 }
 
+// links makes messages between data centres take up to twice as long, and
+// loses one in a hundred.
+func links(r *recorder) {
+	r.trace.Header.DelaySpread = 1
+	r.trace.Header.Loss = 0.01
+}
+
 // death ends one runner at the peak: a decode engine at the first site, a
 // prefill engine at the second. It comes back after ten seconds.
 func death(r *recorder) {
