--- a/tracer/record.go
+++ b/tracer/record.go
@@ -137,5 +137,5 @@
 	Fault    FaultKind
 	Upstream identifier.Upstream
 	// Until ends a stall; it is zero for other faults.
-	Until time.Time
+	Until time.Time `json:",omitzero"`
 }
