Tell a new owner of the attempts that run already

Cause: when a shard's owner died or left, the next one began with an empty ledger and placed beyond the engines' memory; asks that waited on the old owner waited a second.

Change: admitter takes Adopt events; dispatcher follows each ticket's placement and hands over at once when the owner changes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -54,6 +54,9 @@
 	place Place
 	// expected is the believed length of the cached prefix.
 	expected identifier.Tokens
+	// adopted says that an earlier owner placed it, so that its times teach
+	// nothing.
+	adopted bool
 }
 
 // New returns a core without classes and upstreams: they come as events.
@@ -109,6 +112,8 @@
 	switch e := e.(type) {
 	case Ask:
 		c.ask(now, e)
+	case Adopt:
+		c.adopt(now, e)
 	case Withdraw:
 		c.withdraw(now, e)
 	case PrefillEnded:
@@ -210,11 +215,13 @@
 }
 
 func (c *Core) ended(now time.Time, e Ended) {
-	if _, ok := c.active[e.Key]; !ok {
+	a, ok := c.active[e.Key]
+	if !ok {
 		return
 	}
 	c.forget(e.Key)
-	c.ledger(now, granter.Release{Key: granter.Key(e.Key), Output: e.Output, Whole: !e.Failed && e.Output > 0})
+	whole := !e.Failed && e.Output > 0 && !a.adopted
+	c.ledger(now, granter.Release{Key: granter.Key(e.Key), Output: e.Output, Whole: whole})
 }
 
 // wake asks for the next Wake if its time has changed.
--- a/admitter/event.go
+++ b/admitter/event.go
@@ -40,6 +40,27 @@
 	Continues bool
 }
 
+// Stage is how far a placed attempt has come.
+type Stage string
+
+// The stages of a placed attempt.
+const (
+	StagePrefilling   Stage = "Prefilling"
+	StageTransferring Stage = "Transferring"
+	StageDecoding     Stage = "Decoding"
+)
+
+// Adopt tells a new owner of the shard of an attempt that an earlier owner has
+// placed.
+type Adopt struct {
+	Ask
+	Prefill identifier.Upstream
+	Decode  identifier.Upstream
+	// Pieces is the decode memory that was reserved.
+	Pieces identifier.Pieces
+	Stage  Stage
+}
+
 // Withdraw ends an attempt whose caller is gone, at any stage.
 type Withdraw struct{ Key }
 
--- a/admitter/message.go
+++ b/admitter/message.go
@@ -24,6 +24,10 @@
 		m := message(shard, e.Key)
 		m.Body = &wire.Placement_Ask{Ask: askToWire(now, e)}
 		return m
+	case Adopt:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_Adopt{Adopt: adoptToWire(now, e)}
+		return m
 	case Withdraw:
 		m := message(shard, e.Key)
 		m.Body = &wire.Placement_Withdraw{Withdraw: &wire.Withdraw{}}
@@ -81,6 +85,8 @@
 	switch b := m.GetBody().(type) {
 	case *wire.Placement_Ask:
 		return askFromWire(now, from, k, b.Ask)
+	case *wire.Placement_Adopt:
+		return adoptFromWire(now, from, k, b.Adopt)
 	case *wire.Placement_Withdraw:
 		return Withdraw{k}, nil
 	case *wire.Placement_PrefillEnded:
@@ -100,7 +106,7 @@
 	return nil, errors.New("message holds no event")
 }
 
-func askFromWire(now time.Time, from identifier.VM, k Key, a *wire.Ask) (Event, error) {
+func askFromWire(now time.Time, from identifier.VM, k Key, a *wire.Ask) (Ask, error) {
 	waited := time.Duration(a.GetWaited())
 	e := Ask{
 		Key:            k,
--- a/admitter/message_test.go
+++ b/admitter/message_test.go
@@ -21,6 +21,10 @@
 		FromDataCentre: "thamel-room", Prompt: 700, MaxOutput: 256, Prefix: []identifier.Block{1, 1 << 63},
 		Arrived: start.Add(-time.Millisecond), Excluded: []identifier.Upstream{"spec-desk-1"}, Continues: true,
 	},
+	admitter.Adopt{
+		Ask:     admitter.Ask{Key: wireKey, Class: "c", From: "vm-1", Prompt: 900, MaxOutput: 80, Arrived: start.Add(-time.Second)},
+		Prefill: "p-1", Decode: "d-1", Pieces: 3, Stage: admitter.StageDecoding,
+	},
 	admitter.Withdraw{Key: wireKey},
 	admitter.PrefillEnded{Key: wireKey, Cached: 256, Took: 20 * time.Millisecond},
 	admitter.TransferEnded{Key: wireKey, Took: 7 * time.Millisecond},
--- a/dispatcher/asker.go
+++ b/dispatcher/asker.go
@@ -51,6 +51,7 @@
 }
 
 func (d *Dispatcher) report(now time.Time, t *Ticket, e admitter.Event) {
+	t.follow(e)
 	d.toOwner(now, t, e)
 }
 
--- a/dispatcher/owner.go
+++ b/dispatcher/owner.go
@@ -28,6 +28,40 @@
 			delete(d.owned, id)
 		}
 	}
+	d.handOver(now)
+}
+
+// handOver tells the new owners of shards of the attempts that run here, and
+// asks them for those that are not yet placed.
+func (d *Dispatcher) handOver(now time.Time) {
+	for _, t := range d.tickets {
+		shard, ok := d.shard(t.shard)
+		if !ok || shard.Owner(d.view.Live) == t.owner {
+			continue
+		}
+		t.owner = shard.Owner(d.view.Live)
+		switch {
+		case !t.answered:
+			d.ask(now, t)
+		case t.place.Prefill != "":
+			d.toOwner(now, t, admitter.Adopt{
+				Ask:     t.ask,
+				Prefill: t.place.Prefill,
+				Decode:  t.place.Decode,
+				Pieces:  t.place.Pieces,
+				Stage:   t.stage,
+			})
+		}
+	}
+}
+
+func (d *Dispatcher) shard(id identifier.Shard) (registrar.Shard, bool) {
+	for _, s := range d.view.Catalog.Shards() {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return registrar.Shard{}, false
 }
 
 // own makes the core of a shard, or tells it what has changed.
@@ -130,6 +164,7 @@
 	}
 	t.answered = true
 	t.sentAt = now
+	t.follow(out)
 	if !t.deliver(out) {
 		d.log.Error().Str("Request", string(key.Request)).Msg("DecisionDropped")
 	}
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -22,6 +22,26 @@
 	// answered says that a first decision has come.
 	answered bool
 	sentAt   time.Time
+	// place is the placement that stands; empty before it and once it has
+	// ended.
+	place admitter.Place
+	stage admitter.Stage
+}
+
+// follow keeps what a new owner of the shard must be told.
+func (t *Ticket) follow(e any) {
+	switch e := e.(type) {
+	case admitter.Place:
+		t.place, t.stage = e, admitter.StagePrefilling
+	case admitter.Move:
+		t.place.Decode, t.place.Pieces = e.Decode, e.Pieces
+	case admitter.PrefillEnded:
+		t.stage = admitter.StageTransferring
+	case admitter.TransferEnded, admitter.FirstToken:
+		t.stage = admitter.StageDecoding
+	case admitter.Refuse, admitter.Abandon, admitter.Ended, admitter.Withdraw:
+		t.place = admitter.Place{}
+	}
 }
 
 // Open asks for a placement. The decisions come on the ticket, which must be
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -56,6 +56,24 @@
 	return slices.Clone(s.live)
 }
 
+// Owned returns the shards whose ledger is kept here.
+func (s *Server) Owned() []registrar.Shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own()
+}
+
+// own is Owned with mu held.
+func (s *Server) own() []registrar.Shard {
+	var out []registrar.Shard
+	for _, shard := range s.registrar.Catalog().Shards() {
+		if shard.Owner(s.live) == s.self.ID {
+			out = append(out, shard)
+		}
+	}
+	return out
+}
+
 // changed tells the duties of the fleet and configuration. mu is held.
 func (s *Server) changed() {
 	catalog := s.registrar.Catalog()
@@ -64,12 +82,7 @@
 		Catalog: catalog,
 		Classes: s.configuration.Classes,
 	})
-	var own []registrar.Shard
-	for _, shard := range catalog.Shards() {
-		if shard.Owner(s.live) == s.self.ID {
-			own = append(own, shard)
-		}
-	}
+	own := s.own()
 	s.poller.SetShards(s.ctx, own)
 	s.reclaimer.SetShards(s.ctx, compared(own))
 	s.health.assign(assigned(catalog, own))
--- a/server/operators.go
+++ b/server/operators.go
@@ -119,10 +119,8 @@
 	for _, v := range s.live {
 		out.Live = append(out.Live, v.ID)
 	}
-	for _, shard := range s.registrar.Catalog().Shards() {
-		if shard.Owner(s.live) == s.self.ID {
-			out.Owned = append(out.Owned, shard.ID)
-		}
+	for _, shard := range s.own() {
+		out.Owned = append(out.Owned, shard.ID)
 	}
 	s.mu.Unlock()
 	s.addMeasures(&out)
