Detect the loss of a data centre and the split of regions in time

Cause: when many VMs went at once, a few of the others held single dead ones for live for 5 to 10 s: gossip aimed at VMs that were themselves gone spread too thinly, and the ring went one dead VM a period. Change: a fresh statement is passed on in four rounds of gossip to four VMs; a late probe moves on to the next VM of the ring at once; tables name the VMs that died lately; digests are compared every second.

--- a/prober/probe.go
+++ b/prober/probe.go
@@ -19,6 +19,8 @@
 	relaySequence identifier.Sequence
 	// blames says that the target becomes suspect without an ack.
 	blames bool
+	// ring says that the target was probed as the next VM on the hash ring.
+	ring bool
 }
 
 // advance acts on all that has become due.
@@ -40,24 +42,24 @@
 // round probes the next VM on the hash ring and one random VM.
 func (c *Core) round(now time.Time) {
 	c.sync()
-	next := c.successor()
+	next := c.successor(c.self.VM)
 	if next != "" {
-		c.ping(now, next, true)
+		c.ping(now, next, true).ring = true
 	}
 	if other := c.nextShuffled(); other != "" && other != next {
 		c.ping(now, other, true)
 	}
 }
 
-// successor returns the alive VM that follows this one in hash order, so
-// that each VM is probed by some other one in each period.
-func (c *Core) successor() identifier.VM {
-	own := xxhash.Sum64String(string(c.self.VM))
+// successor returns the alive VM that follows one in hash order, so that
+// each VM is probed by some other one in each period.
+func (c *Core) successor(after identifier.VM) identifier.VM {
+	from := xxhash.Sum64String(string(after))
 	var best identifier.VM
 	var distance uint64
 	c.members.Scan(func(vm identifier.VM, e *entry) bool {
-		d := xxhash.Sum64String(string(vm)) - own
-		if e.State == Alive && (best == "" || d < distance) {
+		d := xxhash.Sum64String(string(vm)) - from
+		if e.State == Alive && vm != after && (best == "" || d < distance) {
 			best, distance = vm, d
 		}
 		return true
@@ -136,10 +138,22 @@
 		if age >= DirectTimeout && p.blames && !p.helped {
 			p.helped = true
 			c.askHelpers(s, p)
+			c.skip(now, p)
 		}
 	}
 }
 
+// skip probes the next VM on the ring at once, as its own predecessor may be
+// dead: many VMs die together when a rack or a data centre goes.
+func (c *Core) skip(now time.Time, p *probe) {
+	if !p.ring {
+		return
+	}
+	if next := c.successor(p.target); next != "" {
+		c.ping(now, next, true).ring = true
+	}
+}
+
 // askHelpers probes a late target again, directly and through others.
 func (c *Core) askHelpers(s identifier.Sequence, p *probe) {
 	c.send(p.target, Frame{Body: Ping{Sequence: s}})
@@ -183,7 +197,7 @@
 	e.State = Dead
 	e.since = now
 	c.sort(e)
-	c.rumours.records.Delete(e.VM)
+	c.rumours.drop(e.VM)
 	c.changed = c.changed || wasLive
 	c.emit(MemberChanged{Record: e.Record})
 }
@@ -213,7 +227,7 @@
 func (c *Core) forget(vm identifier.VM) {
 	c.members.Delete(vm)
 	c.troubled.Delete(vm)
-	c.rumours.records.Delete(vm)
+	c.rumours.drop(vm)
 	c.emit(MemberForgotten{VM: vm})
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -34,13 +34,17 @@
 	PauseLimit = 400 * time.Millisecond
 	// CompareEvery is the time between two comparisons with a random VM, and
 	// between two tries to reach a dead one.
-	CompareEvery = 2 * time.Second
+	CompareEvery = time.Second
 	// DeadKept is how long the record of a dead VM is kept.
 	DeadKept = 10 * time.Minute
+	// DeadTold is how long a dead VM is named in tables.
+	DeadTold = 30 * time.Second
 	// Helpers is the number of VMs asked for an indirect probe.
 	Helpers = 3
 	// Fanout is the number of VMs that one round of gossip goes to.
-	Fanout = 3
+	Fanout = 4
+	// GossipRounds is the number of rounds that pass a fresh statement on.
+	GossipRounds = 4
 	// PiggybackRecords bounds the records on a ping or an ack.
 	PiggybackRecords = 6
 	// RotatedRecords is the number of old records repeated on each ping.
@@ -191,7 +195,7 @@
 		return
 	}
 	c.nextRound = now.Add(time.Duration(c.rng.Int64N(int64(Period))))
-	c.nextRetry = now.Add(CompareEvery)
+	c.nextRetry = now.Add(time.Duration(c.rng.Int64N(int64(CompareEvery))))
 	c.changed = true
 	c.sync()
 }
--- a/prober/receive.go
+++ b/prober/receive.go
@@ -28,7 +28,7 @@
 	case PingRequest:
 		c.relay(now, e.From, b)
 	case Sync:
-		c.send(e.From, c.table(b.Digest))
+		c.send(e.From, c.table(now, b.Digest))
 	case Table:
 		c.synced = true
 		c.syncing = c.members.Len() > known
@@ -77,9 +77,10 @@
 	c.rumourOf(now, c.self)
 }
 
-// admit adds a VM that was not known.
+// admit adds a VM that was not known. One that is suspect may be long dead;
+// if it lives it refutes, and comes as alive.
 func (c *Core) admit(now time.Time, r Record) {
-	if r.VM == "" || c.members.Len() >= MaxMembers {
+	if r.State != Alive || r.VM == "" || c.members.Len() >= MaxMembers {
 		return
 	}
 	e := &entry{Record: r, since: now}
--- a/prober/rumour.go
+++ b/prober/rumour.go
@@ -13,9 +13,15 @@
 type rumours struct {
 	records btree.Map[identifier.VM, int]
 	notices btree.Map[noticeKey, int]
-	// unsent and unsentNotices were in no round of gossip yet.
-	unsent        btree.Set[identifier.VM]
-	unsentNotices btree.Set[noticeKey]
+	// unsent and unsentNotices hold the rounds of gossip that are left.
+	unsent        btree.Map[identifier.VM, int]
+	unsentNotices btree.Map[noticeKey, int]
+}
+
+// drop ends the spread of a VM's record.
+func (r *rumours) drop(vm identifier.VM) {
+	r.records.Delete(vm)
+	r.unsent.Delete(vm)
 }
 
 // repeats is how often one VM sends a fresh statement with its pings and
@@ -24,13 +30,13 @@
 
 func (c *Core) rumourOf(now time.Time, r Record) {
 	c.rumours.records.Set(r.VM, repeats(c.members.Len()))
-	c.rumours.unsent.Insert(r.VM)
+	c.rumours.unsent.Set(r.VM, GossipRounds)
 	c.flushSoon(now)
 }
 
 func (c *Core) rumourNotice(now time.Time, n Notice) {
 	c.rumours.notices.Set(n.key(), repeats(c.members.Len()))
-	c.rumours.unsentNotices.Insert(n.key())
+	c.rumours.unsentNotices.Set(n.key(), GossipRounds)
 	c.flushSoon(now)
 }
 
@@ -50,34 +56,21 @@
 	}
 	c.nextFlush = now.Add(FlushDelay)
 	f := Frame{Body: Gossip{}}
-	for _, vm := range pop(&c.rumours.unsent, GossipRecords) {
+	take(&c.rumours.unsent, GossipRecords, func(vm identifier.VM) {
 		if r, ok := c.record(vm); ok {
 			f.Records = append(f.Records, r.spoken())
 		}
-	}
-	for _, k := range pop(&c.rumours.unsentNotices, GossipRecords) {
+	})
+	take(&c.rumours.unsentNotices, GossipRecords, func(k noticeKey) {
 		if n, ok := c.notices.Get(k); ok {
 			f.Notices = append(f.Notices, n)
 		}
-	}
+	})
 	for _, e := range c.sample(Fanout, "") {
 		c.send(e.VM, f)
 	}
 }
 
-// pop removes up to n keys.
-func pop[K ~string](s *btree.Set[K], n int) []K {
-	var keys []K
-	s.Scan(func(k K) bool {
-		keys = append(keys, k)
-		return len(keys) < n
-	})
-	for _, k := range keys {
-		s.Delete(k)
-	}
-	return keys
-}
-
 // fresh takes up to n fresh records and counts them as sent once.
 func (c *Core) fresh(n int) []Record {
 	var records []Record
--- a/prober/sync.go
+++ b/prober/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -63,15 +64,16 @@
 	c.send(vm, c.piggyback(vm, Frame{Body: Sync{Digest: c.digest()}}))
 }
 
-// table is all that this VM knows, or nothing if the asking VM knows it.
-func (c *Core) table(digest uint64) Frame {
+// table is all that this VM knows, or nothing if the asking VM knows it. A
+// VM that died lately is told as suspect, for a VM that has missed that.
+func (c *Core) table(now time.Time, digest uint64) Frame {
 	f := Frame{Body: Table{}}
 	if digest == c.digest() {
 		return f
 	}
 	c.members.Scan(func(_ identifier.VM, e *entry) bool {
-		if e.State != Dead {
-			f.Records = append(f.Records, e.Record)
+		if e.State != Dead || now.Sub(e.since) < DeadTold {
+			f.Records = append(f.Records, e.spoken())
 		}
 		return true
 	})
--- a/syncer/fleet_test.go
+++ b/syncer/fleet_test.go
@@ -82,6 +82,8 @@
 	nodes  map[identifier.VM]*node
 	// noSends keeps all messages of one VM back.
 	noSends identifier.VM
+	// onSend sees each message.
+	onSend func(m syncer.Message)
 	// onInForce sees each configuration that a VM puts into force.
 	onInForce func(vm identifier.VM, n *node, d configurer.Document)
 }
@@ -195,6 +197,9 @@
 }
 
 func (f *fleet) send(from identifier.VM, n *node, o syncer.Send) {
+	if f.onSend != nil {
+		f.onSend(o.Message)
+	}
 	to := f.nodes[o.To]
 	if to == nil || to.side != n.side || from == f.noSends || f.rng.Float64() < f.loss {
 		return
