--- a/granter/granter.go
+++ b/granter/granter.go
@@ -79,6 +79,7 @@
 func (c *Core) Len() int { return len(c.grants) }
 
 func (c *Core) engineChanged(now time.Time, ev EngineChanged) {
+	c.sweep()
 	e, ok := c.engines[ev.ID]
 	if !ok {
 		if len(c.engines) >= maxEngines || !ev.Alive {
@@ -97,6 +98,17 @@
 	}
 }
 
+// sweep forgets dead engines that nothing refers to any more.
+func (c *Core) sweep() {
+	c.order = slices.DeleteFunc(c.order, func(e *engine) bool {
+		over := !e.alive && len(e.grants) == 0 && len(e.queue) == 0
+		if over {
+			delete(c.engines, e.id)
+		}
+		return over
+	})
+}
+
 func compareID(e *engine, id identifier.Upstream) int {
 	switch {
 	case e.id < id:
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -11,9 +11,6 @@
 type Settings struct {
 	// PrefillBase and PrefillPerToken are the prior of a prefill's time.
 	PrefillBase, PrefillPerToken time.Duration
-	// CrossDelay is charged for a prefill and a decode engine in different
-	// data centres, beside the transfer.
-	CrossDelay time.Duration
 }
 
 const (
