Bound callers that don't send a body or don't read an answer

Only a stream's events had a write deadline. A caller that never read the answer of a plain service, or a long JSON reply, held its place for ever: the end of a request's context does not end a blocked write. Likewise a caller that stopped in mid-body of a plain call held its place for ever, and one that stopped in a completion's body kept its connection after the refusal, as the deadline was lifted before the server read the rest.

Every write of an answer now has WriteTimeout, a plain call's body has RequestTimeout, and the deadline of a body that was refused stays.

--- a/listener/handler.go
+++ b/listener/handler.go
@@ -55,7 +55,11 @@
 	control := http.NewResponseController(c.Response())
 	_ = control.SetReadDeadline(time.Now().Add(l.cfg.BodyTimeout))
 	body, err := readBody(http.MaxBytesReader(c.Response(), c.Request().Body, l.cfg.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		// Without a deadline the server notices when the caller leaves. After
+		// an error it bounds the wait for the rest of the body.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	return body, err
 }
 
@@ -156,7 +160,6 @@
 		answer:       a,
 		w:            c.Response(),
 		control:      http.NewResponseController(c.Response()),
-		writeTimeout: l.cfg.WriteTimeout,
 		includeUsage: includeUsage,
 	}
 	out := l.runner.Run(ctx, job, sink)
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -85,7 +85,7 @@
 	}
 	l.cutting, l.cut = context.WithCancel(context.Background())
 	l.server = &http.Server{
-		Handler:           l.routes(),
+		Handler:           l.readBy(l.routes()),
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout,
@@ -105,6 +105,13 @@
 	return e
 }
 
+// readBy limits how long a caller may leave a part of an answer unread.
+func (l *Listener) readBy(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(newBoundedWriter(w, l.cfg.WriteTimeout), r)
+	})
+}
+
 // Handler returns the handler of all paths.
 func (l *Listener) Handler() http.Handler { return l.server.Handler }
 
@@ -178,6 +185,9 @@
 	defer l.leave()
 	ctx, cancel := l.bounded(c)
 	defer cancel()
+	// The end of ctx does not end a read of the caller's body.
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(l.cfg.RequestTimeout))
 	l.services.ServeHTTP(c.Response(), c.Request().WithContext(ctx))
 	return nil
 }
--- a/listener/streamer.go
+++ b/listener/streamer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,10 +12,8 @@
 // streamer is a sink that sends each token as a server-sent event.
 type streamer struct {
 	answer
-	w       http.ResponseWriter
-	control *http.ResponseController
-	// writeTimeout ends the stream of a caller that does not read.
-	writeTimeout time.Duration
+	w            http.ResponseWriter
+	control      *http.ResponseController
 	includeUsage bool
 	// started says that the header has been sent.
 	started bool
@@ -60,10 +57,6 @@
 
 func (s *streamer) write(text []byte) error {
 	s.start()
-	err := s.control.SetWriteDeadline(time.Now().Add(s.writeTimeout))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return err
-	}
 	line := make([]byte, 0, len(text)+8)
 	line = append(line, "data: "...)
 	line = append(line, text...)
