Balance memory against streams, and bound the expected waste of a promise

Cause: engines ran out of streams with memory left, or the reverse; a promise for a very long prompt risked as much in probability as one for a short prompt, and one lost prompt of 60,000 tokens was 4 in 100 of all prefill seconds. Change: the score of a decode engine counts what it would leave unbalanced (200 ms at most); a promise may be expected to waste at most 15 ms (WastedPrefill) or 35 ms (Goodput) of prefill.

--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -111,7 +111,9 @@
 }
 
 func (p *pending) request() placer.Request {
-	return placer.Request{Prompt: p.Prompt, Prefix: p.Prefix, Excluded: p.Excluded, PerToken: p.class.PerToken}
+	return placer.Request{
+		Prompt: p.Prompt, Prefix: p.Prefix, Excluded: p.Excluded, Pieces: p.pieces, PerToken: p.class.PerToken,
+	}
 }
 
 // placeOn places a request on a chosen prefill engine. It returns false if
--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// safeChance and likelyChance are the least probabilities of memory on
-	// which a prefill is started.
-	safeChance   = 0.9
-	likelyChance = 0.8
+	// safeWaste and likelyWaste are the most prefill time that a promise may
+	// be expected to waste: the time of the prefill times the probability that
+	// its memory does not come.
+	safeWaste   = 15 * time.Millisecond
+	likelyWaste = 35 * time.Millisecond
+	// leastChance is the least probability of the memory of any promise.
+	leastChance = 0.7
 	// promiseShare is the share of a prefill result's life in which promised
 	// memory may still come.
 	promiseShare = 0.0
@@ -49,7 +52,7 @@
 		f := c.granter.FreedBy(now, by, d.ID)
 		none *= 1 - chance(float64(d.Free)+f.Pieces-float64(p.pieces), f.Variance)
 	}
-	return 1-none >= c.needed()
+	return 1-none >= c.needed(p.cost)
 }
 
 // chance is the probability that a normal value with a mean and a variance
@@ -61,11 +64,13 @@
 	return 0.5 * math.Erfc(-mean/math.Sqrt(2*variance))
 }
 
-func (c *Core) needed() float64 {
+// needed is the least probability of memory for a prefill of some cost.
+func (c *Core) needed(cost time.Duration) float64 {
+	waste := likelyWaste
 	if c.cfg.Prefer == PreferWastedPrefill {
-		return safeChance
+		waste = safeWaste
 	}
-	return likelyChance
+	return max(leastChance, 1-waste.Seconds()/max(cost.Seconds(), 1e-6))
 }
 
 func (c *Core) slackOfPromise() time.Duration {
--- a/placer/score.go
+++ b/placer/score.go
@@ -14,6 +14,8 @@
 	Prompt   identifier.Tokens
 	Prefix   []identifier.Block
 	Excluded []identifier.Upstream
+	// Pieces is the decode memory.
+	Pieces identifier.Pieces
 	// PerToken is the target for the token pace; zero means none.
 	PerToken time.Duration
 }
@@ -80,7 +82,7 @@
 		if d.tooSlow(r.PerToken) {
 			continue
 		}
-		total := max(0, d.LinkFree.Sub(prefillEnds)) + d.Transfer + paceWeight*d.Pace
+		total := d.wait(prefillEnds) + paceWeight*d.Pace + d.unbalance(r.Pieces)
 		if total < least {
 			best, least = i, total
 		}
@@ -88,9 +90,30 @@
 	if best < 0 {
 		return -1, 0
 	}
-	return best, least - paceWeight*from[best].Pace + from[best].Pace*3/2
+	return best, from[best].wait(prefillEnds) + from[best].Pace*3/2
 }
 
+// wait is the time for the link and the transfer.
+func (d *Decode) wait(prefillEnds time.Time) time.Duration {
+	return max(0, d.LinkFree.Sub(prefillEnds)) + d.Transfer
+}
+
+// unbalance is the cost of leaving more of one resource than of the other:
+// memory without streams, or streams without memory, serves nobody.
+func (d *Decode) unbalance(n identifier.Pieces) time.Duration {
+	streams := d.Streams + d.Room
+	if d.Pieces <= 0 || streams <= 0 {
+		return 0
+	}
+	memory := float64(d.Free-n) / float64(d.Pieces)
+	room := float64(d.Room-1) / float64(streams)
+	return time.Duration(math.Abs(memory-room) * float64(unbalanceCost))
+}
+
+// unbalanceCost is the cost of an engine that has all of one resource left
+// and nothing of the other.
+const unbalanceCost = 200 * time.Millisecond
+
 // tooSlow says that one more stream would break a target for the token pace.
 // An empty engine is never too slow: its pace may be out of date, and only a
 // stream can show it.
