Plant faults in the cores and show that their checks catch them

Change: scripts/plant-faults.sh plants 36 faults, one at a time, in a scratch copy whose sound tests pass. Four were missed at first and their checks are stronger now: the claim record is filled within its retention, late tokens of ended attempts go on and each attempt has an answer of its own, a late denial meets a take-over, a rack's failure convicts nobody. The stricter reclaimer check (answers count for AnswerWait, not AskEvery) found with seed 201 that a VM which is cut off can take over a stream that all live VMs disown; a stream that was read within ReadLately is kept now.

Conclusion: each core's main rules are checked by a test that can fail.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -137,9 +137,13 @@
 	return claimer.Key{byte(n), byte(minted.Unix() / 3600), byte(minted.Unix() / 3600 / 256)}, minted
 }
 
-func (w *world) ask(t *rapid.T, i, n int) claimer.Holder {
-	w.nonce++
+func (w *world) ask(t *rapid.T, i, n int) {
 	key, minted := w.key(n)
+	w.askKey(t, i, key, minted)
+}
+
+func (w *world) askKey(t *rapid.T, i int, key claimer.Key, minted time.Time) {
+	w.nonce++
 	e := claimer.ClaimAsked{
 		Claim: claimer.Claim{
 			Key:    key,
@@ -150,7 +154,6 @@
 	}
 	w.asked = append(w.asked, e)
 	w.send(t, i, e)
-	return e.Claim.Holder
 }
 
 func (w *world) send(t *rapid.T, i int, e claimer.ClaimAsked) {
@@ -320,6 +323,45 @@
 	}
 }
 
+// TestFullRecordForgetsNothing asks for more keys than the bases hold within
+// Retention: those that were granted stay taken, and later there is room.
+func TestFullRecordForgetsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		room := small.BaseSlots*small.BaseClaims + small.LogSlots*small.Batch
+		var keys []claimer.Key
+		for n := range room + 20 {
+			w.askKey(t, 0, claimer.Key{1, byte(n)}, time.Time{})
+			w.settle(t)
+			if _, ok := w.granted[claimer.Key{1, byte(n)}]; ok {
+				keys = append(keys, claimer.Key{1, byte(n)})
+			}
+		}
+		if len(keys) < room/2 || len(keys) > room {
+			t.Fatalf("%d keys in a record for at most %d", len(keys), room)
+		}
+		w.advance(t, claimer.Retention-2*time.Minute, -1)
+		for _, key := range keys {
+			w.askKey(t, 1+rapid.IntRange(0, 1).Draw(t, "leader"), key, time.Time{})
+			w.settle(t)
+		}
+		w.advance(t, time.Hour, -1)
+		w.askKey(t, 0, claimer.Key{2}, time.Time{})
+		w.settle(t)
+		if _, ok := w.granted[claimer.Key{2}]; !ok {
+			t.Fatalf("no room after the retention")
+		}
+	})
+}
+
+// settle lets the store answer for a few batches.
+func (w *world) settle(t *rapid.T) {
+	for range 4 {
+		w.drain(t)
+		w.advance(t, claimer.BatchEvery, -1)
+	}
+}
+
 func TestKeyIsGrantedOnceUnderFaults(t *testing.T) {
 	total, grants := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/deduper/deduper_test.go
+++ b/deduper/deduper_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,22 +29,39 @@
 // answerLength is the number of tokens of every answer.
 const answerLength = 6
 
-// part is one token of the answer to a key, different for each key.
-func part(key deduper.Key, index identifier.Tokens) (string, string) {
+// stream names one attempt; each gives an answer of its own.
+type stream struct {
+	request identifier.Request
+	attempt identifier.Attempt
+}
+
+// part is one token of a stream.
+func part(key deduper.Key, index identifier.Tokens, s stream) (string, string) {
 	finish := ""
 	if index == answerLength-1 {
 		finish = "stop"
 	}
-	return fmt.Sprintf("%s.%d ", key, index), finish
+	return fmt.Sprintf("%s.%d@%s.%d ", key, index, s.request, s.attempt), finish
 }
 
-func text(key deduper.Key, n int) string {
-	all := ""
-	for i := range n {
-		s, _ := part(key, identifier.Tokens(i))
-		all += s
+// check reads an answer and returns the number of its tokens. They must be
+// the key's, in order, and may go over to another stream only where that one
+// begins.
+func (w *world) check(t *rapid.T, key deduper.Key, answer string) int {
+	var last stream
+	tokens := strings.Fields(answer)
+	for i, token := range tokens {
+		at := strings.IndexByte(token, '@')
+		dot := strings.LastIndexByte(token, '.')
+		var s stream
+		s.request = identifier.Request(token[at+1 : dot])
+		_, _ = fmt.Sscan(token[dot+1:], &s.attempt)
+		if token[:at] != fmt.Sprintf("%s.%d", key, i) || s != last && w.from[s] != identifier.Tokens(i) {
+			t.Fatalf("answer to %s: %q", key, answer)
+		}
+		last = s
 	}
-	return all
+	return len(tokens)
 }
 
 // connection is one writer as its caller sees it.
@@ -84,7 +102,9 @@
 	wake    time.Time
 	writers map[deduper.Writer]*connection
 	// keys gives the key of each run.
-	keys     map[identifier.Request]deduper.Key
+	keys map[identifier.Request]deduper.Key
+	// from is the first token of each attempt.
+	from     map[stream]identifier.Tokens
 	readings []*reading
 	messages []message
 	// runs counts the attempts of requests that may not be repeated.
@@ -104,6 +124,7 @@
 		home:    deduper.NewHome(),
 		writers: map[deduper.Writer]*connection{},
 		keys:    map[identifier.Request]deduper.Key{},
+		from:    map[stream]identifier.Tokens{},
 		runs:    map[deduper.Key]int{},
 		calm:    calm,
 	}
@@ -145,7 +166,7 @@
 		c := w.close(t, o.Writer)
 		if _, ok := o.Outcome.(outcomer.Answered); ok {
 			w.answers++
-			if c.got != text(c.key, answerLength) {
+			if w.check(t, c.key, c.got) != answerLength {
 				t.Fatalf("answer to %s is not whole: %q", c.key, c.got)
 			}
 		}
@@ -156,7 +177,8 @@
 
 func (w *world) started(t *rapid.T, vm int, o deduper.StartAttempt) {
 	key := w.keys[o.Request]
-	if o.Generated != text(key, int(o.From)) {
+	w.from[stream{request: o.Request, attempt: o.Attempt}] = o.From
+	if w.check(t, key, o.Generated) != int(o.From) {
 		t.Fatalf("attempt of %s goes on from %d with %q", key, o.From, o.Generated)
 	}
 	if !repeatable(key) {
@@ -179,9 +201,7 @@
 		t.Fatalf("write to a closed connection of %s", c.key)
 	}
 	c.got += o.Text
-	if full := text(c.key, answerLength); len(c.got) > len(full) || full[:len(c.got)] != c.got {
-		t.Fatalf("connection of %s got %q", c.key, c.got)
-	}
+	w.check(t, c.key, c.got)
 	for id, other := range w.writers {
 		if id != o.Writer && other.key == c.key && !other.closed && (other.vm == c.vm || w.calm) && other.got != "" {
 			t.Fatalf("two connections get the answer to %s", c.key)
@@ -268,7 +288,7 @@
 	if r.next == answerLength {
 		return
 	}
-	s, finish := part(r.key, r.next)
+	s, finish := part(r.key, r.next, stream{request: r.request, attempt: r.attempt})
 	w.step(t, r.vm, deduper.TokenArrived{Request: r.request, Attempt: r.attempt, Reader: r.reader, Index: r.next, Text: s, Finish: finish})
 	r.next++
 }
--- a/deduper/machine_test.go
+++ b/deduper/machine_test.go
@@ -93,8 +93,8 @@
 		},
 		"break": func(t *rapid.T) {
 			seldom(t)
-			i, r := pick(t, w.readings)
-			w.readings = slices.Delete(w.readings, i, i+1)
+			// Its late tokens and a second end may still come.
+			_, r := pick(t, w.readings[max(0, len(w.readings)-6):])
 			if w.cores[r.vm] == r.core {
 				ran := outcomer.RanUnknown
 				w.step(t, r.vm, deduper.AttemptEnded{
@@ -197,6 +197,6 @@
 			w.goOn(t, w.readings[1])
 		}
 		g.Expect(w.answers).To(Equal(1))
-		g.Expect(w.writers[second].got).To(Equal(text("a", answerLength)))
+		g.Expect(w.check(t, "a", w.writers[second].got)).To(Equal(answerLength))
 	})
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -322,3 +322,35 @@
 	}
 	t.Logf("%d steps, %d refusals, %d runs of suspects", total, refused, retried)
 }
+
+// TestRackFailureConvictsNobody kills the prefill and the decode engine of a
+// request together. It may run again, alone, and is cleared by its answer.
+func TestRackFailureConvictsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		w.try(t, 0, 0, 2)
+		prefill := w.flights[0]
+		decode := prefill
+		decode.Upstream = upstream(1)
+		w.flights = append(w.flights, decode)
+		w.step(0, quarantiner.Started{Run: decode.Run, Fingerprint: 2})
+		w.die(t, 0)
+		w.die(t, 1)
+		w.wait(t, quarantiner.ConfirmWait)
+		for vm := range vms {
+			w.try(t, vm, 2, 2)
+			if w.verdict.Kind != quarantiner.KindRunAlone {
+				t.Fatalf("after a rack's failure: %v", w.verdict)
+			}
+		}
+		if len(w.flights) != 1 {
+			t.Fatalf("the guard lets %d suspects run on one upstream", len(w.flights))
+		}
+		w.end(0, true)
+		w.spread(t)
+		w.try(t, 1, 2, 2)
+		if w.verdict.Kind != quarantiner.KindRun {
+			t.Fatalf("after a whole answer: %v", w.verdict)
+		}
+	})
+}
--- a/reclaimer/reclaimer.go
+++ b/reclaimer/reclaimer.go
@@ -32,6 +32,8 @@
 	// Grace is how long a hold lives that no VM vouches for. It lets a caller
 	// come back through another VM.
 	Grace = 6 * time.Second
+	// ReadLately is how long after its last token a stream counts as read.
+	ReadLately = 3 * time.Second
 	// SilentGrace is how long a stream lives that is not read, where a VM
 	// that may have it is silent.
 	SilentGrace = 30 * time.Second
@@ -207,14 +209,14 @@
 // VMs are asked anew while one is silent, because another may take the
 // stream over.
 func (c *Core) judgeFinal(now time.Time, e *engine, h *hold, asks *asks) {
-	if len(h.waiting) == 0 {
+	if len(h.waiting) == 0 && h.fresh(now) && !h.readLately(now, e) {
 		c.release(now, e, h)
 		return
 	}
 	if now.Sub(h.askedAt) < AnswerWait {
 		return
 	}
-	if c.silentTooLong(now, e, h) {
+	if len(h.waiting) > 0 && c.silentTooLong(now, e, h) {
 		c.release(now, e, h)
 		return
 	}
@@ -223,6 +225,18 @@
 	}
 }
 
+// fresh says that the questions are recent, so that what was answered still
+// holds.
+func (h *hold) fresh(now time.Time) bool {
+	return now.Sub(h.askedAt) <= AnswerWait+PollEvery
+}
+
+// readLately says that somebody reads the stream: if all VMs have disowned
+// it, one that isn't known to be live.
+func (h *hold) readLately(now time.Time, e *engine) bool {
+	return e.tellsRead && !h.read.IsZero() && now.Sub(h.readAt) < ReadLately
+}
+
 // silentTooLong says that nobody can be reading a hold whose VM is silent.
 func (c *Core) silentTooLong(now time.Time, e *engine, h *hold) bool {
 	patience := SilentLimit
--- a/reclaimer/reclaimer_test.go
+++ b/reclaimer/reclaimer_test.go
@@ -106,7 +106,7 @@
 
 // raced is the time in which a VM may take a stream over after it said that
 // it hasn't; such a stream may be lost.
-const raced = reclaimer.AskEvery + reclaimer.AnswerWait
+const raced = reclaimer.AnswerWait + reclaimer.PollEvery
 
 func (w *world) released(t *rapid.T, o reclaimer.Release) {
 	for _, v := range w.vms {
@@ -285,6 +285,19 @@
 	t.Logf("%d steps, %d releases", total, frees)
 }
 
+// TestFoundFailures runs the seed that found that a VM which is cut off can
+// take over a stream that all live VMs disown.
+func TestFoundFailures(t *testing.T) {
+	before := flag.Lookup("rapid.seed").Value.String()
+	_ = flag.Set("rapid.seed", "201")
+	defer func() { _ = flag.Set("rapid.seed", before) }()
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Bool().Draw(t, "lossy"))
+		w.live(t)
+		t.Repeat(w.actions())
+	})
+}
+
 func TestStreamOfACutOffVMLivesWhileItIsRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
@@ -305,6 +318,40 @@
 	})
 }
 
+// TestLateAnswerDisownsNothing lets a VM take a stream over after it has
+// disowned it, and delivers that answer among the last ones.
+func TestLateAnswerDisownsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		w := newWorld(true)
+		w.engine.TellsRead = false
+		w.live(t)
+		id := w.begin(w.vms[0])
+		w.second(t)
+		w.deliver(t, 0)
+		w.leave(w.vms[0], id)
+		for len(w.answers) == 0 {
+			w.second(t)
+		}
+		w.deliver(t, 0)
+		g.Expect(w.answers).To(HaveLen(3))
+		late := w.answers[1]
+		w.answers = nil
+		w.vms[1].uses[id] = w.now
+		delete(w.free, id)
+		for len(w.answers) == 0 {
+			w.second(t)
+		}
+		g.Expect(w.answers).To(HaveLen(3))
+		w.answers[1] = late
+		for len(w.answers) > 0 {
+			w.deliver(t, 0)
+		}
+		w.second(t)
+		g.Expect(w.engine.Holds).To(HaveLen(1))
+	})
+}
+
 func TestReleaseIsRepeatedUntilAcknowledgedOrRestarted(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
--- a/scripts/plant-faults.sh
+++ b/scripts/plant-faults.sh
@@ -15,6 +15,20 @@
 caught=0
 missed=0
 
+# try PACKAGE: runs its tests.
+try() {
+	local flags=()
+	grep -q pgregory.net/rapid "$1"/*_test.go && flags=(-rapid.shrinktime=1s)
+	go test -count=1 -timeout 60s "./$1" "${flags[@]}" >test.log 2>&1
+}
+
+for package in claimer deduper reclaimer quarantiner drainer outcomer; do
+	try "$package" || {
+		printf 'the tests of %s fail without a fault\n' "$package"
+		exit 2
+	}
+done
+
 # plant NAME FILE FROM TO: replaces the text FROM, which must stand in FILE
 # once, and runs the tests of FILE's package.
 plant() {
@@ -27,11 +41,11 @@
 	elif ! go build "./$(dirname "$file")" 2>build.log; then
 		printf 'broken  %-58s %s\n' "$name" "$(tail -1 build.log)"
 		missed=$((missed + 1))
-	elif go test -count=1 -timeout 60s "./$(dirname "$file")" -rapid.shrinktime=1s >test.log 2>&1; then
+	elif try "$(dirname "$file")"; then
 		printf 'MISSED  %-58s %s\n' "$name" "$file"
 		missed=$((missed + 1))
 	else
-		printf 'caught  %-58s %s\n' "$name" "$(grep -m1 -oE '--- FAIL: .*|panic: .*' test.log)"
+		printf 'caught  %-58s %s\n' "$name" "$(grep -m1 -oE -e '--- FAIL: .*|panic: .*' test.log)"
 		caught=$((caught + 1))
 	fi
 	mv "$file.sound" "$file"
@@ -54,8 +68,8 @@
 plant "claimer: asks stay without an answer" claimer/claimer.go \
 	'c.answer(p, VerdictUnavailable, ReasonTimeout)' 'kept = append(kept, p)'
 
-plant "deduper: token of another reader is written" deduper/attempt.go \
-	'r.phase == phaseRunning && r.attempt == attempt && r.reader == reader' 'r.phase == phaseRunning && r.attempt == attempt'
+plant "deduper: token of another attempt is written" deduper/attempt.go \
+	'r.phase == phaseRunning && r.attempt == attempt && r.reader == reader' 'r.phase == phaseRunning'
 plant "deduper: repeated token is written" deduper/attempt.go \
 	'!r.reads(e.Attempt, e.Reader) || r.next != e.Index' '!r.reads(e.Attempt, e.Reader)'
 plant "deduper: earlier connection is left open" deduper/deduper.go \
@@ -78,20 +92,16 @@
 plant "reclaimer: late answer disowns a newer use" reclaimer/hold.go \
 	'if q.round < h.first {' 'if false {'
 plant "reclaimer: silent VM counts as one that disowns" reclaimer/reclaimer.go \
-	'	if now.Sub(h.askedAt) < AnswerWait {
-		return
-	}
-	if c.silentTooLong(now, e, h) {' '	if now.Sub(h.askedAt) < AnswerWait {
-		return
-	}
-	if true {'
+	'len(h.waiting) > 0 && c.silentTooLong(now, e, h)' 'len(h.waiting) > 0'
 plant "reclaimer: reads are not looked at" reclaimer/reclaimer.go \
 	' && now.Sub(h.readAt) >= patience' ''
+plant "reclaimer: stream that is read is released" reclaimer/reclaimer.go \
+	' && !h.readLately(now, e)' ''
 plant "reclaimer: only the first VM is asked" reclaimer/hold.go \
 	'vms := slices.Clone(c.live)' 'vms := []identifier.VM{h.id.VM}'
 plant "reclaimer: disowned hold is never released" reclaimer/reclaimer.go \
-	'	if len(h.waiting) == 0 {
-		c.release(now, e, h)' '	if len(h.waiting) == 0 {
+	'!h.readLately(now, e) {
+		c.release(now, e, h)' '!h.readLately(now, e) {
 		h.stage = stageVouched'
 plant "reclaimer: release is sent once" reclaimer/canceller.go \
 	'	if e.Done {
@@ -110,6 +120,8 @@
 	'm.State == state && !slices.Contains(trials, m.Trial)' 'm.State == state'
 plant "quarantiner: connection that was lost stays a death" quarantiner/suspect.go \
 	'm := s.mark(d).told(content, StateAlive)' 'm := s.mark(d).told(content, StateDied)'
+plant "quarantiner: whole answer clears nothing" quarantiner/quarantiner.go \
+	'c.clear(now, r.content)' ''
 plant "quarantiner: conviction lasts for ever" quarantiner/suspect.go \
 	'if now.Sub(s.last) >= Life {' 'if false {'
 
