--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -24,12 +24,9 @@
 	queue     *queue
 	// active holds the placed attempts; its keys are those of the granter.
 	active map[Key]*active
-	// largest is the most pieces that any open decode engine has.
-	largest identifier.Pieces
-	// planned is the time of the last plan; stale says that the queue has
-	// changed since.
-	planned time.Time
-	stale   bool
+	capacity
+	// stale says that the queue or the ledger has changed since the last plan.
+	stale bool
 	// nextExpiry is when silent grants are looked for again.
 	nextExpiry time.Time
 	// wakeAt is the last WakeAt that was sent.
@@ -42,12 +39,22 @@
 	out        []Outcome
 }
 
+// capacity sums up the open engines.
+type capacity struct {
+	prefills, decodes int
+	// pieces is the memory of all decode engines, largest the most of one.
+	pieces, largest identifier.Pieces
+}
+
 // active is an attempt that was placed.
 type active struct {
 	*pending
 	place Place
 	// expected is the believed length of the cached prefix.
 	expected identifier.Tokens
+	// adopted says that an earlier owner placed it, so that its times teach
+	// nothing.
+	adopted bool
 }
 
 // New returns a core without classes and upstreams: they come as events.
@@ -93,8 +100,10 @@
 	c.handle(now, e)
 	c.expire(now)
 	c.rescue(now)
-	c.plan(now)
 	c.dispatch(now)
+	if c.plan(now) {
+		c.dispatch(now)
+	}
 	c.wake(now)
 	return c.out
 }
@@ -103,6 +112,8 @@
 	switch e := e.(type) {
 	case Ask:
 		c.ask(now, e)
+	case Adopt:
+		c.adopt(now, e)
 	case Withdraw:
 		c.withdraw(now, e)
 	case PrefillEnded:
@@ -204,11 +215,13 @@
 }
 
 func (c *Core) ended(now time.Time, e Ended) {
-	if _, ok := c.active[e.Key]; !ok {
+	a, ok := c.active[e.Key]
+	if !ok {
 		return
 	}
 	c.forget(e.Key)
-	c.ledger(now, granter.Release{Key: granter.Key(e.Key), Output: e.Output, Whole: !e.Failed && e.Output > 0})
+	whole := !e.Failed && e.Output > 0 && !a.adopted
+	c.ledger(now, granter.Release{Key: granter.Key(e.Key), Output: e.Output, Whole: whole})
 }
 
 // wake asks for the next Wake if its time has changed.
--- a/admitter/message.go
+++ b/admitter/message.go
@@ -24,6 +24,10 @@
 		m := message(shard, e.Key)
 		m.Body = &wire.Placement_Ask{Ask: askToWire(now, e)}
 		return m
+	case Adopt:
+		m := message(shard, e.Key)
+		m.Body = &wire.Placement_Adopt{Adopt: adoptToWire(now, e)}
+		return m
 	case Withdraw:
 		m := message(shard, e.Key)
 		m.Body = &wire.Placement_Withdraw{Withdraw: &wire.Withdraw{}}
@@ -67,6 +71,7 @@
 		Prefix:         convert[uint64](e.Prefix),
 		Waited:         int64(now.Sub(e.Arrived)),
 		Excluded:       namesOf[string](e.Excluded),
+		Continues:      e.Continues,
 	}
 }
 
@@ -80,6 +85,8 @@
 	switch b := m.GetBody().(type) {
 	case *wire.Placement_Ask:
 		return askFromWire(now, from, k, b.Ask)
+	case *wire.Placement_Adopt:
+		return adoptFromWire(now, from, k, b.Adopt)
 	case *wire.Placement_Withdraw:
 		return Withdraw{k}, nil
 	case *wire.Placement_PrefillEnded:
@@ -99,7 +106,7 @@
 	return nil, errors.New("message holds no event")
 }
 
-func askFromWire(now time.Time, from identifier.VM, k Key, a *wire.Ask) (Event, error) {
+func askFromWire(now time.Time, from identifier.VM, k Key, a *wire.Ask) (Ask, error) {
 	waited := time.Duration(a.GetWaited())
 	e := Ask{
 		Key:            k,
@@ -113,6 +120,7 @@
 		Prefix:         convert[identifier.Block](a.GetPrefix()),
 		Arrived:        now.Add(-waited),
 		Excluded:       namesOf[identifier.Upstream](a.GetExcluded()),
+		Continues:      a.GetContinues(),
 	}
 	err := checkAll(
 		checkTokens("Prompt", e.Prompt),
--- a/admitter/message_test.go
+++ b/admitter/message_test.go
@@ -19,7 +19,11 @@
 	admitter.Ask{
 		Key: wireKey, Class: "Quick", Workspace: "desk", Model: "kit-spec", From: "vm-1",
 		FromDataCentre: "thamel-room", Prompt: 700, MaxOutput: 256, Prefix: []identifier.Block{1, 1 << 63},
-		Arrived: start.Add(-time.Millisecond), Excluded: []identifier.Upstream{"spec-desk-1"},
+		Arrived: start.Add(-time.Millisecond), Excluded: []identifier.Upstream{"spec-desk-1"}, Continues: true,
+	},
+	admitter.Adopt{
+		Ask:     admitter.Ask{Key: wireKey, Class: "c", From: "vm-1", Prompt: 900, MaxOutput: 80, Arrived: start.Add(-time.Second)},
+		Prefill: "p-1", Decode: "d-1", Pieces: 3, Stage: admitter.StageDecoding,
 	},
 	admitter.Withdraw{Key: wireKey},
 	admitter.PrefillEnded{Key: wireKey, Cached: 256, Took: 20 * time.Millisecond},
--- a/granter/engine.go
+++ b/granter/engine.go
@@ -1,9 +1,11 @@
 package granter
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/figtrack/figtrack/estimator"
 	"github.com/figtrack/figtrack/identifier"
 )
 
@@ -23,6 +25,8 @@
 	// reserved is the sum of the pieces of grants. It exceeds pieces only by
 	// promises.
 	reserved identifier.Pieces
+	// strictest is the lowest target for the token pace among grants.
+	strictest time.Duration
 	// foreign is memory that the engine reports beyond the ledger.
 	foreign identifier.Pieces
 	// linkFree is when the last booked transfer is predicted to end.
@@ -33,9 +37,11 @@
 	// running counts the streams in StageDecode; area is its integral over
 	// time in stream seconds up to areaAt.
 	running int
-	area    float64
-	areaAt  time.Time
-	drift   drift
+	// pace is the learned time of a token by batch size, in seconds.
+	pace   *estimator.Line
+	area   float64
+	areaAt time.Time
+	drift  drift
 }
 
 // advance brings the area up to date.
@@ -55,6 +61,7 @@
 	g.decode = e
 	e.grants = append(e.grants, g)
 	e.reserved += g.Pieces
+	e.strictest = min(e.strictest, g.pace())
 	e.drift.note(now, e.onEngine())
 }
 
@@ -65,6 +72,9 @@
 	}
 	e.grants = slices.Delete(e.grants, i, i+1)
 	e.reserved -= g.Pieces
+	if g.pace() == e.strictest {
+		e.findStrictest()
+	}
 	if g.Stage == StageDecode {
 		e.advance(now)
 		e.running--
@@ -73,6 +83,24 @@
 	e.drift.note(now, e.onEngine())
 }
 
+func (e *engine) findStrictest() {
+	e.strictest = noTarget
+	for _, g := range e.grants {
+		e.strictest = min(e.strictest, g.pace())
+	}
+}
+
+// noTarget stands for a class without a target for the token pace.
+const noTarget time.Duration = math.MaxInt64
+
+// pace is the target for the token pace.
+func (g *Grant) pace() time.Duration {
+	if g.PerToken <= 0 {
+		return noTarget
+	}
+	return g.PerToken
+}
+
 // onEngine returns the pieces that the engine itself should hold by now.
 func (e *engine) onEngine() identifier.Pieces {
 	var n identifier.Pieces
@@ -104,16 +132,20 @@
 	}
 }
 
+// overdueGrace is how late the report of a prefill's end may be before the
+// engine counts as slow.
+const overdueGrace = 25 * time.Millisecond
+
 // idleAt returns when the prefill engine is predicted to have nothing left.
+// The longer its first prefill is overdue, the longer it is expected to take.
 func (e *engine) idleAt(now time.Time) time.Time {
 	if len(e.queue) == 0 {
 		return now
 	}
-	last := e.queue[len(e.queue)-1]
-	first := e.queue[0]
+	first, last := e.queue[0], e.queue[len(e.queue)-1]
 	ends := last.Started.Add(last.Cost)
-	if over := now.Sub(first.Started.Add(first.Cost)); over > 0 && len(e.queue) > 1 {
-		ends = ends.Add(over)
+	if over := now.Sub(first.Started.Add(first.Cost)); over > 0 {
+		ends = ends.Add(over + max(0, over-overdueGrace))
 	}
 	if ends.Before(now) {
 		return now
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -17,8 +17,9 @@
 	order  []*engine
 	grants map[Key]*Grant
 	// byAge holds the grants in order of their reservation.
-	byAge    []*Grant
-	lengths  map[identifier.Class]*estimator.Lengths
+	byAge   []*Grant
+	lengths map[identifier.Class]*estimator.Lengths
+	// pace is that of all engines together; each has its own beside it.
 	pace     *estimator.Line
 	transfer *estimator.Line
 	errs     Deviations
@@ -78,12 +79,13 @@
 func (c *Core) Len() int { return len(c.grants) }
 
 func (c *Core) engineChanged(now time.Time, ev EngineChanged) {
+	c.sweep()
 	e, ok := c.engines[ev.ID]
 	if !ok {
 		if len(c.engines) >= maxEngines || !ev.Alive {
 			return
 		}
-		e = &engine{id: ev.ID, areaAt: now}
+		e = &engine{id: ev.ID, areaAt: now, strictest: noTarget, pace: estimator.NewLine(c.pace.Base(), c.pace.Slope(), batchSpan, priorWeight)}
 		c.engines[ev.ID] = e
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, e)
@@ -96,6 +98,17 @@
 	}
 }
 
+// sweep forgets dead engines that nothing refers to any more.
+func (c *Core) sweep() {
+	c.order = slices.DeleteFunc(c.order, func(e *engine) bool {
+		over := !e.alive && len(e.grants) == 0 && len(e.queue) == 0
+		if over {
+			delete(c.engines, e.id)
+		}
+		return over
+	})
+}
+
 func compareID(e *engine, id identifier.Upstream) int {
 	switch {
 	case e.id < id:
@@ -201,7 +214,7 @@
 	g.Promised = false
 	g.decoding = now
 	g.areaAt = d.area
-	longest := time.Duration(float64(g.MaxOutput) * 2 * c.pace.At(float64(d.streams)) * float64(time.Second))
+	longest := time.Duration(float64(g.MaxOutput) * 2 * d.paceAt(float64(d.streams)) * float64(time.Second))
 	g.expires = now.Add(longest + c.cfg.Grace)
 	d.drift.note(now, d.onEngine())
 }
@@ -243,7 +256,8 @@
 	g.decode.advance(now)
 	batch := (g.decode.area - g.areaAt) / took
 	pace := took / float64(output-1)
-	c.errs.Pace.Observe(c.pace.At(batch), pace)
+	c.errs.Pace.Observe(g.decode.paceAt(batch), pace)
+	g.decode.pace.Observe(batch, pace)
 	c.pace.Observe(batch, pace)
 }
 
--- a/replay.go
+++ b/replay.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -15,12 +17,13 @@
 
 type replayOptions struct {
 	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
-	Policy   string   `long:"policy" default:"figtrack" description:"policy that decides"`
-	Compare  []string `long:"compare" description:"further policy to replay beside it; all for each of them"`
+	Policy   string   `long:"policy" description:"policy that decides, figtrack if it is not given"`
+	Compare  []string `long:"compare" description:"further policy to replay beside it, all for each baseline, or the JSON file of an earlier replay"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
+	Header   string   `long:"header" description:"trace whose Header line stands for that of a log without one"`
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
 	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
-	All      bool     `long:"all" description:"replay every policy on the recorded traces of both sites, without TRACE"`
+	All      bool     `long:"all" description:"replay every policy, or that of --policy, on the recorded traces of both sites"`
 }
 
 // runReplay replays a trace and prints the measures.
@@ -53,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	trace, err := tracer.ReadFile(rest[0])
+	trace, err := readTrace(rest[0], options.Header)
 	if err != nil {
 		return err
 	}
@@ -64,6 +67,11 @@
 	for _, maker := range makers {
 		results = append(results, replayer.Run(trace, maker, options.Seed))
 	}
+	earlier, err := earlierResults(options.Compare, trace.Header)
+	if err != nil {
+		return err
+	}
+	results = append(results, earlier...)
 	if options.Plot != "" {
 		if err := replayer.WritePlot(options.Plot, results); err != nil {
 			return err
@@ -76,20 +84,30 @@
 	return nil
 }
 
+func readTrace(path, headerPath string) (*tracer.Trace, error) {
+	if headerPath == "" {
+		return tracer.ReadFile(path, nil)
+	}
+	header, err := tracer.ReadHeader(headerPath)
+	if err != nil {
+		return nil, err
+	}
+	return tracer.ReadFile(path, header)
+}
+
 // chosen returns the policies that the options name.
 func chosen(options replayOptions) ([]replayer.Maker, error) {
+	if options.Policy == "" {
+		options.Policy = replayer.Figtrack("").Name
+	}
 	first, err := replayer.Find(options.Policy)
 	if err != nil {
 		return nil, err
 	}
 	if options.Settings != "" {
-		settings, err := parser.Load(options.Settings)
-		if err != nil {
+		if first, err = preferred(options); err != nil {
 			return nil, err
 		}
-		if options.Policy == replayer.Figtrack("").Name {
-			first = replayer.Figtrack(settings.Prefer)
-		}
 	}
 	makers := []replayer.Maker{first}
 	for _, name := range options.Compare {
@@ -97,6 +115,9 @@
 			makers = append(makers, replayer.Baselines()...)
 			continue
 		}
+		if isFile(name) {
+			continue
+		}
 		other, err := replayer.Find(name)
 		if err != nil {
 			return nil, err
@@ -106,11 +127,63 @@
 	return makers, nil
 }
 
+// preferred returns the router's core with the preference of a settings file.
+func preferred(options replayOptions) (replayer.Maker, error) {
+	if options.Policy != replayer.Figtrack("").Name {
+		return replayer.Maker{}, errors.Errorf("--settings holds for the policy figtrack only, not for %q", options.Policy)
+	}
+	settings, err := parser.Load(options.Settings)
+	return replayer.Figtrack(settings.Prefer), err
+}
+
+// isFile says that a name of --compare is a file with results.
+func isFile(name string) bool { return filepath.Ext(name) == ".json" }
+
+// earlierResults reads the results of earlier replays of the same trace.
+func earlierResults(names []string, header tracer.Header) ([]replayer.Result, error) {
+	var earlier []replayer.Result
+	for _, name := range names {
+		if !isFile(name) {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "give the output of figtrack replay --json")
+		}
+		var results []replayer.Result
+		if err := json.Unmarshal(text, &results); err != nil {
+			return nil, errors.Wrapf(err, "%s is no output of figtrack replay --json", name)
+		}
+		for _, r := range results {
+			if !r.Of(header) {
+				continue
+			}
+			r.Policy += " in " + filepath.Base(name)
+			earlier = append(earlier, r)
+		}
+		if len(earlier) == 0 {
+			return nil, errors.Errorf("%s holds no replay of this trace", name)
+		}
+	}
+	return earlier, nil
+}
+
 func replayAll(options replayOptions, rest []string, stdout io.Writer) error {
 	if len(rest) > 0 {
 		return errors.Errorf("--all makes its own traces, leave out %q", rest[0])
 	}
-	results, err := replayer.RunAll(options.Seed)
+	if options.Plot != "" || len(options.Compare) > 0 || options.Settings != "" || options.Header != "" {
+		return errors.New("--all goes with --policy, --seed and --json only")
+	}
+	makers := replayer.Compared()
+	if options.Policy != "" {
+		only, err := replayer.Find(options.Policy)
+		if err != nil {
+			return err
+		}
+		makers = []replayer.Maker{only}
+	}
+	results, err := replayer.RunAll(options.Seed, makers)
 	if err != nil {
 		return err
 	}
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/tracer"
 )
 
 // Result holds the measures of one replay. Times are in milliseconds.
@@ -28,8 +29,9 @@
 	// Arrivals and Good count the requests and the answers inside both
 	// targets for each second of the trace, by the arrival of the try.
 	Arrivals, Good []int
-	// HeldAfter counts the holds left on engines at the end. It must be 0.
-	HeldAfter int
+	// Stray counts the holds that engines had for requests that were gone for
+	// releaseTime, or at the end. It must be 0.
+	Stray int
 }
 
 // Measures are those of one class or of all.
@@ -67,6 +69,12 @@
 // Percentiles are in milliseconds.
 type Percentiles struct{ P50, P95, P99 float64 }
 
+// Of says whether the result is one of the trace with a header.
+func (r Result) Of(header tracer.Header) bool {
+	return r.Site == header.Site && r.Scenario == header.Scenario &&
+		r.Load == header.Load && r.Seed == header.Seed
+}
+
 func (r *run) result(policy string) Result {
 	for _, c := range r.callers {
 		if c.end == endingOpen {
@@ -79,7 +87,7 @@
 		Policy: policy, Site: r.trace.Header.Site, Scenario: r.trace.Header.Scenario,
 		Load: r.trace.Header.Load, Seed: r.trace.Header.Seed,
 		Capacity: r.trace.Header.Capacity.PerSecond,
-		Bound:    Clairvoyant(r.trace).GoodputPerSecond,
+		Bound:    Clairvoyant(r.trace).Whole.GoodputPerSecond,
 		Arrivals: r.book.arrivals, Good: r.book.good,
 	}
 	peak := r.trace.Header.PeakTo.Sub(r.trace.Header.PeakFrom)
@@ -90,9 +98,10 @@
 	}
 	result.Whole = whole.measures(peak)
 	r.countTraffic(&result)
+	result.Stray = r.book.stray
 	for _, e := range r.engines {
 		if !e.dead {
-			result.HeldAfter += len(e.Holds())
+			result.Stray += len(e.Holds())
 		}
 	}
 	return result
--- a/server/server.go
+++ b/server/server.go
@@ -18,27 +18,48 @@
 	"github.com/figtrack/figtrack/claimer"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/explainer"
 	"github.com/figtrack/figtrack/forwarder"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
+	"github.com/figtrack/figtrack/operator"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
+	"github.com/figtrack/figtrack/quarantiner"
+	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/relayer"
+	"github.com/figtrack/figtrack/syncer"
 )
 
-// Needs are what a server is built from. All are required.
+// Messenger carries messages between VMs.
+type Messenger interface {
+	messenger.Sender
+	Start(handler messenger.Handler, peers []messenger.Peer) error
+	Close() error
+}
+
+// Needs are what a server is built from. All but Messenger and Operators are
+// required.
 type Needs struct {
 	Settings    parser.Settings
 	Incarnation identifier.Incarnation
 	Keyring     *certifier.Keyring
 	Store       keeper.Store
-	Callers     net.Listener
-	VMs         net.PacketConn
+	// StoreMetrics counts the calls of Store.
+	StoreMetrics prometheus.Collector
+	Callers      net.Listener
+	VMs          net.PacketConn
+	// Operators is nil where the settings close the operators' side.
+	Operators net.Listener
+	// Memory holds what Log says of the last requests.
+	Memory *explainer.Memory
+	// Messenger is nil for one that speaks QUIC over VMs with Keyring.
+	Messenger Messenger
 	// Dial opens connections to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  zerolog.Logger
@@ -48,15 +69,21 @@
 type Server struct {
 	Needs
 	self       registrar.VM
-	messenger  *messenger.Messenger
+	messenger  Messenger
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
-	cancels    *relayer.Cancels
+	reclaimer  *reclaimer.Shell
+	suspects   *quarantiner.Shell
 	poller     *poller.Poller
 	claims     *claimer.Shell
 	members    *prober.Shell
 	health     *health
+	sync       *syncer.Shell
+	operators  *operator.Listener
+	drainOnce  sync.Once
+	drainAsked chan struct{}
+	submits    submits
 	listener   *listener.Listener
 	metrics    *prometheus.Registry
 	ctx        context.Context
@@ -79,24 +106,34 @@
 		metrics: prometheus.NewRegistry(),
 		ctx:     ctx,
 		cancel:  cancel,
+
+		drainAsked: make(chan struct{}),
 	}
 	kept := n.transport(false)
 	engines := &http.Client{Transport: kept}
 	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
 		return driver.NewHTTP(u.ID, "http://"+u.Address, engines)
 	})
-	s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+	s.messenger = n.Messenger
+	if s.messenger == nil {
+		s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+	}
 	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
 	s.members = s.newMembers()
 	s.health = newHealth(s)
-	s.cancels = relayer.NewCancels(s.registrar, n.Log)
+	s.sync = s.newSync()
+	s.operators = operator.New(s, n.Keyring)
+	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
+	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
+	s.suspects = quarantiner.NewShell(n.Settings.VM, s.engine, s.guardOf, s.liveNames, s.messenger, n.Log)
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
-	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.cancels, s.health,
+	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, ctx}, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
 		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
+	s.registerMetrics()
 	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
 	return s
 }
@@ -118,6 +155,10 @@
 	}
 }
 
+func (s *Server) engine(u identifier.Upstream) (driver.Engine, bool) {
+	return s.registrar.Catalog().Engine(u)
+}
+
 func (s *Server) newCore(shard identifier.Shard, rng *rand.Rand) dispatcher.Core {
 	return admitter.New(admitter.Settings{
 		Shard:      shard,
@@ -134,38 +175,29 @@
 	s.wg.Go(func() { s.dispatcher.Run(s.ctx.Done()) })
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
-	s.wg.Go(func() { s.cancels.Run(s.ctx) })
+	s.wg.Go(func() { s.sync.Run(s.ctx) })
+	s.wg.Go(func() { s.suspects.Run(s.ctx) })
+	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
 		if err := s.listener.Serve(s.Callers); err != nil {
 			s.Log.Error().Err(err).Msg("CallersNotServed")
 		}
 	})
+	if s.Operators != nil {
+		s.wg.Go(func() {
+			if err := s.operators.Serve(s.Operators); err != nil {
+				s.Log.Error().Err(err).Msg("OperatorsNotServed")
+			}
+		})
+	}
 	s.Log.Info().
-		Str("VM", string(s.Settings.VM)).
 		Str("Callers", s.Callers.Addr().String()).
 		Str("VMs", s.VMs.LocalAddr().String()).
 		Msg("Started")
 	return nil
 }
 
-// Shutdown takes no new requests, waits for those in flight until ctx ends,
-// and stops. It returns the number of requests that were cut off.
-func (s *Server) Shutdown(ctx context.Context) int {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.members.Offer(prober.Leave{})
-	err := s.listener.Shutdown(ctx)
-	cut := s.listener.InFlight()
-	s.cancel()
-	s.poller.Wait()
-	s.wg.Wait()
-	_ = s.messenger.Close()
-	s.Log.Info().Err(err).Int("Cut", cut).Msg("Stopped")
-	return cut
-}
-
 // Metrics returns the VM's metrics.
 func (s *Server) Metrics() prometheus.Gatherer { return s.metrics }
 
@@ -194,9 +226,5 @@
 func (s *Server) claimLeaders(shard claimer.Shard) []identifier.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var live []identifier.VM
-	for _, v := range s.live {
-		live = append(live, v.ID)
-	}
-	return claimer.Leaders(shard, live, claimer.MaxLeaders)
+	return claimer.Leaders(shard, names(s.live), claimer.MaxLeaders)
 }
--- a/syncer/fleet_test.go
+++ b/syncer/fleet_test.go
@@ -49,6 +49,8 @@
 	// loseReplies is the share of writes whose reply is lost.
 	loseReplies float64
 	latency     time.Duration
+	// writtenAt is when the last write took effect.
+	writtenAt time.Time
 	// reads and writes count calls by second.
 	reads, writes map[int64]int
 	watches       map[identifier.VM]bool
@@ -80,6 +82,8 @@
 	nodes  map[identifier.VM]*node
 	// noSends keeps all messages of one VM back.
 	noSends identifier.VM
+	// onSend sees each message.
+	onSend func(m syncer.Message)
 	// onInForce sees each configuration that a VM puts into force.
 	onInForce func(vm identifier.VM, n *node, d configurer.Document)
 }
@@ -193,6 +197,9 @@
 }
 
 func (f *fleet) send(from identifier.VM, n *node, o syncer.Send) {
+	if f.onSend != nil {
+		f.onSend(o.Message)
+	}
 	to := f.nodes[o.To]
 	if to == nil || to.side != n.side || from == f.noSends || f.rng.Float64() < f.loss {
 		return
@@ -227,6 +234,7 @@
 	written := f.store.entry.Version == o.Expected
 	if written {
 		f.store.entry = keeper.Entry{Key: syncer.Key, Value: o.Value, Version: o.Expected + 1}
+		f.store.writtenAt = f.now
 		f.store.history = append(f.store.history, o.Value)
 		f.notify()
 	}
