--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -49,7 +49,9 @@
 	asks    map[ask]time.Time
 	granted map[claimer.Key]grant
 	nonce   uint64
-	steps   int
+	// made counts the store calls.
+	made  int
+	steps int
 }
 
 type ask struct {
@@ -96,6 +98,7 @@
 		case claimer.WakeAt:
 			w.leaders[i].wake = o.At
 		default:
+			w.made++
 			w.calls = append(w.calls, storeCall{leader: i, core: w.leaders[i].core, o: o})
 		}
 	}
--- a/claimer/limits.go
+++ b/claimer/limits.go
@@ -63,3 +63,15 @@
 	BaseSlots:    32,
 	BaseClaims:   20_000,
 }
+
+// MaxValue is the most bytes of a value in the platform's store.
+const MaxValue = 1 << 20
+
+// BytesPerKey is the most memory that a leader spends on one key in a base:
+// 24 bytes of hashes and the map's own.
+const BytesPerKey = 64
+
+// MaxStoreCalls is the most store calls a second of one leader of a shard:
+// a write for each batch, a read back for each, and a compaction for every
+// CompactAfter of them. It doesn't grow with VMs or requests.
+const MaxStoreCalls = 2*int(time.Second/BatchEvery) + 1
