Hold when the store is restored from a backup, and let old notices go

Cause: a restored store has lower versions and fencing numbers, which froze changes and had orders refused; and notices of removed upstreams gathered up to their bound. Change: a read takes a lower version of the store, only a watch does not; an order's number exceeds the highest that the engine says it has seen; the event Configured drops the notices of upstreams that are gone.

--- a/orderer/order.go
+++ b/orderer/order.go
@@ -19,6 +19,7 @@
 	r.seen = served(e.Result)
 	r.seen.Adapters = r.record.Adapters
 	r.seenAt = now
+	r.highest = max(r.highest, e.Result.Highest)
 	if r.after {
 		r.after = false
 		c.check(now, r)
@@ -165,7 +166,7 @@
 	r.next = Record{
 		Issuer:      c.vm,
 		Incarnation: c.incarnation,
-		Fence:       r.record.Fence + 1,
+		Fence:       max(r.record.Fence, r.highest) + 1,
 		Revision:    c.revision,
 		Adapters:    r.Adapters,
 	}
@@ -215,6 +216,7 @@
 	}
 	if e.Result.Refused {
 		r.recordSeen = false
+		r.highest = max(r.highest, e.Result.Highest)
 		c.fail(now, r, ReasonRefused)
 		return
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -87,6 +87,9 @@
 	record     Record
 	version    keeper.Version
 	recordSeen bool
+	// highest is the highest number that the engine says it has seen, which
+	// exceeds the record after the store was restored from a backup.
+	highest identifier.Fence
 	// peeking says that the record is read for the adapters only.
 	peeking bool
 	// next and nextServing are the order whose record is being taken.
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -140,3 +140,21 @@
 	g.Expect(took).To(BeNumerically("<", 2*orderer.LongestPause))
 	g.Expect(w.now.Sub(begin)).To(BeNumerically("<", orderer.VerifyEvery+orderer.LongestPause))
 }
+
+// TestStoreRestoredFromABackup takes the records back to their beginning: an
+// engine that checks numbers has seen higher ones.
+func TestStoreRestoredFromABackup(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 1, 2)
+	for i := range 20 {
+		w.change(0, fmt.Sprint(i), identifier.RoleDecode)
+		w.tell("vm-0", everything)
+		w.run(time.Minute)
+	}
+	clear(w.records)
+	w.start("vm-0")
+	w.change(0, "last", identifier.RoleDecode)
+	w.tell("vm-0", everything)
+	w.run(time.Minute)
+	g.Expect(w.wrong()).To(BeEmpty())
+}
--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -288,6 +288,9 @@
 		answer.Result.Refused = true
 	default:
 		e.highest = o.Order.Fence
+		if e.checks {
+			defer func() { e.serves.Highest = e.highest }()
+		}
 		e.serves = driver.OrderResult{Models: o.Order.Models, Version: o.Order.Version, Role: o.Order.Role}
 		answer.Result = e.serves
 	}
--- a/prober/event.go
+++ b/prober/event.go
@@ -28,6 +28,11 @@
 	Source   Source
 }
 
+// Configured replaces the upstreams of the configuration. Notices of others
+// are dropped, so that they don't gather over the months.
+type Configured struct{ Upstreams []identifier.Upstream }
+
+func (Configured) event()      {}
 func (Wake) event()            {}
 func (Received) event()        {}
 func (Listed) event()          {}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -69,6 +69,8 @@
 	// troubled holds those of members that are not alive.
 	troubled btree.Map[identifier.VM, *entry]
 	notices  btree.Map[noticeKey, Notice]
+	// upstreams are those of the configuration; nil as long as there is none.
+	upstreams map[identifier.Upstream]bool
 	// hints are VMs that were named but perhaps never heard.
 	hints btree.Map[identifier.VM, Hint]
 	// probes are the pings that wait for an ack, by sequence number.
@@ -137,6 +139,8 @@
 		c.leave(now)
 	case UpstreamLeaving:
 		c.state(now, e)
+	case Configured:
+		c.configured(e)
 	}
 	c.advance(now)
 	if c.changed {
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -173,6 +173,33 @@
 	return []int{7, 40, 320}
 }
 
+// TestNoticesOfRemovedUpstreamsGo removes an upstream while one VM has not
+// heard of it, and adds another one late on one VM.
+func TestNoticesOfRemovedUpstreamsGo(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(7, 0.05, 9)
+	heard := map[identifier.VM]identifier.Upstream{}
+	f.onNotice = func(at identifier.VM, v prober.Notice) { heard[at] = v.Upstream }
+	configure := func(vms []identifier.VM, upstreams ...identifier.Upstream) {
+		for _, id := range vms {
+			f.step(id, prober.Configured{Upstreams: upstreams})
+		}
+	}
+	configure(f.vms, "old")
+	f.run(3 * time.Second)
+	f.step(vm(0), prober.UpstreamLeaving{Upstream: "old", Leaving: true, Source: prober.SourceUpstream})
+	f.run(noWorkAfter)
+	g.Expect(heard).To(HaveLen(7))
+	configure(f.vms[1:], "new")
+	f.run(noWorkAfter)
+	f.step(vm(1), prober.UpstreamLeaving{Upstream: "new", Leaving: true, Source: prober.SourceUpstream})
+	configure(f.vms[:1], "new")
+	f.run(noWorkAfter)
+	for _, id := range f.vms {
+		g.Expect(heard[id]).To(Equal(identifier.Upstream("new")))
+	}
+}
+
 func (f *fleet) untilAgreed(n int, limit time.Duration) time.Duration {
 	begin := f.now
 	for !f.agreed(n) && f.now.Sub(begin) < limit {
--- a/prober/receive.go
+++ b/prober/receive.go
@@ -114,8 +114,22 @@
 	c.rumourOf(now, r)
 }
 
-// learnNotice takes in one notice of another VM.
+// configured drops the notices of upstreams that are gone.
+func (c *Core) configured(e Configured) {
+	c.upstreams = setOf(e.Upstreams)
+	for _, n := range c.notices.Values() {
+		if !c.upstreams[n.Upstream] {
+			c.notices.Delete(n.key())
+		}
+	}
+}
+
+// learnNotice takes in one notice of another VM. One of an upstream that is
+// not in the configuration comes again by a table once it is.
 func (c *Core) learnNotice(now time.Time, n Notice) {
+	if c.upstreams != nil && !c.upstreams[n.Upstream] {
+		return
+	}
 	old, ok := c.notices.Get(n.key())
 	if ok && !n.newer(old) {
 		return
--- a/syncer/store.go
+++ b/syncer/store.go
@@ -102,11 +102,17 @@
 	return c.backoff(PollEvery, BackoffMax, c.poll.failures)
 }
 
-// fromStore takes in an entry of the store.
-func (c *Core) fromStore(now time.Time, e keeper.Entry) {
-	if c.known && e.Version < c.version && e.Version != 0 {
-		return
+// fromWatch takes in an entry that a watch sent, which may be late.
+func (c *Core) fromWatch(now time.Time, e keeper.Entry) {
+	c.poll.watchFailures = 0
+	if !c.known || e.Version > c.version {
+		c.fromStore(now, e)
 	}
+}
+
+// fromStore takes in the entry that stands in the store. Its version falls
+// when the store was restored from a backup.
+func (c *Core) fromStore(now time.Time, e keeper.Entry) {
 	c.known = true
 	c.version = e.Version
 	if e.Version == 0 {
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -129,8 +129,7 @@
 	case StoreSwapped:
 		c.storeSwapped(now, e)
 	case StoreChanged:
-		c.poll.watchFailures = 0
-		c.fromStore(now, e.Entry)
+		c.fromWatch(now, e.Entry)
 	case WatchBroken:
 		c.watchBroken(now)
 	case Received:
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/syncer"
 )
 
@@ -168,22 +169,27 @@
 	return top
 }
 
-// TestStoreThatForgotIsMended gives the store an older document back.
+// TestStoreThatForgotIsMended gives the store an older document back, once
+// under a later version and once, as from a backup, under its old one. A
+// change that is submitted meanwhile builds on the newer document.
 func TestStoreThatForgotIsMended(t *testing.T) {
-	g := NewWithT(t)
-	f := newFleet(7, 0, 4)
-	f.run(5 * time.Second)
-	f.submit(vm(0), 1, add("a"))
-	f.run(time.Second)
-	old := f.store.entry
-	f.submit(vm(1), 2, add("b"))
-	f.run(time.Second)
-	version := f.store.entry.Version
-	f.store.entry = old
-	f.store.entry.Version = version + 1
-	f.run(5 * time.Second)
-	d, err := configurer.Decode(f.store.entry.Value)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(d.Revision).To(Equal(identifier.Revision(2)))
-	g.Expect(f.lowest()).To(Equal(identifier.Revision(2)))
+	for _, later := range []keeper.Version{0, 7} {
+		g := NewWithT(t)
+		f := newFleet(7, 0, 4)
+		f.run(5 * time.Second)
+		f.submit(vm(0), 1, add("a"))
+		f.run(time.Second)
+		old := f.store.entry
+		f.submit(vm(1), 2, add("b"))
+		f.run(time.Second)
+		f.store.entry = old
+		f.store.entry.Version += later
+		f.submit(vm(2), 3, add("c"))
+		f.run(5 * time.Second)
+		g.Expect(f.nodes[vm(2)].results[3].Result).To(Equal(syncer.ResultAccepted))
+		d, err := configurer.Decode(f.store.entry.Value)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(d.Classes).To(HaveLen(3))
+		g.Expect(f.lowest()).To(Equal(identifier.Revision(3)))
+	}
 }
