Try a stalled link again after one second at the most

Cause: the pause of a link doubled up to 16 s, so a link that had recovered stood idle. Change: it doubles once, to 1 s.

--- a/granter/settings.go
+++ b/granter/settings.go
@@ -32,7 +32,7 @@
 	// maxEngines bounds the engines of one shard.
 	maxEngines = 1024
 	// maxStalls caps the doubling of a stalled link's pause.
-	maxStalls = 5
+	maxStalls = 1
 	// stallPause is the pause of a link after its first stall.
 	stallPause = 500 * time.Millisecond
 )
