--- a/server/session_test.go
+++ b/server/session_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sebdah/goldie/v2"
 
 	"github.com/figtrack/figtrack/faker"
 	"github.com/figtrack/figtrack/parser"
@@ -31,7 +30,7 @@
 				s.Expect(s.holds()).To(BeEmpty())
 				w.WriteString("--- log\n" + s.journal.text())
 			})
-			goldie.New(t).Assert(t, one.name, []byte(named(w.String())))
+			assertGolden(t, one.name, named(w.String()))
 		})
 	}
 }
@@ -39,6 +38,7 @@
 var sessions = []session{
 	{name: "streamed-answer", play: streamedAnswer},
 	{name: "chat-answer", play: chatAnswer},
+	{name: "target-out-of-reach", play: outOfReach},
 	{name: "refused", play: refused},
 	{name: "cancelled-in-prefill", play: cancelledAfter(40*time.Millisecond, 8000)},
 	{name: "cancelled-in-decode", play: cancelledAfter(400*time.Millisecond, 4000)},
@@ -85,9 +85,19 @@
 	s.Expect(got.body).To(ContainSubstring(strings.TrimSpace(answerTo("user: Grade of beam 12?\n", 6))))
 }
 
-// refused sends a prompt whose prefill alone takes longer than the class's
-// target allows.
+// refused sends a request when both prefill engines take no new work.
 func refused(s *site, w *strings.Builder) {
+	for _, e := range s.engines[:2] {
+		e.Leave(true)
+	}
+	time.Sleep(time.Second)
+	s.journal.begin()
+	s.exchange(s.background(), w, completion(`{"model":"timber-7b","prompt":"Hello.","max_tokens":6,"stream":true}`))
+}
+
+// outOfReach sends a prompt whose prefill alone takes longer than the class's
+// target and patience allow.
+func outOfReach(s *site, w *strings.Builder) {
 	s.exchange(s.background(), w, completion(`{"model":"timber-7b","prompt":"`+strings.Repeat("oak ", 60_000)+`","max_tokens":6,"stream":true}`))
 }
 
--- a/server/site_test.go
+++ b/server/site_test.go
@@ -206,3 +206,14 @@
 	}
 	return runs
 }
+
+func (s *site) runsOfKey(key string) int {
+	runs := 0
+	for _, one := range s.services {
+		runs += one.Runs(key)
+	}
+	return runs
+}
+
+// lostReplies makes the next writes of the store take effect without a reply.
+func lostReplies(n int) faker.StoreFaults { return faker.StoreFaults{LoseReplies: n} }
