Break off the stream that outgrew its engine's memory

The stand-in engine dropped such a stream without a word to its reader, who waited until the end of the call. The reader now gets the refusal Gone after the tokens that were made, so that a second attempt can begin.

--- a/driver/http_test.go
+++ b/driver/http_test.go
@@ -189,6 +189,25 @@
 	})
 }
 
+func TestStreamThatOutgrowsItsMemoryBreaksOff(t *testing.T) {
+	onSite(t, func(_, decode *faker.EngineSettings) { decode.Pieces = 2 }, func(s *site) {
+		_, err := s.prefill.Prefill(s.ctx, order("a"))
+		s.Expect(err).NotTo(HaveOccurred())
+		exact := s.importOf("a")
+		exact.Tokens, exact.Pieces = 3995, 2
+		_, err = s.decode.Import(s.ctx, exact)
+		s.Expect(err).NotTo(HaveOccurred())
+		stream, err := s.decode.Decode(s.ctx, driver.DecodeOrder{Hold: hold("a"), MaxOutput: 40})
+		s.Expect(err).NotTo(HaveOccurred())
+		text, err := read(stream, 1000)
+		s.Expect(kindOf(err)).To(Equal(driver.KindGone))
+		s.Expect(text).To(Equal(strings.Join(faker.Answer(order("a").Prompt, 5), "")))
+		holds, err := s.decode.Holds(s.ctx)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(holds.Holds).To(BeEmpty())
+	})
+}
+
 func TestReleaseFreesEveryStage(t *testing.T) {
 	onSite(t, nil, func(s *site) {
 		running := make(chan error, 1)
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -152,6 +152,8 @@
 		l.fail(o.Hold, driver.KindFull, "no memory is free")
 	case ResultEvicted:
 		l.fail(o.Hold, driver.KindGone, "the prefill result was evicted")
+	case StreamDropped:
+		l.fail(o.Hold, driver.KindGone, "the stream outgrew its memory")
 	case DecodeRefused:
 		l.fail(o.Hold, driver.KindGone, "no KV cache is here")
 	case PrefillStopped:
