--- a/server/session_test.go
+++ b/server/session_test.go
@@ -85,12 +85,13 @@
 	s.Expect(got.body).To(ContainSubstring(strings.TrimSpace(answerTo("user: Grade of beam 12?\n", 6))))
 }
 
-// refused sends a request when both prefill engines take no new work.
+// refused sends a request when both prefill engines take no new work and all
+// VMs have heard of it.
 func refused(s *site, w *strings.Builder) {
 	for _, e := range s.engines[:2] {
 		e.Leave(true)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(settle)
 	s.journal.begin()
 	s.exchange(s.background(), w, completion(`{"model":"timber-7b","prompt":"Hello.","max_tokens":6,"stream":true}`))
 }
