--- a/faker/engine_core.go
+++ b/faker/engine_core.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,7 +27,7 @@
 	// advance does what is due at a time.
 	advance(at time.Time)
 	apply(now time.Time, e EngineEvent)
-	holds() []identifier.Hold
+	holds() iter.Seq[identifier.Hold]
 	holding(hold identifier.Hold) bool
 	load() EngineLoad
 }
@@ -91,9 +92,7 @@
 
 // Holds returns the attempts that hold memory or a place on the engine.
 func (e *Engine) Holds() []identifier.Hold {
-	holds := e.duty.holds()
-	slices.SortFunc(holds, compareHolds)
-	return holds
+	return slices.SortedFunc(e.duty.holds(), compareHolds)
 }
 
 // Holding says whether an attempt holds memory or a place on the engine.
--- a/faker/engine_decode.go
+++ b/faker/engine_decode.go
@@ -1,6 +1,9 @@
 package faker
 
 import (
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -187,13 +190,14 @@
 		return
 	}
 	d.forget(job)
-	d.joining = without(d.joining, job)
+	same := func(other *decodeJob) bool { return other == job }
+	d.joining = slices.DeleteFunc(d.joining, same)
 	if len(d.link) > 0 && d.link[0] == job {
 		d.link = d.link[1:]
 		d.openLink(now)
 		return
 	}
-	d.link = without(d.link, job)
+	d.link = slices.DeleteFunc(d.link, same)
 }
 
 func (d *decodeDuty) forget(job *decodeJob) {
@@ -202,22 +206,7 @@
 	d.used -= job.Pieces
 }
 
-func without(jobs []*decodeJob, job *decodeJob) []*decodeJob {
-	for i := range jobs {
-		if jobs[i] == job {
-			return append(jobs[:i], jobs[i+1:]...)
-		}
-	}
-	return jobs
-}
-
-func (d *decodeDuty) holds() []identifier.Hold {
-	holds := make([]identifier.Hold, 0, len(d.jobs))
-	for hold := range d.jobs {
-		holds = append(holds, hold)
-	}
-	return holds
-}
+func (d *decodeDuty) holds() iter.Seq[identifier.Hold] { return maps.Keys(d.jobs) }
 
 func (d *decodeDuty) holding(hold identifier.Hold) bool {
 	_, ok := d.jobs[hold]
--- a/faker/engine_prefill.go
+++ b/faker/engine_prefill.go
@@ -1,6 +1,9 @@
 package faker
 
 import (
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tidwall/btree"
@@ -144,25 +147,11 @@
 
 func (d *prefillDuty) forget(job *prefillJob) {
 	delete(d.jobs, job.Hold)
-	if !job.done {
-		d.queue.Delete(job)
-		return
-	}
-	for i, result := range d.results {
-		if result == job {
-			d.results = append(d.results[:i], d.results[i+1:]...)
-			return
-		}
-	}
+	d.queue.Delete(job)
+	d.results = slices.DeleteFunc(d.results, func(other *prefillJob) bool { return other == job })
 }
 
-func (d *prefillDuty) holds() []identifier.Hold {
-	holds := make([]identifier.Hold, 0, len(d.jobs))
-	for hold := range d.jobs {
-		holds = append(holds, hold)
-	}
-	return holds
-}
+func (d *prefillDuty) holds() iter.Seq[identifier.Hold] { return maps.Keys(d.jobs) }
 
 func (d *prefillDuty) holding(hold identifier.Hold) bool {
 	_, ok := d.jobs[hold]
