Keep answers in the parts in which they were written

A caller that takes over gets the tokens one by one, so that its usage is counted as for a first connection.

--- a/deduper/attempt.go
+++ b/deduper/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
@@ -45,7 +46,7 @@
 		c.keep(r, record.Generated)
 		c.write(r, record.Generated, "")
 	}
-	r.before = len(r.text)
+	r.before = len(r.parts)
 	c.attach(r, record.From)
 	c.tellHome(r, r.carried())
 }
@@ -71,10 +72,14 @@
 
 // carried is the answer before the attempt, if it is short enough.
 func (r *request) carried() string {
-	if r.before > len(r.text) || r.before > MaxCarried {
+	if r.before > len(r.parts) {
 		return ""
 	}
-	return string(r.text[:r.before])
+	text := strings.Join(r.parts[:r.before], "")
+	if len(text) > MaxCarried {
+		return ""
+	}
+	return text
 }
 
 func (c *Core) tellHome(r *request, generated string) {
--- a/deduper/deduper.go
+++ b/deduper/deduper.go
@@ -19,8 +19,11 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
 )
@@ -75,9 +78,12 @@
 	out  []Outcome
 }
 
-// New returns the core of an entry VM.
-func New() *Core {
+// New returns the core of one start of an entry VM. Its serials differ from
+// those of other starts, so that late answers to them don't fit.
+func New(self Start) *Core {
+	seed := xxhash.Sum64String(fmt.Sprintf("%s/%d", self.VM, self.Incarnation))
 	return &Core{
+		serials:  seed &^ math.MaxUint32,
 		requests: map[identifier.Request]*request{},
 		keys:     map[Key]*request{},
 		writers:  map[Writer]*request{},
@@ -171,8 +177,12 @@
 
 // replay writes the kept answer to a new writer.
 func (c *Core) replay(r *request) {
-	if len(r.text) > 0 {
-		c.write(r, string(r.text), r.end)
+	for i, part := range r.parts {
+		end := ""
+		if i == len(r.parts)-1 {
+			end = r.end
+		}
+		c.write(r, part, end)
 	}
 	if r.phase == phaseDone {
 		c.finish(r, outcomer.Answered{})
--- a/deduper/deduper_test.go
+++ b/deduper/deduper_test.go
@@ -129,8 +129,8 @@
 		calm:    calm,
 	}
 	for i := range 3 {
-		w.cores = append(w.cores, deduper.New())
 		w.starts = append(w.starts, deduper.Start{VM: identifier.VM(fmt.Sprint("vm", i)), Incarnation: 1})
+		w.cores = append(w.cores, deduper.New(w.starts[i]))
 		w.wakes = append(w.wakes, time.Time{})
 	}
 	return w
--- a/deduper/fuzz_test.go
+++ b/deduper/fuzz_test.go
@@ -25,8 +25,9 @@
 		}
 		now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
 		if event != nil {
-			core := deduper.New()
-			core.Step(now, deduper.CallerArrived{Key: "k", Request: "r1", Writer: 1, Repeatable: true})
+			core := deduper.New(deduper.Start{VM: "vm1", Incarnation: 1})
+			asked := core.Step(now, deduper.CallerArrived{Key: "k", Request: "r1", Writer: 1, Repeatable: true})
+			event = fitting(event, asked[0].(deduper.AskHome).Serial)
 			for _, o := range append(core.Step(now, event), core.Step(now.Add(deduper.HomeWait), deduper.Wake{})...) {
 				decodes(t, deduper.EncodeOutcome(o))
 			}
@@ -41,6 +42,19 @@
 	})
 }
 
+// fitting gives an event the serial that the core waits for.
+func fitting(event deduper.Event, serial uint64) deduper.Event {
+	switch e := event.(type) {
+	case deduper.HomeAnswered:
+		e.Serial = serial
+		return e
+	case deduper.YieldAsked:
+		e.Holding = serial
+		return e
+	}
+	return event
+}
+
 // decodes checks that what a core sends can be read.
 func decodes(t *testing.T, m *wire.RequestState) {
 	if m == nil {
--- a/deduper/machine_test.go
+++ b/deduper/machine_test.go
@@ -136,7 +136,7 @@
 		}
 	}
 	w.starts[vm].Incarnation++
-	w.cores[vm] = deduper.New()
+	w.cores[vm] = deduper.New(w.starts[vm])
 	w.wakes[vm] = time.Time{}
 	w.deliver(t, message{toHome: deduper.VMDied{Start: dead}})
 }
--- a/deduper/outcome.go
+++ b/deduper/outcome.go
@@ -110,7 +110,11 @@
 }
 
 // Forget says that the VM keeps nothing of the request any more.
-type Forget struct{ Request identifier.Request }
+type Forget struct {
+	Request identifier.Request
+	// Own is the id that came with the first caller.
+	Own identifier.Request
+}
 
 // WakeAt asks for a Wake event at a time. A later WakeAt replaces it.
 type WakeAt struct{ At time.Time }
--- a/deduper/request.go
+++ b/deduper/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -39,10 +40,12 @@
 	place Place
 	// from is the first token of the attempt, next the next to be written.
 	from, next identifier.Tokens
-	// text is the answer before next; it is whole unless it grew too long.
-	text  []byte
+	// parts is the answer before next, as it was written; it is whole unless
+	// it grew too long. size is its length in bytes.
+	parts []string
+	size  int
 	whole bool
-	// before is the length of the answer before the attempt in bytes.
+	// before is the number of parts before the attempt.
 	before int
 	// end is the finish of an answer that is over.
 	end string
@@ -70,8 +73,8 @@
 	r.phase = phaseRunning
 	r.attempt++
 	r.tries++
-	r.reader, r.resumes, r.place, r.from, r.before = c.readers, 0, Place{}, r.next, len(r.text)
-	c.emit(StartAttempt{Request: r.id, Attempt: r.attempt, Reader: r.reader, From: r.from, Generated: string(r.text)})
+	r.reader, r.resumes, r.place, r.from, r.before = c.readers, 0, Place{}, r.next, len(r.parts)
+	c.emit(StartAttempt{Request: r.id, Attempt: r.attempt, Reader: r.reader, From: r.from, Generated: strings.Join(r.parts, "")})
 }
 
 // attach reads the running stream from a token on.
@@ -133,7 +136,7 @@
 	if r.key != "" {
 		delete(c.keys, r.key)
 	}
-	c.emit(Forget{Request: r.id})
+	c.emit(Forget{Request: r.id, Own: r.own})
 }
 
 // write sends text to the writer, if there is one.
@@ -148,17 +151,18 @@
 	if !r.whole {
 		return
 	}
-	if len(r.text)+len(text) > MaxAnswer || c.kept+len(text) > MaxKept {
+	if r.size+len(text) > MaxAnswer || c.kept+len(text) > MaxKept {
 		c.drop(r)
 		return
 	}
-	r.text = append(r.text, text...)
+	r.parts = append(r.parts, text)
+	r.size += len(text)
 	c.kept += len(text)
 }
 
 func (c *Core) drop(r *request) {
-	c.kept -= len(r.text)
-	r.text, r.whole = nil, false
+	c.kept -= r.size
+	r.parts, r.size, r.whole = nil, 0, false
 }
 
 // await makes a request due at a time.
--- a/scripts/plant-faults.sh
+++ b/scripts/plant-faults.sh
@@ -87,7 +87,7 @@
 plant "deduper: home answers before the other VM has yielded" deduper/home.go \
 	'h.order(now, r, a)' 'h.order(now, r, a); h.handOver(now, r, a, true)'
 plant "deduper: attempt begins again at token 0" deduper/request.go \
-	'c.readers, 0, Place{}, r.next, len(r.text)' 'c.readers, 0, Place{}, 0, len(r.text)'
+	'c.readers, 0, Place{}, r.next, len(r.parts)' 'c.readers, 0, Place{}, 0, len(r.parts)'
 
 plant "reclaimer: late answer disowns a newer use" reclaimer/hold.go \
 	'if q.round < h.first {' 'if false {'
