Leave out repeated arrivals of a log

A caller who sends a request again with its key is logged twice, and the reader refused the whole log.

--- a/replay.go
+++ b/replay.go
@@ -63,6 +63,9 @@
 	if trace.Skipped > 0 {
 		fmt.Fprintf(stderr, "figtrack replay: %d lines of other kinds skipped\n", trace.Skipped)
 	}
+	if trace.Repeated > 0 {
+		fmt.Fprintf(stderr, "figtrack replay: %d repeated arrivals left out\n", trace.Repeated)
+	}
 	var results []replayer.Result
 	for _, maker := range makers {
 		results = append(results, replayer.Run(trace, maker, options.Seed))
--- a/tracer/reader.go
+++ b/tracer/reader.go
@@ -116,7 +116,8 @@
 		a.Output = a.MaxOutput
 	}
 	if p.requests[a.Request] {
-		return errors.Errorf("Arrival: Request %q arrives twice", a.Request)
+		p.trace.Repeated++
+		return nil
 	}
 	if err := checkArrival(p.trace.Header, a); err != nil {
 		return errors.Wrapf(err, "Arrival of %q", a.Request)
--- a/tracer/record.go
+++ b/tracer/record.go
@@ -36,6 +36,9 @@
 	Faults   []Fault
 	// Skipped counts the lines of other kinds.
 	Skipped int
+	// Repeated counts the arrivals of requests that were there before, as a
+	// log has them of callers who send a request again. They are left out.
+	Repeated int
 }
 
 // Header describes the site of a trace and how the trace was made.
