Order runners to serve what the configuration says

Cause: orderer's core and shell had no part in the server.

Change: the owner of a shard reconciles its runners' models, adapters, version and role; a runner whose order disturbs it gets no new work and is ordered when its load report says that it is idle. Stand-ins can serve models from the start.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -110,6 +110,7 @@
 		}
 		cfg := faker.DefaultEngine(role)
 		cfg.ID = identifier.Upstream(fmt.Sprintf("%s-%d", engines, i+1))
+		cfg.Models = []identifier.Model{model}
 		e, err := faker.NewEngineServer(cfg, faker.Loopback, poster.NewClient())
 		if err != nil {
 			return errors.Wrap(err, "start an engine")
--- a/fake.go
+++ b/fake.go
@@ -21,8 +21,9 @@
 }
 
 type fakeOptions struct {
-	Address string `long:"address" default:"127.0.0.1:0" value-name:"IP:PORT" description:"where to listen; port 0 takes a free one"`
-	ID      string `long:"id" default:"stand-in" description:"name of an engine"`
+	Address string   `long:"address" default:"127.0.0.1:0" value-name:"IP:PORT" description:"where to listen; port 0 takes a free one"`
+	Models  []string `long:"model" description:"model that an engine serves from the start; may be repeated"`
+	ID      string   `long:"id" default:"stand-in" description:"name of an engine"`
 	Args    struct {
 		Kind string `positional-arg-name:"KIND" description:"store, prefill, decode or service" required:"yes"`
 	} `positional-args:"yes"`
@@ -71,5 +72,8 @@
 func startFakeEngine(o fakeOptions, role identifier.Role, listen faker.Listen) (stoppable, error) {
 	cfg := faker.DefaultEngine(role)
 	cfg.ID = identifier.Upstream(o.ID)
+	for _, m := range o.Models {
+		cfg.Models = append(cfg.Models, identifier.Model(m))
+	}
 	return faker.NewEngineServer(cfg, listen, poster.NewClient())
 }
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -10,6 +10,8 @@
 type EngineSettings struct {
 	ID   identifier.Upstream
 	Role identifier.Role
+	// Models are served from the start, before any order.
+	Models []identifier.Model
 	// PrefillBase is the fixed cost of one prefill.
 	PrefillBase time.Duration
 	// PrefillPerToken is the cost of one uncached prompt token.
--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -76,7 +76,7 @@
 		calls:        make(chan func(), engineCalls),
 		timer:        time.NewTimer(time.Hour),
 		jobs:         make(map[identifier.Hold]*engineJob),
-		serves:       driver.OrderResult{Role: s.cfg.Role},
+		serves:       driver.OrderResult{Role: s.cfg.Role, Models: s.cfg.Models},
 	}
 	l.ctx, l.end = context.WithCancel(context.Background())
 	go l.run()
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -35,6 +35,8 @@
 	Succeeded(u identifier.Upstream)
 	Failed(u identifier.Upstream, kind driver.Kind)
 	Leaving(u identifier.Upstream, leaving bool)
+	// Idle says that a runner neither runs nor queues a request.
+	Idle(u identifier.Upstream)
 }
 
 // Poller has one goroutine for each runner that is read.
@@ -148,6 +150,9 @@
 func (r *reader) loaded(load driver.Load) {
 	r.health.Succeeded(r.id)
 	r.health.Leaving(r.id, load.Leaving)
+	if load.Running+load.Queued == 0 {
+		r.health.Idle(r.id)
+	}
 	if r.incarnation != 0 && load.Incarnation != r.incarnation {
 		r.restarted()
 	}
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -85,6 +85,7 @@
 	own := s.own()
 	s.poller.SetShards(s.ctx, own)
 	s.reclaimer.SetShards(s.ctx, compared(own))
+	s.orders.Offer(wanted(s.Configuration(), own))
 	s.health.assign(assigned(catalog, own))
 	s.health.feedAll()
 }
--- a/server/drain.go
+++ b/server/drain.go
@@ -44,7 +44,7 @@
 		switch out := out.(type) {
 		case drainer.FailReadiness:
 			s.mu.Lock()
-			s.draining = true
+			s.stopping = true
 			s.mu.Unlock()
 		case drainer.TellPeers, drainer.HandOver:
 			s.members.Offer(prober.Leave{})
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
 	"github.com/figtrack/figtrack/operator"
+	"github.com/figtrack/figtrack/orderer"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
@@ -75,6 +76,9 @@
 	relayer    *relayer.Relayer
 	reclaimer  *reclaimer.Shell
 	suspects   *quarantiner.Shell
+	orders     *orderer.Shell
+	// draining holds the runners that wait for an order without new work.
+	draining   sync.Map
 	poller     *poller.Poller
 	claims     *claimer.Shell
 	members    *prober.Shell
@@ -94,7 +98,7 @@
 	// configuration is the one in force; its revision only rises.
 	configuration Configuration
 	live          []registrar.VM
-	draining      bool
+	stopping      bool
 }
 
 // New builds a server that does nothing yet.
@@ -122,6 +126,7 @@
 	s.members = s.newMembers()
 	s.health = newHealth(s)
 	s.sync = s.newSync()
+	s.orders = s.newOrders()
 	s.operators = operator.New(s, n.Keyring)
 	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
 	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
@@ -176,6 +181,7 @@
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
+	s.wg.Go(func() { s.orders.Run(s.ctx) })
 	s.wg.Go(func() { s.suspects.Run(s.ctx) })
 	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
@@ -205,7 +211,7 @@
 func (s *Server) Ready() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.stopping {
 		return "the VM is stopping"
 	}
 	if s.configuration.Revision == 0 {
