Put the deduper between callers and the relayer

Cause: the cores of deduper weren't driven by anything. The relayer uses a caller's raw key as its request id, so the same key of two workspaces, or with another body, would meet as one request and attempt.

Change: deduper.Shell, which is a listener.Runner around another runner. KeyOf scopes a key by workspace and content; each run gets an id of its own. A failed reading of a taken over stream now releases its hold.

Conclusion: the server can wrap its relayer. Until the relayer tells Streaming and keeps holds for a cause that LeavesStream, a caller that comes back through another VM gets a new run there.

--- a/deduper/attempt.go
+++ b/deduper/attempt.go
@@ -134,6 +134,9 @@
 		c.attach(r, r.next)
 		return
 	}
+	if r.attached() {
+		c.emit(c.cancel(r))
+	}
 	mayRepeat := r.repeatable || e.Ran == outcomer.RanNo
 	if e.Again && mayRepeat && r.tries < MaxAttempts && r.whole && r.writer != 0 {
 		r.ran = worse(r.ran, e.Ran)
--- a/deduper/deduper.go
+++ b/deduper/deduper.go
@@ -123,6 +123,12 @@
 // Len returns the number of requests.
 func (c *Core) Len() int { return len(c.requests) }
 
+// Knows says that a run is kept under its present id.
+func (c *Core) Knows(request identifier.Request) bool {
+	_, ok := c.requests[request]
+	return ok
+}
+
 func (c *Core) arrived(now time.Time, e CallerArrived) {
 	if r, ok := c.keys[e.Key]; ok && e.Key != "" {
 		c.takeOver(r, e.Writer)
--- a/deduper/outcome.go
+++ b/deduper/outcome.go
@@ -112,7 +112,8 @@
 // Forget says that the VM keeps nothing of the request any more.
 type Forget struct {
 	Request identifier.Request
-	// Own is the id that came with the first caller.
+	// Own is the id that came with the first caller; empty if attempts of
+	// that one may still begin.
 	Own identifier.Request
 }
 
--- a/deduper/request.go
+++ b/deduper/request.go
@@ -65,6 +65,7 @@
 // start begins the next attempt from the token that comes next.
 func (c *Core) start(r *request) {
 	if r.id != r.own {
+		c.emit(Forget{Request: r.id})
 		delete(c.requests, r.id)
 		r.id, r.attempt = r.own, 0
 		c.requests[r.id] = r
--- /dev/null
+++ b/deduper/shell_test.go
@@ -0,0 +1,256 @@
+package deduper_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/deduper"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/outcomer"
+	"github.com/figtrack/figtrack/relayer"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// pace is the time of one token of the engine, which makes the words of the
+// prompt.
+const pace = 50 * time.Millisecond
+
+// site is an engine with its holds and the shells of two VMs.
+type site struct {
+	mu       sync.Mutex
+	began    map[identifier.Hold]time.Time
+	prompts  map[identifier.Hold]string
+	released map[identifier.Hold]bool
+	runs     int
+	shells   map[identifier.VM]*deduper.Shell
+}
+
+func (s *site) start(hold identifier.Hold, prompt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.began[hold], s.prompts[hold] = time.Now(), prompt
+}
+
+// words is a reading of one hold.
+type words struct {
+	*site
+	ctx  context.Context
+	hold identifier.Hold
+	next identifier.Tokens
+}
+
+func (w *words) Close() error { return nil }
+
+func (w *words) Next() (driver.Token, error) {
+	w.mu.Lock()
+	all, began, released := strings.Fields(w.prompts[w.hold]), w.began[w.hold], w.released[w.hold]
+	w.mu.Unlock()
+	if int(w.next) == len(all) {
+		return driver.Token{}, io.EOF
+	}
+	if released {
+		return driver.Token{}, &driver.Error{Kind: driver.KindGone, Err: errors.New("released")}
+	}
+	select {
+	case <-time.After(time.Until(began.Add(time.Duration(w.next+1) * pace))):
+	case <-w.ctx.Done():
+		return driver.Token{}, w.ctx.Err()
+	}
+	t := driver.Token{Index: w.next, Text: all[w.next] + " "}
+	if w.next++; int(w.next) == len(all) {
+		t.Finish = "stop"
+	}
+	return t, nil
+}
+
+// engine is the site as an engine.
+type engine struct {
+	driver.Engine
+	site *site
+}
+
+func (e engine) Resume(ctx context.Context, hold identifier.Hold, from identifier.Tokens) (driver.Stream, error) {
+	return &words{site: e.site, ctx: ctx, hold: hold, next: from}, nil
+}
+
+func (s *site) Vouch(identifier.Hold) {}
+
+func (s *site) Disown(identifier.Hold) {}
+
+func (s *site) Release(_ identifier.Upstream, hold identifier.Hold) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.released[hold] = true
+}
+
+func (s *site) isReleased() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.released) > 0
+}
+
+// orphans counts the holds that are neither released nor read to the end.
+func (s *site) orphans() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for hold, began := range s.began {
+		over := began.Add(time.Duration(len(strings.Fields(s.prompts[hold]))) * pace)
+		if !s.released[hold] && time.Now().Before(over) {
+			n++
+		}
+	}
+	return n
+}
+
+// entry is one VM: the runner of its shell and its way to the other VM.
+type entry struct {
+	*site
+	self deduper.Start
+}
+
+func (e entry) Send(to identifier.VM, m *wire.Envelope) bool {
+	time.AfterFunc(5*time.Millisecond, func() { e.shells[to].Handle(e.self, m.GetRequestState()) })
+	return true
+}
+
+func (e entry) Run(ctx context.Context, job relayer.Job, sink relayer.Sink) outcomer.Outcome {
+	hold := identifier.Hold{VM: e.self.VM, Incarnation: 1, Request: job.Request, Attempt: 1}
+	e.start(hold, job.Prompt)
+	sink.(deduper.StreamSink).Streaming(hold, "d1")
+	w := &words{site: e.site, ctx: ctx, hold: hold}
+	for {
+		t, err := w.Next()
+		if errors.Is(err, io.EOF) {
+			return outcomer.Answered{}
+		}
+		if err == nil {
+			err = sink.Token(t)
+		}
+		var leaves interface{ LeavesStream() }
+		if err != nil {
+			if !errors.As(context.Cause(ctx), &leaves) {
+				e.Release("d1", hold)
+			}
+			return outcomer.CallerGone{}
+		}
+	}
+}
+
+// caller is one connection.
+type caller struct {
+	got  string
+	out  outcomer.Outcome
+	hang context.CancelFunc
+	done chan struct{}
+}
+
+func (c *caller) Token(t driver.Token) error {
+	c.got += t.Text
+	return nil
+}
+
+func (s *site) call(vm identifier.VM, key identifier.Request, prompt string) *caller {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &caller{hang: cancel, done: make(chan struct{})}
+	job := relayer.Job{Request: key, Keyed: key != "" && !strings.HasPrefix(string(key), "u"), Workspace: "w", Prompt: prompt}
+	go func() {
+		defer close(c.done)
+		c.out = s.shells[vm].Run(ctx, job, c)
+	}()
+	return c
+}
+
+const prompt = "one two three four five six seven eight nine ten "
+
+func onSite(t *testing.T, test func(g *WithT, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{
+			began:    map[identifier.Hold]time.Time{},
+			prompts:  map[identifier.Hold]string{},
+			released: map[identifier.Hold]bool{},
+			shells:   map[identifier.VM]*deduper.Shell{},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		live := []identifier.VM{"vm1", "vm2"}
+		for _, vm := range live {
+			e := entry{site: s, self: deduper.Start{VM: vm, Incarnation: 1}}
+			engines := func(identifier.Upstream) (driver.Engine, bool) { return engine{site: s}, true }
+			s.shells[vm] = deduper.NewShell(e.self, e, engines, s, e)
+			go s.shells[vm].Loop(ctx)
+			s.shells[vm].SetLive(live)
+		}
+		test(NewWithT(t), s)
+		time.Sleep(2 * deduper.Grace)
+		NewWithT(t).Expect(s.orphans()).To(BeZero())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestCallerTakesOverItsAnswer(t *testing.T) {
+	for _, vm := range []identifier.VM{"vm1", "vm2"} {
+		for _, hangs := range []bool{true, false} {
+			for _, key := range []identifier.Request{"k1", "k2", "k3", "k4"} {
+				onSite(t, func(g *WithT, s *site) {
+					first := s.call("vm1", key, prompt)
+					time.Sleep(4*pace + pace/2)
+					if hangs {
+						first.hang()
+						<-first.done
+						time.Sleep(2 * pace)
+					}
+					second := s.call(vm, key, prompt)
+					<-second.done
+					<-first.done
+					g.Expect(second.out).To(Equal(outcomer.Answered{}))
+					g.Expect(second.got).To(Equal(prompt))
+					g.Expect(prompt).To(HavePrefix(first.got))
+					g.Expect(first.got).NotTo(Equal(prompt))
+					if !hangs {
+						g.Expect(first.out).To(Equal(outcomer.TakenOver{}))
+					}
+					g.Expect(s.runs).To(Equal(1), "the running stream is read on")
+				})
+			}
+		}
+	}
+}
+
+func TestRunOfAGoneCallerEnds(t *testing.T) {
+	for key, after := range map[identifier.Request]time.Duration{"k": deduper.Grace, "u1": 0} {
+		onSite(t, func(g *WithT, s *site) {
+			long := strings.Repeat(prompt, 100)
+			c := s.call("vm1", key, long)
+			time.Sleep(3 * pace)
+			c.hang()
+			<-c.done
+			synctest.Wait()
+			g.Expect(s.isReleased()).To(Equal(after == 0))
+			time.Sleep(after + time.Millisecond)
+			synctest.Wait()
+			g.Expect(s.isReleased()).To(BeTrue())
+		})
+	}
+}
+
+func TestSameKeyWithAnotherBodyIsAnotherRequest(t *testing.T) {
+	onSite(t, func(g *WithT, s *site) {
+		a, b := s.call("vm1", "k", prompt), s.call("vm2", "k", "another text")
+		<-a.done
+		<-b.done
+		g.Expect(a.got).To(Equal(prompt))
+		g.Expect(b.got).To(Equal("another text "))
+	})
+}
