--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -111,7 +111,9 @@
 }
 
 func (p *pending) request() placer.Request {
-	return placer.Request{Prompt: p.Prompt, Prefix: p.Prefix, Excluded: p.Excluded, PerToken: p.class.PerToken}
+	return placer.Request{
+		Prompt: p.Prompt, Prefix: p.Prefix, Excluded: p.Excluded, Pieces: p.pieces, PerToken: p.class.PerToken,
+	}
 }
 
 // placeOn places a request on a chosen prefill engine. It returns false if
@@ -135,6 +137,11 @@
 		c.giveUp(now, p, ReasonTargetOutOfReach, first.Sub(p.deadline))
 		return true
 	}
+	if p.late && first.After(p.given) {
+		c.queue.remove(p)
+		c.refuse(p, ReasonTargetOutOfReach, first.Sub(p.given))
+		return true
+	}
 	place := Place{
 		Key: p.Key, To: p.From, Prefill: target.ID, Decode: d.ID, Pieces: p.pieces,
 		TransferWithin: c.transferWithin(d.LinkFree.Sub(ends), d.Transfer), Promised: promised,
