Derive orders and role moves from the configuration

Cause: the server needs what each owned runner should serve, and a way to bring the balancer's moves into force on all VMs. Change: WantedOf reads it from the configuration; fields that it leaves open stay as the runner has them. Rebalancer turns the balancer's split into a SetRole change whose id is the pool and revision, so that two leaders make one change. Figures: go test ./orderer: twelve runners at 7:5 move one by one to 3:9 under a demand of 2 and 8.5 runners; two leaders make equal changes. Conclusion: the policy runs through the same path as operators.

--- a/orderer/balance_test.go
+++ b/orderer/balance_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/figtrack/figtrack/configurer"
+	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/orderer"
 )
 
@@ -150,3 +152,45 @@
 func load(d orderer.Demand, s orderer.Split) float64 {
 	return math.Max(d.Prefill/float64(s.Prefill), d.Decode/float64(s.Decode))
 }
+
+// TestRebalancerMovesByConfiguration lets the demand shift, and applies the
+// changes. Two leaders make the same change.
+func TestRebalancerMovesByConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	var ops []configurer.Operation
+	for i := range 12 {
+		u := configurer.Upstream{
+			ID: identifier.Upstream(fmt.Sprintf("boat-%02d", i)), Address: "10.0.0.1:1", Pool: "boat-scribe",
+			Role: identifier.RolePrefill, DataCentre: identifier.DataCentre([]string{"saldanha", "hout-bay"}[i%2]),
+			Pieces: 60, Streams: 20,
+		}
+		if i >= 7 {
+			u.Role = identifier.RoleDecode
+		}
+		ops = append(ops, configurer.AddUpstream{Upstream: u})
+	}
+	ops = append(ops, configurer.AddModel{Pool: "boat-scribe", Model: "hull"}, configurer.SetVersion{Pool: "boat-scribe", Value: "v1"})
+	d, conflict := configurer.ApplyChange(configurer.Document{}, configurer.Change{ID: "1", Operations: ops})
+	g.Expect(conflict).To(BeNil())
+	one, two := orderer.NewRebalancer(), orderer.NewRebalancer()
+	now := time.Unix(1_800_000_000, 0)
+	var moved []string
+	for range 600 {
+		now = now.Add(time.Second)
+		demand := orderer.Demand{Prefill: 2, Decode: 8.5}
+		change, ok := one.Step(now, d, "boat-scribe", demand)
+		same, also := two.Step(now, d, "boat-scribe", demand)
+		g.Expect(same).To(Equal(change))
+		g.Expect(also).To(Equal(ok))
+		if ok {
+			d, conflict = configurer.ApplyChange(d, change)
+			g.Expect(conflict).To(BeNil())
+			moved = append(moved, string(change.Operations[0].(configurer.SetRole).ID))
+		}
+	}
+	g.Expect(moved).To(Equal([]string{"boat-00", "boat-01", "boat-02", "boat-03"}))
+	wanted := orderer.WantedOf(d, []identifier.Upstream{"boat-00", "boat-11", "gone"})
+	g.Expect(wanted.Runners).To(HaveLen(2))
+	g.Expect(wanted.Runners[0].Role).To(Equal(identifier.RoleDecode))
+	g.Expect(wanted.Runners[0].Version).To(Equal("v1"))
+}
--- a/orderer/event.go
+++ b/orderer/event.go
@@ -30,7 +30,8 @@
 	ChecksFence bool
 }
 
-// Serving is what a runner serves. Its slices are sorted.
+// Serving is what a runner serves. Its slices are sorted. In a Want, no
+// models or no version leave them as the runner has them.
 type Serving struct {
 	Models   []identifier.Model
 	Adapters []string
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -16,7 +16,7 @@
 		c.fail(now, r, ReasonEngineDown)
 		return
 	}
-	r.seen = served(e.Result)
+	r.seen = r.served(e.Result)
 	r.seen.Adapters = r.record.Adapters
 	r.seenAt = now
 	r.highest = max(r.highest, e.Result.Highest)
@@ -42,9 +42,17 @@
 	c.settle(now, r)
 }
 
-func served(o driver.OrderResult) Serving {
+// served is what the runner serves, without what the configuration leaves to
+// the runner.
+func (r *runner) served(o driver.OrderResult) Serving {
 	s := Serving{Models: slices.Clone(o.Models), Version: o.Version, Role: o.Role}
 	slices.Sort(s.Models)
+	if len(r.Models) == 0 {
+		s.Models = nil
+	}
+	if r.Version == "" {
+		s.Version = ""
+	}
 	return s
 }
 
