--- a/tracer/record.go
+++ b/tracer/record.go
@@ -59,6 +59,10 @@
 	// DelayInside and DelayBetween are one-way delays of a message inside a
 	// data centre and between two.
 	DelayInside, DelayBetween time.Duration
+	// DelaySpread is the share by which a message between data centres takes
+	// longer than DelayBetween at most. Loss is the share of these messages
+	// that get lost and are sent again.
+	DelaySpread, Loss float64
 	// LoadEvery is the time between two load reports of an upstream.
 	LoadEvery time.Duration
 	// Returns is how often a refused caller comes again after RetryAfter.
@@ -133,5 +137,5 @@
 	Fault    FaultKind
 	Upstream identifier.Upstream
 	// Until ends a stall; it is zero for other faults.
-	Until time.Time
+	Until time.Time `json:",omitzero"`
 }
