Refuse a late request that its patience can't cover, and name the alternatives

Cause: since dispatch comes before the plan, a request whose first token was out of the reach even of its class's patience was placed; a golden session of the server showed it. Also a request that excludes all engines of a role waited for nothing and kept memory claimed, and a Place named only the best engine. Change: dispatch compares a late request with its patience, such an Ask is refused NoUpstream, and Scores holds up to four engines.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -94,6 +94,7 @@
 	g.Expect(reason(s, func(a *admitter.Ask) { a.Class = "None" })).To(Equal(admitter.ReasonUnknownClass))
 	g.Expect(reason(s, func(a *admitter.Ask) { a.Prompt = 100_000 })).To(Equal(admitter.ReasonPromptTooLong))
 	g.Expect(reason(s, func(a *admitter.Ask) { a.Arrived = s.now.Add(-time.Second) })).To(Equal(admitter.ReasonTargetOutOfReach))
+	g.Expect(reason(s, func(a *admitter.Ask) { a.Excluded = []identifier.Upstream{"decode-0"} })).To(Equal(admitter.ReasonNoUpstream))
 	s.upstream("decode-0", identifier.RoleDecode, admitter.UpstreamLeaving)
 	g.Expect(reason(s, func(*admitter.Ask) {})).To(Equal(admitter.ReasonNoUpstream))
 }
--- a/admitter/ask.go
+++ b/admitter/ask.go
@@ -60,6 +60,8 @@
 		return ReasonNoUpstream
 	case p.pieces > c.largest:
 		return ReasonPromptTooLong
+	case len(p.Excluded) > 0 && !c.reachable(p):
+		return ReasonNoUpstream
 	}
 	if p.Attempt <= 1 {
 		p.class.retries.fresh()
@@ -71,6 +73,20 @@
 	return ""
 }
 
+// reachable says whether an open engine of each role is left that the request
+// does not exclude.
+func (c *Core) reachable(p *pending) bool {
+	prefill, decode := false, false
+	for _, u := range c.upstreams {
+		if u.State != UpstreamUp || p.excludes(u.ID) {
+			continue
+		}
+		prefill = prefill || u.Role == identifier.RolePrefill
+		decode = decode || (u.Role == identifier.RoleDecode && u.Pieces >= p.pieces)
+	}
+	return prefill && decode
+}
+
 // makeRoom gives up the last late request for one that is not late.
 func (c *Core) makeRoom(now time.Time, p *pending) bool {
 	n := len(c.queue.late)
--- a/admitter/dispatch.go
+++ b/admitter/dispatch.go
@@ -133,8 +133,8 @@
 	}
 	d := &b.decodes[i]
 	first := ends.Add(after + c.messages(p, target.DataCentre, d.DataCentre))
-	if !p.late && first.Add(c.safety()).After(p.due(now)) {
-		c.giveUp(now, p, ReasonTargetOutOfReach, first.Sub(p.deadline))
+	if first.Add(c.safety()).After(p.due(now)) {
+		c.giveUp(now, p, ReasonTargetOutOfReach, first.Sub(p.due(now)))
 		return true
 	}
 	place := Place{
@@ -142,7 +142,7 @@
 		TransferWithin: c.transferWithin(d.LinkFree.Sub(ends), d.Transfer), Promised: promised,
 		Predicted: first.Sub(p.Arrived),
 	}
-	place.Scores = c.scores(choice, after)
+	place.Scores = c.scores(after)
 	c.reserve(now, p, place, choice, reaches, d.Transfer)
 	target.Wait = ends.Sub(now)
 	target.Depth++
@@ -171,9 +171,12 @@
 }
 
 // scores lists the prefill engines that were weighed, best first.
-func (c *Core) scores(choice placer.Choice, after time.Duration) []Score {
-	b := &c.buf
-	s := make([]Score, 0, min(maxScores, len(b.prefills)))
-	s = append(s, Score{b.prefills[choice.Index].ID, choice.Total + after})
+func (c *Core) scores(after time.Duration) []Score {
+	weighed := c.placer.Weighed()
+	weighed = weighed[:min(maxScores, len(weighed))]
+	s := make([]Score, 0, len(weighed))
+	for _, w := range weighed {
+		s = append(s, Score{w.Upstream, w.Total + after})
+	}
 	return s
 }
--- a/admitter/plan.go
+++ b/admitter/plan.go
@@ -89,7 +89,7 @@
 
 // due is the time by which the first token has to come.
 func (p *pending) due(now time.Time) time.Time {
-	if p.accepted() && now.Before(p.given) {
+	if p.late || (p.accepted() && now.Before(p.given)) {
 		return p.given
 	}
 	return p.deadline
@@ -100,7 +100,7 @@
 	if p.cost+c.tail(p) < p.class.FirstToken {
 		c.demand.strained = now
 	}
-	if !p.accepted() && p.given.After(p.deadline) && p.given.After(now) {
+	if !p.late && !p.accepted() && p.given.After(p.deadline) && p.given.After(now) {
 		c.queue.postpone(p)
 		c.demand.leave(now, p.memory)
 		return
--- a/admitter/policy_test.go
+++ b/admitter/policy_test.go
@@ -122,6 +122,17 @@
 	g.Expect(s.Estimates().Queue + s.Estimates().Grants + refused).To(Equal(40))
 }
 
+func TestPatienceHasAnEnd(t *testing.T) {
+	g := NewWithT(t)
+	s := newShard(admitter.Settings{}, 1, 1)
+	s.class(admitter.Class{Name: "Quick", FirstToken: 380 * time.Millisecond, PerToken: 60 * time.Millisecond, Patience: time.Second})
+	out := s.ask("a", func(a *admitter.Ask) { a.Prompt = 60_000 })
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].(admitter.Refuse).Reason).To(Equal(admitter.ReasonTargetOutOfReach))
+	out = s.ask("b", func(a *admitter.Ask) { a.Prompt = 20_000 })
+	g.Expect(out[0]).To(BeAssignableToTypeOf(admitter.Place{}), "late, but within the patience of the class")
+}
+
 func TestPatientRequestsWaitBehindThoseInTime(t *testing.T) {
 	g := NewWithT(t)
 	s := newShard(admitter.Settings{}, 1, 4)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,6 +31,8 @@
 	costs   map[identifier.Upstream]*estimator.Line
 	indexes map[identifier.Upstream]*index
 	errs    Deviations
+	// weighed holds the candidates of the last choice.
+	weighed []Weighed
 	out     []Outcome
 }
 
--- a/placer/score.go
+++ b/placer/score.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -47,19 +48,36 @@
 // outweighs a cache.
 func (c *Core) Prefill(now time.Time, r Request, from []Prefill) Choice {
 	best := Choice{Index: -1, Total: math.MaxInt64}
+	c.weighed = c.weighed[:0]
 	for i, p := range from {
 		if slices.Contains(r.Excluded, p.ID) {
 			continue
 		}
 		hit := min(c.Hit(now, p.ID, r.Prefix), r.Prompt)
 		cost := c.CostOn(p.ID, r.Prompt-hit)
-		if total := p.Wait + cost; total < best.Total {
+		total := p.Wait + cost
+		c.weighed = append(c.weighed, Weighed{p.ID, total})
+		if total < best.Total {
 			best = Choice{Index: i, Cost: cost, Expected: hit, Total: total}
 		}
 	}
 	return best
 }
 
+// Weighed is a candidate of the last choice of a prefill engine.
+type Weighed struct {
+	Upstream identifier.Upstream
+	// Total is the time to the end of the prefill.
+	Total time.Duration
+}
+
+// Weighed returns the candidates of the last choice, best first. The result
+// is valid until the next choice.
+func (c *Core) Weighed() []Weighed {
+	slices.SortStableFunc(c.weighed, func(a, b Weighed) int { return cmp.Compare(a.Total, b.Total) })
+	return c.weighed
+}
+
 // Decode is one candidate for the decode.
 type Decode struct {
 	granter.Engine
