--- a/replayer/target_test.go
+++ b/replayer/target_test.go
@@ -60,30 +60,49 @@
 // the stated targets. A case that KNOWN-RED.txt lists is run and printed.
 func TestStatedTargets(t *testing.T) {
 	c := &checks{T: t, red: readKnownRed(t), seen: map[string]bool{}}
-	results := replayAll(t, append(replayer.Plans(checkSeed), overloads()...))
+	results := replayAll(t, append(replayer.Plans(checkSeed), otherSeed()...))
 	for _, plan := range replayer.Plans(checkSeed) {
 		c.seed = plan.Seed
 		for _, prefer := range prefers {
 			c.check(plan, prefer, results)
 		}
 	}
-	for _, plan := range overloads() {
+	for _, plan := range otherSeed() {
 		c.seed = plan.Seed
-		r := results[resultKey(plan, replayer.Figtrack("").Name)]
-		name := fmt.Sprintf("%s/%s/%gx/seed-%d", plan.Site, plan.Scenario, plan.Load, plan.Seed)
-		c.most(name+"/lost", float64(r.Whole.Lost), 0)
-		c.most(name+"/stray", float64(r.Stray), 0)
+		c.checkOther(plan, results)
 	}
 	c.finish()
 }
 
-// overloads are traces of a fault and of uneven runners far above capacity, of
-// another seed, on which nothing may be lost either.
-func overloads() []tracer.Plan {
-	return []tracer.Plan{
+// otherSeed are traces of another seed than that of the rounds: all scenarios
+// at 1 x, and a fault and uneven runners far above capacity.
+func otherSeed() []tracer.Plan {
+	plans := []tracer.Plan{
 		{Site: "himal", Scenario: "uneven", Load: 3, Seed: checkSeed + 1},
 		{Site: "tafelbaai", Scenario: "death", Load: 3, Seed: checkSeed + 1},
 	}
+	for _, plan := range replayer.Plans(checkSeed + 1) {
+		if plan.Load <= 1 {
+			plans = append(plans, plan)
+		}
+	}
+	return plans
+}
+
+// sitePrefer is the preference of each site.
+var sitePrefer = map[string]admitter.Prefer{
+	"himal": admitter.PreferWastedPrefill, "tafelbaai": admitter.PreferGoodput,
+}
+
+func (c *checks) checkOther(plan tracer.Plan, results map[string]replayer.Result) {
+	r := results[resultKey(plan, replayer.Figtrack("").Name)]
+	name := fmt.Sprintf("%s/%s/%gx/seed-%d", plan.Site, plan.Scenario, plan.Load, plan.Seed)
+	c.most(name+"/lost", float64(r.Whole.Lost), 0)
+	c.most(name+"/stray", float64(r.Stray), 0)
+	if plan.Load <= 1 {
+		c.most(name+"/waste", r.Whole.Wasted, mostWaste(sitePrefer[plan.Site], faulty[plan.Scenario]))
+		c.goodput(name+"/goodput", r, results[resultKey(plan, clairvoyant)])
+	}
 }
 
 // checks compares results with bounds.
@@ -166,6 +185,7 @@
 }
 
 func (c *checks) finish() {
+	c.Logf("%d bounds checked, %d known red", len(c.seen), len(c.red))
 	for name := range c.red {
 		if !c.seen[name] {
 			c.Errorf("KNOWN-RED.txt lists %s, which is no case of this test", name)
