Let a caller come back through another VM

Cause: deduper stood beside the server. A caller's raw key was the id of its run, so the same key of two workspaces met as one request, and a return through another VM paid a second prefill.

Change: listener's runner is deduper's shell around the relayer. Each run has an id of its own, the key is scoped by workspace and content; the relayer says where its stream runs and leaves it where it is read on elsewhere.

--- a/deduper/shell.go
+++ b/deduper/shell.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
@@ -117,20 +115,21 @@
 // KeyOf names a keyed request: its workspace, the caller's key and what is
 // asked, so that a key that comes with another body is another request.
 func KeyOf(job relayer.Job) Key {
-	if !job.Keyed {
+	if job.Key == "" {
 		return ""
 	}
 	h := sha256.New()
-	fmt.Fprintf(h, "%q %q %q %q %q %d", job.Workspace, job.Request, job.Model, job.Prompt, job.Stop, job.MaxOutput)
+	fmt.Fprintf(h, "%q %q %q %q %q %d", job.Workspace, job.Key, job.Model, job.Prompt, job.Stop, job.MaxOutput)
 	return Key(fmt.Sprintf("%x", h.Sum(nil)))
 }
 
 // Run answers a caller. The answer is that of its key's run, which may have
-// begun for an earlier connection.
+// begun for an earlier connection. A request without a key can't come back: it
+// goes straight to the runner.
 func (s *Shell) Run(ctx context.Context, job relayer.Job, sink relayer.Sink) outcomer.Outcome {
 	key := KeyOf(job)
-	if key != "" {
-		job.Request = identifier.Request(uuid.Must(uuid.NewV7()).String())
+	if key == "" {
+		return s.runner.Run(ctx, job, sink)
 	}
 	writer := Writer(s.writers.Add(1))
 	c := &connection{parts: make(chan driver.Token, maxBehind), done: make(chan outcomer.Outcome, 1)}
--- a/deduper/shell_test.go
+++ b/deduper/shell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 
 // site is an engine with its holds and the shells of two VMs.
 type site struct {
+	// calls counts the callers.
+	calls    int
 	mu       sync.Mutex
 	began    map[identifier.Hold]time.Time
 	prompts  map[identifier.Hold]string
@@ -127,7 +130,9 @@
 func (e entry) Run(ctx context.Context, job relayer.Job, sink relayer.Sink) outcomer.Outcome {
 	hold := identifier.Hold{VM: e.self.VM, Incarnation: 1, Request: job.Request, Attempt: 1}
 	e.start(hold, job.Prompt)
-	sink.(deduper.StreamSink).Streaming(hold, "d1")
+	if streaming, ok := sink.(deduper.StreamSink); ok {
+		streaming.Streaming(hold, "d1")
+	}
 	w := &words{site: e.site, ctx: ctx, hold: hold}
 	for {
 		t, err := w.Next()
@@ -163,7 +168,11 @@
 func (s *site) call(vm identifier.VM, key identifier.Request, prompt string) *caller {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &caller{hang: cancel, done: make(chan struct{})}
-	job := relayer.Job{Request: key, Keyed: key != "" && !strings.HasPrefix(string(key), "u"), Workspace: "w", Prompt: prompt}
+	s.calls++
+	job := relayer.Job{Request: identifier.Request(fmt.Sprintf("run-%d", s.calls)), Workspace: "w", Prompt: prompt}
+	if !strings.HasPrefix(string(key), "u") {
+		job.Key = string(key)
+	}
 	go func() {
 		defer close(c.done)
 		c.out = s.shells[vm].Run(ctx, job, c)
--- a/demonstrator/caller.go
+++ b/demonstrator/caller.go
@@ -23,6 +23,8 @@
 	workspace string
 	prompt    string
 	maxOutput int
+	// key is the idempotency key; empty for none.
+	key string
 }
 
 // reply is what the caller saw of it.
@@ -70,6 +72,9 @@
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(listener.HeaderClass, string(a.class))
 	r.Header.Set(listener.HeaderWorkspace, a.workspace)
+	if a.key != "" {
+		r.Header.Set(listener.HeaderKey, a.key)
+	}
 	start := time.Now()
 	answer, err := client.Do(r)
 	if err != nil {
--- a/listener/completion.go
+++ b/listener/completion.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -161,17 +160,13 @@
 	return many, err
 }
 
-// requestKey returns the caller's idempotency key, or a new one.
-func requestKey(r *http.Request) (key identifier.Request, given bool, err error) {
-	text := r.Header.Get(HeaderKey)
-	if len(text) > maxKeyBytes {
-		return "", false, errors.Errorf("%s has %d bytes; allowed: at most %d", HeaderKey, len(text), maxKeyBytes)
+// keyOf returns the caller's idempotency key, or an empty text.
+func keyOf(r *http.Request) (string, error) {
+	key := r.Header.Get(HeaderKey)
+	if len(key) > maxKeyBytes {
+		return "", errors.Errorf("%s has %d bytes; allowed: at most %d", HeaderKey, len(key), maxKeyBytes)
 	}
-	if text != "" {
-		return identifier.Request(text), true, nil
-	}
-	id, err := uuid.NewV7()
-	return identifier.Request(id.String()), false, errors.Wrap(err, "make a request id")
+	return key, nil
 }
 
 // workspaceOf names the caller's workspace: by header, else by the user field
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 
@@ -106,13 +107,17 @@
 	if err != nil {
 		return relayer.Job{}, err
 	}
-	key, given, err := requestKey(r)
+	key, err := keyOf(r)
+	if err != nil {
+		return relayer.Job{}, err
+	}
+	id, err := uuid.NewV7()
 	if err != nil {
 		return relayer.Job{}, err
 	}
 	return relayer.Job{
-		Request:   key,
-		Keyed:     given,
+		Request:   identifier.Request(id.String()),
+		Key:       key,
 		Workspace: workspaceOf(r, body),
 		Model:     identifier.Model(body.Model),
 		Prompt:    prompt,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -126,6 +126,9 @@
 
 // stop ends an attempt after an error of an upstream or of the caller.
 func (a *attempt) stop(ctx context.Context, u identifier.Upstream, err error) outcomer.Outcome {
+	if leavesStream(ctx) {
+		return outcomer.CallerGone{}
+	}
 	a.releaser.Release(u, a.hold)
 	if ctx.Err() != nil {
 		return a.withdraw()
@@ -134,6 +137,13 @@
 	return a.end()
 }
 
+// leavesStream says that the stream is read on elsewhere: what the engine holds
+// stays.
+func leavesStream(ctx context.Context) bool {
+	_, leaves := context.Cause(ctx).(interface{ LeavesStream() })
+	return leaves
+}
+
 func kindOf(err error) driver.Kind {
 	var e *driver.Error
 	if errors.As(err, &e) {
@@ -288,6 +298,11 @@
 		return a.stop(ctx, a.place.Decode, err)
 	}
 	defer stream.Close()
+	if s, ok := a.sink.(interface {
+		Streaming(hold identifier.Hold, u identifier.Upstream)
+	}); ok {
+		s.Streaming(a.hold, a.place.Decode)
+	}
 	return a.copy(ctx, stream)
 }
 
@@ -310,6 +325,9 @@
 			return a.stop(ctx, a.place.Decode, errors.New("a token is missing"))
 		}
 		if a.sink.Token(token) != nil {
+			if leavesStream(ctx) {
+				return outcomer.CallerGone{}
+			}
 			a.releaser.Release(a.place.Decode, a.hold)
 			return a.withdraw()
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,9 +27,10 @@
 
 // Job is one completion request.
 type Job struct {
+	// Request names this run and is never used again.
 	Request identifier.Request
-	// Keyed says that the caller gave the key itself.
-	Keyed     bool
+	// Key is the caller's idempotency key; empty if it gave none.
+	Key       string
 	Class     identifier.Class
 	Workspace identifier.Workspace
 	Model     identifier.Model
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -46,6 +46,7 @@
 	s.live = live
 	s.sync.Offer(livePeers(live))
 	s.reclaimer.SetLive(s.ctx, names(live))
+	s.deduper.SetLive(names(live))
 	s.changed()
 }
 
--- a/server/handler.go
+++ b/server/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/figtrack/figtrack/deduper"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/wire"
@@ -33,7 +34,10 @@
 	case *wire.RequestState_VouchAsk, *wire.RequestState_VouchAnswer:
 		s.reclaimer.Handle(reclaimer.Start{VM: from, Incarnation: identifier.Incarnation(incarnation)}, m)
 		return nil
-	default:
+	case *wire.RequestState_MarkTell, *wire.RequestState_GuardAsk, *wire.RequestState_GuardFree:
 		return s.suspects.Handle(ctx, from, m)
+	default:
+		s.deduper.Handle(deduper.Start{VM: from, Incarnation: identifier.Incarnation(incarnation)}, m)
+		return nil
 	}
 }
--- a/server/membership.go
+++ b/server/membership.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/figtrack/figtrack/deduper"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/registrar"
 )
@@ -30,9 +31,7 @@
 	case prober.LiveChanged:
 		s.SetLive(liveVMs(out.Live))
 	case prober.MemberChanged:
-		if out.Record.State == prober.Alive {
-			s.suspects.Joined(out.Record.VM)
-		}
+		s.memberChanged(out.Record)
 		s.Log.Info().
 			Str("Member", string(out.Record.VM)).
 			Stringer("State", out.Record.State).
@@ -49,6 +48,15 @@
 	}
 }
 
+func (s *Server) memberChanged(r prober.Record) {
+	switch r.State {
+	case prober.Alive:
+		s.suspects.Joined(r.VM)
+	case prober.Dead:
+		s.deduper.VMDied(deduper.Start{VM: r.VM, Incarnation: r.Incarnation})
+	}
+}
+
 func liveVMs(members []prober.Member) []registrar.VM {
 	vms := make([]registrar.VM, 0, len(members))
 	for _, m := range members {
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/certifier"
 	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/deduper"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/explainer"
@@ -76,6 +77,7 @@
 	relayer    *relayer.Relayer
 	reclaimer  *reclaimer.Shell
 	suspects   *quarantiner.Shell
+	deduper    *deduper.Shell
 	orders     *orderer.Shell
 	// draining holds the runners that wait for an order without new work.
 	draining   sync.Map
@@ -134,12 +136,13 @@
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
 	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, ctx}, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
+	s.deduper = deduper.NewShell(deduper.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}, s.relayer, s.engine, s.reclaimer, s.messenger)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
 		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
 	s.registerMetrics()
-	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
+	s.listener = listener.New(n.Settings.Callers, s.deduper, s, services, s, metrics, n.Log)
 	return s
 }
 
@@ -183,6 +186,7 @@
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
 	s.wg.Go(func() { s.orders.Run(s.ctx) })
 	s.wg.Go(func() { s.suspects.Run(s.ctx) })
+	s.wg.Go(func() { s.deduper.Loop(s.ctx) })
 	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
