Ask nine in ten of every promise

Cause: short prefills were promised with 7 in 10, which gains little: the promise saves at most the time of the prefill. Change: 9 in 10 at least.

--- a/admitter/memory.go
+++ b/admitter/memory.go
@@ -14,7 +14,7 @@
 	safeWaste   = 15 * time.Millisecond
 	likelyWaste = 35 * time.Millisecond
 	// leastChance is the least probability of the memory of any promise.
-	leastChance = 0.7
+	leastChance = 0.9
 	// promiseShare is the share of a prefill result's life in which promised
 	// memory may still come.
 	promiseShare = 0.0
