--- a/faker/engine_life.go
+++ b/faker/engine_life.go
@@ -76,7 +76,7 @@
 		calls:        make(chan func(), engineCalls),
 		timer:        time.NewTimer(time.Hour),
 		jobs:         make(map[identifier.Hold]*engineJob),
-		serves:       driver.OrderResult{Role: s.cfg.Role},
+		serves:       driver.OrderResult{Role: s.cfg.Role, Models: s.cfg.Models},
 	}
 	l.ctx, l.end = context.WithCancel(context.Background())
 	go l.run()
@@ -152,6 +152,8 @@
 		l.fail(o.Hold, driver.KindFull, "no memory is free")
 	case ResultEvicted:
 		l.fail(o.Hold, driver.KindGone, "the prefill result was evicted")
+	case StreamDropped:
+		l.fail(o.Hold, driver.KindGone, "the stream outgrew its memory")
 	case DecodeRefused:
 		l.fail(o.Hold, driver.KindGone, "no KV cache is here")
 	case PrefillStopped:
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -16,9 +16,10 @@
 		c.fail(now, r, ReasonEngineDown)
 		return
 	}
-	r.seen = served(e.Result)
+	r.seen = r.served(e.Result)
 	r.seen.Adapters = r.record.Adapters
 	r.seenAt = now
+	r.highest = max(r.highest, e.Result.Highest)
 	if r.after {
 		r.after = false
 		c.check(now, r)
@@ -41,9 +42,17 @@
 	c.settle(now, r)
 }
 
-func served(o driver.OrderResult) Serving {
+// served is what the runner serves, without what the configuration leaves to
+// the runner.
+func (r *runner) served(o driver.OrderResult) Serving {
 	s := Serving{Models: slices.Clone(o.Models), Version: o.Version, Role: o.Role}
 	slices.Sort(s.Models)
+	if len(r.Models) == 0 {
+		s.Models = nil
+	}
+	if r.Version == "" {
+		s.Version = ""
+	}
 	return s
 }
 
@@ -165,7 +174,7 @@
 	r.next = Record{
 		Issuer:      c.vm,
 		Incarnation: c.incarnation,
-		Fence:       r.record.Fence + 1,
+		Fence:       max(r.record.Fence, r.highest) + 1,
 		Revision:    c.revision,
 		Adapters:    r.Adapters,
 	}
@@ -215,6 +224,7 @@
 	}
 	if e.Result.Refused {
 		r.recordSeen = false
+		r.highest = max(r.highest, e.Result.Highest)
 		c.fail(now, r, ReasonRefused)
 		return
 	}
