Name every plain call in the log and in its answer

The decision lines and refusals of plain calls without an idempotency key had an empty Request, so that none could be found again. Such a call gets a UUIDv7, as completions do, and each answer of a plain service carries Figtrack-Request.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -97,15 +98,17 @@
 	ctx, cancel := context.WithTimeout(r.Context(), f.timeout)
 	defer cancel()
 	c := &call{Forwarder: f, pool: pool, r: r.WithContext(ctx), key: r.Header.Get(headerKey)}
+	c.id = requestID(c.key)
+	w.Header().Set(outcomer.HeaderRequest, string(c.id))
 	switch out := c.run(w, members).(type) {
 	case nil:
 	case outcomer.BrokenOff, outcomer.CallerGone:
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	case outcomer.UpstreamLost:
-		_ = outcomer.Write(w, identifier.Request(c.key), c.lost(out))
+		_ = outcomer.Write(w, c.id, c.lost(out))
 	default:
-		_ = outcomer.Write(w, identifier.Request(c.key), out)
+		_ = outcomer.Write(w, c.id, out)
 	}
 }
 
@@ -117,12 +120,22 @@
 	return out
 }
 
+// requestID returns the id of a call: its key where one can be taken.
+func requestID(key string) identifier.Request {
+	if key == "" || len(key) > maxKeyBytes {
+		return identifier.Request(uuid.Must(uuid.NewV7()).String())
+	}
+	return identifier.Request(key)
+}
+
 // call is one request to a service.
 type call struct {
 	*Forwarder
 	pool registrar.Pool
 	r    *http.Request
 	key  string
+	// id names the call in logs and refusals: its key, or a new id.
+	id identifier.Request
 	// body is nil for a request whose body is streamed.
 	body []byte
 }
@@ -222,7 +235,7 @@
 		c.health.Failed(u.ID, driver.KindUnknown)
 	}
 	c.log.Info().
-		Str("Request", c.key).
+		Str("Request", string(c.id)).
 		Str("Pool", string(c.pool.ID)).
 		Str("Upstream", string(u.ID)).
 		Str("Result", string(result)).
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -213,6 +213,8 @@
 		})
 		answer.Body.Close()
 		s.Expect(got).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Accept-Encoding": {"br"}}))
+		s.Expect(answer.Header.Get(outcomer.HeaderRequest)).To(HaveLen(36))
+		answer.Header.Del(outcomer.HeaderRequest)
 		answer.Header.Del("Date")
 		s.Expect(answer.Header).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Content-Length": {"0"}}))
 		s.Expect(answer.StatusCode).To(Equal(http.StatusTeapot))
