--- a/server/crowd_test.go
+++ b/server/crowd_test.go
@@ -17,14 +17,29 @@
 	crowdSeed = 7
 )
 
-// TestCrowdGetsItsOwnAnswers sends streams through both VMs while a decode
-// engine dies and every fifth caller leaves. Each text that comes is the
+// TestCrowdGetsItsOwnAnswers sends streams through both VMs while an upstream
+// fails in one way and every fifth caller leaves. Each text that comes is the
 // begin of the caller's own answer, each caller that stays gets it whole, and
 // the engines hold nothing afterwards.
 func TestCrowdGetsItsOwnAnswers(t *testing.T) {
+	for name, fault := range map[string]func(*site){
+		"decode engine dies":   func(s *site) { s.engines[2].Kill() },
+		"prefill engine dies":  func(s *site) { s.engines[0].Kill() },
+		"link stalls":          func(s *site) { s.engines[2].StallTransfers(3 * time.Second) },
+		"decode engine leaves": func(s *site) { s.engines[2].Leave(true) },
+		"decode engine pauses": func(s *site) {
+			s.engines[2].Freeze()
+			time.AfterFunc(time.Second, s.engines[2].Thaw)
+		},
+	} {
+		t.Run(name, func(t *testing.T) { crowdWith(t, fault) })
+	}
+}
+
+func crowdWith(t *testing.T, fault func(*site)) {
 	onSite(t, nil, func(s *site) {
 		rng := rand.New(rand.NewPCG(crowdSeed, 0))
-		time.AfterFunc(700*time.Millisecond, s.engines[2].Kill)
+		time.AfterFunc(700*time.Millisecond, func() { fault(s) })
 		replies := make([]reply, crowd)
 		var callers sync.WaitGroup
 		for i := range crowd {
