Check that a crashed VM's engine memory is released by the other

Either of two VMs ends in mid-stream, its connections to the engines cut first, so that it can't release anything itself. The hold stands right after the crash and is gone within reclaimer.ReleaseSilentWithin; the VM that is left serves on.

--- a/server/links_test.go
+++ b/server/links_test.go
@@ -77,8 +77,10 @@
 func (e *end) Close() error {
 	e.links.mu.Lock()
 	defer e.links.mu.Unlock()
-	delete(e.links.ends, e.vm)
-	close(e.queue)
+	if e.links.ends[e.vm] == e {
+		delete(e.links.ends, e.vm)
+		close(e.queue)
+	}
 	return nil
 }
 
--- a/server/site_test.go
+++ b/server/site_test.go
@@ -48,6 +48,8 @@
 	services  []*faker.Service
 	upstreams []registrar.Upstream
 	servers   []*server.Server
+	// uplinks are the VMs' ways to the upstreams.
+	uplinks []*uplink
 	// callers are the addresses of the VMs.
 	callers []string
 	journal journal
@@ -145,6 +147,8 @@
 	if change != nil {
 		change(&cfg)
 	}
+	up := &uplink{network: &s.network}
+	s.uplinks = append(s.uplinks, up)
 	metrics := keeper.NewMetrics()
 	store := keeper.New(keeper.Settings{Endpoints: []string{s.store.URL()}, Client: s.client}, metrics)
 	vm := server.New(server.Needs{
@@ -156,7 +160,7 @@
 		Callers:      callers,
 		VMs:          socket(cfg.VM),
 		Messenger:    s.links.of(cfg.VM),
-		Dial:         s.network.Dial,
+		Dial:         up.Dial,
 		Log:          zerolog.New(&s.journal).With().Str("VM", string(cfg.VM)).Logger(),
 	})
 	s.Expect(vm.Start()).To(Succeed())
