--- a/server/crowd_test.go
+++ b/server/crowd_test.go
@@ -87,10 +87,7 @@
 		answered := make([]int, keys)
 		for i := range keys * 4 {
 			callers.Go(func() {
-				got := s.call(context.Background(), request{
-					method: http.MethodPost, path: "/orders/kits", body: "7", vm: i % 2,
-					header: http.Header{"Idempotency-Key": {fmt.Sprintf("key-%d", i%keys)}},
-				})
+				got := s.call(context.Background(), keyedRequest(i%keys, i/keys%2))
 				mu.Lock()
 				defer mu.Unlock()
 				if got.status == http.StatusOK {
@@ -106,3 +103,10 @@
 		s.Expect(answered).To(ContainElement(1))
 	})
 }
+
+func keyedRequest(key, vm int) request {
+	return request{
+		method: http.MethodPost, path: "/orders/kits", body: "7", vm: vm,
+		header: http.Header{"Idempotency-Key": {fmt.Sprintf("key-%d", key)}},
+	}
+}
--- a/server/links_test.go
+++ b/server/links_test.go
@@ -23,8 +23,10 @@
 
 // links join the VMs of a site in place of QUIC, which needs a real socket.
 type links struct {
-	mu    sync.Mutex
-	ends  map[identifier.VM]*end
+	mu   sync.Mutex
+	ends map[identifier.VM]*end
+	// split says that no message arrives.
+	split bool
 	tasks sync.WaitGroup
 }
 
@@ -51,9 +53,19 @@
 func (l *links) find(vm identifier.VM) *end {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.split {
+		return nil
+	}
 	return l.ends[vm]
 }
 
+// cut loses all messages from now on, or lets them through again.
+func (l *links) cut(split bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.split = split
+}
+
 func (l *links) close() { l.tasks.Wait() }
 
 // Start implements server.Messenger.
@@ -92,6 +104,10 @@
 	if peer == nil {
 		return false
 	}
+	if e.links.split {
+		// The sender does not see that a message is lost.
+		return true
+	}
 	select {
 	case peer.queue <- letter{e.vm, proto.CloneOf(message), time.Now().Add(linkDelay)}:
 		return true
