Wait and try again where the engines are full

Change: an attempt that found the engines full is no failure of theirs; it is made again after a growing, spread wait, until the owner gives the request up or twelve such attempts.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -265,7 +265,7 @@
 	memory := explainer.New()
 	s := server.New(server.Needs{
 		Settings:     cfg,
-		Incarnation:  identifier.Incarnation(time.Now().UnixNano()),
+		Incarnation:  identifier.Incarnation(time.Now().UnixMilli()),
 		Keyring:      ring,
 		Store:        keeper.Below(store, "/"+deployment),
 		StoreMetrics: metrics,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -242,6 +242,7 @@
 	}
 	switch {
 	case full:
+		a.last = driver.KindFull
 	case errors.Is(err, context.DeadlineExceeded):
 		a.excluded = append(a.excluded, a.place.Decode)
 	default:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,14 @@
 // may end it sooner.
 const maxAttempts = 3
 
+const (
+	// maxRefusals bounds the attempts that found the engines full.
+	maxRefusals = 12
+	// fullWait is the longest wait after the first of them. It grows with
+	// each.
+	fullWait = 200 * time.Millisecond
+)
+
 // retryAfter is the wait that a caller is told after failures of upstreams.
 const retryAfter = time.Second
 
@@ -129,19 +138,30 @@
 	return out
 }
 
-// all makes attempts until one ends the request.
+// all makes attempts until one ends the request. An attempt that found the
+// engines full is no failure of theirs: it is made again after a wait, until
+// the owner gives the request up.
 func (r *run) all(ctx context.Context) outcomer.Outcome {
-	for r.attempts < maxAttempts {
+	for failures, refusals := 0, 0; failures < maxAttempts && refusals < maxRefusals; {
 		if out := r.admit(ctx); out != nil {
 			return out
 		}
 		r.attempts++
+		r.last = ""
 		if out := r.attempt(ctx, r.attempts); out != nil {
 			return out
 		}
 		if ctx.Err() != nil {
 			return outcomer.CallerGone{}
 		}
+		if r.last != driver.KindFull {
+			failures++
+			continue
+		}
+		refusals++
+		if !sleep(ctx, rand.N(fullWait)*time.Duration(refusals)) {
+			return outcomer.CallerGone{}
+		}
 	}
 	return outcomer.FromUpstream(r.last, false, retryAfter)
 }
--- a/serve.go
+++ b/serve.go
@@ -83,7 +83,7 @@
 	store := keeper.New(keeper.Settings{Endpoints: cfg.Store.Endpoints, Timeout: cfg.Store.Timeout}, metrics)
 	return server.Needs{
 		Settings:     cfg,
-		Incarnation:  identifier.Incarnation(time.Now().UnixNano()),
+		Incarnation:  identifier.Incarnation(time.Now().UnixMilli()),
 		Keyring:      ring,
 		Store:        keeper.Below(store, cfg.Store.Prefix),
 		StoreMetrics: metrics,
