Name requests by 16 bytes between VMs and tell what a forward weighed

Cause: at twelve runners an owner's control traffic passes 22 KB/s; lines of forwards named no alternatives; arrivals named their VM twice.

Change: a placement carries a UUID as 16 bytes and no scores; a Forward line has what was weighed and why; the replay counts the bytes as they are sent.

--- a/admitter/message.go
+++ b/admitter/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/identifier"
@@ -57,7 +58,13 @@
 }
 
 func message(shard identifier.Shard, k Key) *wire.Placement {
-	return &wire.Placement{Shard: string(shard), Request: string(k.Request), Attempt: uint32(k.Attempt)}
+	m := &wire.Placement{Shard: string(shard), Attempt: uint32(k.Attempt)}
+	if id, err := uuid.Parse(string(k.Request)); err == nil && id.String() == string(k.Request) {
+		m.Id = id[:]
+	} else {
+		m.Request = string(k.Request)
+	}
+	return m
 }
 
 func askToWire(now time.Time, e Ask) *wire.Ask {
@@ -133,9 +140,16 @@
 }
 
 func keyOf(m *wire.Placement) (Key, error) {
-	k := Key{Request: identifier.Request(m.GetRequest()), Attempt: identifier.Attempt(m.GetAttempt())}
+	k := Key{Request: requestOf(m), Attempt: identifier.Attempt(m.GetAttempt())}
 	if k.Request == "" || k.Attempt < 1 {
 		return k, errors.New("message has no Request or no Attempt")
 	}
 	return k, nil
 }
+
+func requestOf(m *wire.Placement) identifier.Request {
+	if id, err := uuid.FromBytes(m.GetId()); err == nil {
+		return identifier.Request(id.String())
+	}
+	return identifier.Request(m.GetRequest())
+}
--- a/admitter/message_test.go
+++ b/admitter/message_test.go
@@ -25,6 +25,8 @@
 		Ask:     admitter.Ask{Key: wireKey, Class: "c", From: "vm-1", Prompt: 900, MaxOutput: 80, Arrived: start.Add(-time.Second)},
 		Prefill: "p-1", Decode: "d-1", Pieces: 3, Stage: admitter.StageDecoding,
 	},
+	admitter.Withdraw{Key: admitter.Key{Request: "01a23e0b-1404-78b0-8140-172ed11d569c", Attempt: 1}},
+	admitter.Withdraw{Key: admitter.Key{Request: "01A23E0B-1404-78b0-8140-172ed11d569c", Attempt: 1}},
 	admitter.Withdraw{Key: wireKey},
 	admitter.PrefillEnded{Key: wireKey, Cached: 256, Took: 20 * time.Millisecond},
 	admitter.TransferEnded{Key: wireKey, Took: 7 * time.Millisecond},
--- a/admitter/outcome.go
+++ b/admitter/outcome.go
@@ -84,3 +84,18 @@
 func (Refuse) outcome()  {}
 func (Abandon) outcome() {}
 func (WakeAt) outcome()  {}
+
+// KeyOf returns the attempt that an outcome is for; the zero Key for a WakeAt.
+func KeyOf(o Outcome) Key {
+	switch o := o.(type) {
+	case Place:
+		return o.Key
+	case Move:
+		return o.Key
+	case Refuse:
+		return o.Key
+	case Abandon:
+		return o.Key
+	}
+	return Key{}
+}
--- a/dispatcher/asker.go
+++ b/dispatcher/asker.go
@@ -71,7 +71,7 @@
 // receive takes an event for a shard of this VM or a decision for a ticket.
 func (d *Dispatcher) receive(now time.Time, from identifier.VM, p *wire.Placement) {
 	if out, err := admitter.OutcomeFromWire(d.self, p); err == nil {
-		d.decide(now, keyFromWire(p), out)
+		d.decide(now, admitter.KeyOf(out), out)
 		return
 	}
 	e, err := admitter.EventFromWire(now, from, p)
@@ -92,10 +92,3 @@
 		}
 	}
 }
-
-func keyFromWire(p *wire.Placement) admitter.Key {
-	return admitter.Key{
-		Request: identifier.Request(p.GetRequest()),
-		Attempt: identifier.Attempt(p.GetAttempt()),
-	}
-}
--- a/dispatcher/owner.go
+++ b/dispatcher/owner.go
@@ -149,13 +149,22 @@
 		d.decide(now, key, out)
 		return
 	}
-	_, p := admitter.OutcomeToWire(o.shard.ID, out)
+	_, p := admitter.OutcomeToWire(o.shard.ID, withoutScores(out))
 	message := &wire.Envelope{Body: &wire.Envelope_Placement{Placement: p}}
 	if !d.sender.Send(to, message) {
 		d.log.Warn().Str("Request", string(key.Request)).Str("To", string(to)).Msg("DecisionNotSent")
 	}
 }
 
+// withoutScores leaves out what only the owner's log tells.
+func withoutScores(out admitter.Outcome) admitter.Outcome {
+	if place, ok := out.(admitter.Place); ok {
+		place.Scores = nil
+		return place
+	}
+	return out
+}
+
 // decide gives a decision to the attempt's ticket.
 func (d *Dispatcher) decide(now time.Time, key admitter.Key, out admitter.Outcome) {
 	t := d.tickets[key]
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -154,7 +154,7 @@
 	ran := outcomer.RanNo
 	for _, u := range instances {
 		result := c.send(w, u)
-		c.record(u, result)
+		c.record(u, instances, result)
 		if result == sentNoAnswer {
 			ran = outcomer.RanUnknown
 		}
@@ -227,7 +227,9 @@
 	return usable
 }
 
-func (c *call) record(u registrar.Upstream, result sent) {
+// record tells health and the log how a try went. The instances are those that
+// were weighed, in the order of their turn.
+func (c *call) record(u registrar.Upstream, instances []registrar.Upstream, result sent) {
 	switch {
 	case result == sentAnswered:
 		c.health.Succeeded(u.ID)
@@ -238,6 +240,16 @@
 		Str("Request", string(c.id)).
 		Str("Pool", string(c.pool.ID)).
 		Str("Upstream", string(u.ID)).
+		Strs("Weighed", ids(instances)).
+		Str("Reason", "NextInTurn").
 		Str("Result", string(result)).
 		Msg("Forward")
 }
+
+func ids(upstreams []registrar.Upstream) []string {
+	out := make([]string, 0, len(upstreams))
+	for _, u := range upstreams {
+		out = append(out, string(u.ID))
+	}
+	return out
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -70,14 +70,13 @@
 
 // Began implements relayer.Recorder. The lines of arrivals and cancels make the
 // log of a run a trace that figtrack replay reads.
-func (r *Recorder) Began(job relayer.Job, on identifier.VM) {
+func (r *Recorder) Began(job relayer.Job) {
 	r.log.Info().EmbedObject(tracer.Arrival{
 		Time:      job.Arrived,
 		Request:   job.Request,
 		Class:     job.Class,
 		Workspace: job.Workspace,
 		Model:     job.Model,
-		VM:        on,
 		Prompt:    job.Tokens,
 		MaxOutput: job.MaxOutput,
 		Prefix:    job.Prefix,
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -27,7 +27,7 @@
 
 // Recorder keeps what requests came to.
 type Recorder interface {
-	Began(job Job, on identifier.VM)
+	Began(job Job)
 	Ended(r Record)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -132,7 +132,7 @@
 		print:   quarantiner.Print(job.Model, []byte(job.Prompt)),
 		ran:     outcomer.RanNo,
 	}
-	r.recorder.Began(job, r.vm)
+	r.recorder.Began(job)
 	out := run.final(run.all(ctx))
 	r.recorder.Ended(run.record(out))
 	return out
--- a/replayer/caller.go
+++ b/replayer/caller.go
@@ -113,7 +113,7 @@
 // report sends an event to the policy of the caller's entry VM.
 func (c *caller) report(event admitter.Event) {
 	n := c.vm.node
-	size := func() int64 { return sizeOfEvent(c.now, c.vm.ID, event) }
+	size := func() int64 { return sizeOfEvent(c.now, event) }
 	c.message(c.vm, n.vm, size, func() { n.tell(event) })
 }
 
--- a/replayer/run.go
+++ b/replayer/run.go
@@ -232,7 +232,7 @@
 // toEntry runs do at the entry VM if the attempt is not over by then.
 func (n *node) toEntry(to identifier.VM, key admitter.Key, outcome admitter.Outcome, do func(*attempt)) {
 	entry := n.vms[to]
-	size := func() int64 { return sizeOfOutcome(n.vm.ID, outcome) }
+	size := func() int64 { return sizeOfOutcome(outcome) }
 	n.message(n.vm, entry, size, func() {
 		if a, ok := n.attempts[holdOf(to, key)]; ok {
 			do(a)
--- a/replayer/size.go
+++ b/replayer/size.go
@@ -22,23 +22,24 @@
 )
 
 // sizeOfEvent returns the bytes of a message to the owner of a shard.
-func sizeOfEvent(now time.Time, from identifier.VM, event admitter.Event) int64 {
-	return sizeOfPlacement(from, admitter.EventToWire(now, shard, event))
+func sizeOfEvent(now time.Time, event admitter.Event) int64 {
+	return sizeOfPlacement(admitter.EventToWire(now, shard, event))
 }
 
 // sizeOfOutcome returns the bytes of a message to an entry VM.
-func sizeOfOutcome(from identifier.VM, outcome admitter.Outcome) int64 {
+func sizeOfOutcome(outcome admitter.Outcome) int64 {
+	if place, ok := outcome.(admitter.Place); ok {
+		place.Scores = nil
+		outcome = place
+	}
 	_, placement := admitter.OutcomeToWire(shard, outcome)
-	return sizeOfPlacement(from, placement)
+	return sizeOfPlacement(placement)
 }
 
-func sizeOfPlacement(from identifier.VM, placement *wire.Placement) int64 {
+func sizeOfPlacement(placement *wire.Placement) int64 {
 	envelope := &wire.Envelope{
-		Deployment:  "replay",
-		From:        string(from),
-		Incarnation: 1,
-		Sequence:    1 << 20,
-		Body:        &wire.Envelope_Placement{Placement: placement},
+		Sequence: 1 << 20,
+		Body:     &wire.Envelope_Placement{Placement: placement},
 	}
 	return int64(proto.Size(envelope))
 }
--- a/tracer/logger.go
+++ b/tracer/logger.go
@@ -7,7 +7,8 @@
 )
 
 // MarshalZerologObject writes the fields of an Arrival line into a log line,
-// so that the log of a run is a trace.
+// so that the log of a run is a trace. Its VM is left to the logger, which
+// writes it in every line.
 func (a Arrival) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("Kind", string(KindArrival)).
 		Str("At", a.Time.Format(time.RFC3339Nano)).
@@ -15,7 +16,6 @@
 		Str("Class", string(a.Class)).
 		Str("Workspace", string(a.Workspace)).
 		Str("Model", string(a.Model)).
-		Str("VM", string(a.VM)).
 		Int("Prompt", int(a.Prompt)).
 		Int("Output", int(a.Output)).
 		Int("MaxOutput", int(a.MaxOutput)).
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -116,13 +116,13 @@
 	log := zerolog.New(&file).With().Timestamp().Logger()
 	log.Info().Str("Kind", "Started").Msg("Started")
 	for i := len(trace.Arrivals) - 1; i >= 0; i-- {
-		log.Info().EmbedObject(trace.Arrivals[i]).Msg("Arrival")
+		log.Info().Str("VM", string(trace.Arrivals[i].VM)).EmbedObject(trace.Arrivals[i]).Msg("Arrival")
 	}
 	for _, c := range trace.Cancels {
 		log.Info().EmbedObject(c).Msg("Cancel")
 	}
 	log.Info().Str("Kind", "Placed").Msg("Placed")
-	log.Info().EmbedObject(trace.Arrivals[0]).Msg("Arrival")
+	log.Info().Str("VM", string(trace.Arrivals[0].VM)).EmbedObject(trace.Arrivals[0]).Msg("Arrival")
 	read, err := tracer.Read(&file, &trace.Header)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(read.Skipped).To(Equal(2))
