Wait half a second at most for a key's home

Cause: a trial of the shell in the server showed that a caller who came back with its key while the home VM was dead waited 4 s and was then refused with TargetOutOfReach, and that the refusal said Ran: No although another VM had run the key.

Change: HomeWait 500 ms, YieldWait 300 ms; where the home did not answer, a refusal says Unknown.

--- a/deduper/deduper.go
+++ b/deduper/deduper.go
@@ -32,7 +32,7 @@
 const (
 	// HomeWait is how long a caller waits for its key's home. It exceeds
 	// YieldWait, within which the home answers.
-	HomeWait = 4 * time.Second
+	HomeWait = 500 * time.Millisecond
 	// Grace is how long a keyed request runs on without its caller.
 	Grace = 5 * time.Second
 	// AloneFor is how long a request that may not be repeated runs on
@@ -227,6 +227,8 @@
 		r := c.due[0]
 		c.forgetTime(r)
 		if r.phase == phaseAsking {
+			// Another VM may run it.
+			r.ran = outcomer.RanUnknown
 			c.start(r)
 			continue
 		}
--- a/deduper/home.go
+++ b/deduper/home.go
@@ -14,7 +14,7 @@
 const (
 	// YieldWait is how long a VM may take to leave a request to another. A
 	// VM that is slower is taken for dead.
-	YieldWait = 3 * time.Second
+	YieldWait = 300 * time.Millisecond
 	// RecordLife is how long a record lives that is not renewed.
 	RecordLife = 30 * time.Minute
 	// MaxRecords is the most records; the oldest goes first.
