--- a/replayer/attempt.go
+++ b/replayer/attempt.go
@@ -34,8 +34,11 @@
 	return admitter.Key{Request: a.hold.Request, Attempt: a.hold.Attempt}
 }
 
-// place starts the prefill. Engines run the earliest deadline first.
+// place starts the prefill, once. Engines run the earliest deadline first.
 func (a *attempt) place(p admitter.Place) {
+	if a.prefill != nil {
+		return
+	}
 	a.prefill, a.decode = a.byID[p.Prefill], a.byID[p.Decode]
 	a.pieces, a.within = p.Pieces, p.TransferWithin
 	a.placed = true
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -46,6 +46,7 @@
 	s.live = live
 	s.sync.Offer(livePeers(live))
 	s.reclaimer.SetLive(s.ctx, names(live))
+	s.deduper.SetLive(names(live))
 	s.changed()
 }
 
@@ -85,6 +86,7 @@
 	own := s.own()
 	s.poller.SetShards(s.ctx, own)
 	s.reclaimer.SetShards(s.ctx, compared(own))
+	s.orders.Offer(wanted(s.Configuration(), own))
 	s.health.assign(assigned(catalog, own))
 	s.health.feedAll()
 }
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/certifier"
 	"github.com/figtrack/figtrack/claimer"
+	"github.com/figtrack/figtrack/deduper"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/explainer"
@@ -25,6 +26,7 @@
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
 	"github.com/figtrack/figtrack/operator"
+	"github.com/figtrack/figtrack/orderer"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
@@ -75,6 +77,10 @@
 	relayer    *relayer.Relayer
 	reclaimer  *reclaimer.Shell
 	suspects   *quarantiner.Shell
+	deduper    *deduper.Shell
+	orders     *orderer.Shell
+	// draining holds the runners that wait for an order without new work.
+	draining   sync.Map
 	poller     *poller.Poller
 	claims     *claimer.Shell
 	members    *prober.Shell
@@ -94,7 +100,7 @@
 	// configuration is the one in force; its revision only rises.
 	configuration Configuration
 	live          []registrar.VM
-	draining      bool
+	stopping      bool
 }
 
 // New builds a server that does nothing yet.
@@ -122,6 +128,7 @@
 	s.members = s.newMembers()
 	s.health = newHealth(s)
 	s.sync = s.newSync()
+	s.orders = s.newOrders()
 	s.operators = operator.New(s, n.Keyring)
 	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
 	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
@@ -129,12 +136,13 @@
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
 	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, ctx}, s.health,
 		recorder.New(s, s.metrics, n.Log), n.Log)
+	s.deduper = deduper.NewShell(deduper.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}, s.relayer, s.engine, s.reclaimer, s.messenger)
 	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
 	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
 		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
 	s.registerMetrics()
-	s.listener = listener.New(n.Settings.Callers, s.relayer, s, services, s, metrics, n.Log)
+	s.listener = listener.New(n.Settings.Callers, s.deduper, s, services, s, metrics, n.Log)
 	return s
 }
 
@@ -176,7 +184,9 @@
 	s.wg.Go(func() { s.members.Run(s.ctx) })
 	s.wg.Go(s.health.run)
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
+	s.wg.Go(func() { s.orders.Run(s.ctx) })
 	s.wg.Go(func() { s.suspects.Run(s.ctx) })
+	s.wg.Go(func() { s.deduper.Loop(s.ctx) })
 	s.wg.Go(func() { s.reclaimer.Run(s.ctx) })
 	s.wg.Go(func() { s.claims.Run(s.ctx) })
 	s.wg.Go(func() {
@@ -205,7 +215,7 @@
 func (s *Server) Ready() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.stopping {
 		return "the VM is stopping"
 	}
 	if s.configuration.Revision == 0 {
