--- a/process_test.go
+++ b/process_test.go
@@ -92,7 +92,7 @@
 
 // deployment is three VMs with stand-ins, each a process.
 type deployment struct {
-	t         *testing.T
+	t         testing.TB
 	g         *WithT
 	folder    string
 	vms       []*process
@@ -123,7 +123,7 @@
 }
 
 // deploy starts everything and applies a configuration.
-func deploy(t *testing.T) *deployment {
+func deploy(t testing.TB) *deployment {
 	d := &deployment{t: t, g: NewWithT(t), folder: t.TempDir()}
 	keys := []string{"keys", "--deployment", "trial", "--folder", d.folder, "--operator", "anna"}
 	for i := range vmCount {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/figtrack/figtrack/faker"
@@ -52,137 +53,144 @@
 	return text, false
 }
 
-func TestOperatorsDriveAFleetOfProcesses(t *testing.T) {
-	d := deploy(t)
-	g := d.g
-	for vm := range vmCount {
-		answer, err := d.post(vm, "/v1/completions", "", completionBody(20, false))
+func TestScenarios(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "figtrack")
+}
+
+var _ = Describe("A fleet of processes", func() {
+	It("lets operators drive it", func() {
+		d := deploy(GinkgoTB())
+		g := d.g
+		for vm := range vmCount {
+			answer, err := d.post(vm, "/v1/completions", "", completionBody(20, false))
+			g.Expect(err).NotTo(HaveOccurred())
+			var body reply
+			g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
+			answer.Body.Close()
+			g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(body.Choices[0].Text).To(Equal(wholeAnswer(20)))
+			if vm == vmCount-1 {
+				out, stderr, status := d.operate(0, "explain", answer.Header.Get("Figtrack-Request"))
+				g.Expect(status).To(Equal(exitOK), stderr)
+				g.Expect(out).To(ContainSubstring("placed attempt 1 for vm-3: prefill on desk-1, decode on desk-"))
+				g.Expect(out).To(ContainSubstring("vm-3: ended as Answered after 1 attempts, class LoadNote"))
+			}
+		}
+		out, stderr, status := d.operate(1, "classes", "set", "LoadNote", "--first-token", "4s", "--wait")
+		g.Expect(status).To(Equal(exitOK), stderr)
+		g.Expect(out).To(Equal("revision 2 is in force on all live VMs\n"))
+		out, _, _ = d.operate(2, "classes")
+		g.Expect(out).To(ContainSubstring("4s"))
+		_, stderr, status = d.operate(0, "classes", "add", "LoadNote", "--first-token", "1s", "--per-token", "1s")
+		g.Expect(status).To(Equal(exitFailed))
+		g.Expect(stderr).To(ContainSubstring("LoadNote"))
+		out, stderr, status = d.operate(0, "status")
+		g.Expect(status).To(Equal(exitOK), stderr)
+		g.Expect(out).To(ContainSubstring("vm-3"))
+		_, stderr, status = d.operate(0, "upstreams", "retire", "desk-2", "--wait")
+		g.Expect(status).To(Equal(exitOK), stderr)
+		answer, err := d.post(0, "/v1/completions", "", completionBody(20, false))
+		g.Expect(err).NotTo(HaveOccurred())
+		answer.Body.Close()
+		out, _, _ = d.operate(1, "explain", answer.Header.Get("Figtrack-Request"))
+		g.Expect(out).To(ContainSubstring("decode on desk-3"))
+		out, stderr, status = d.operate(0, "diff", d.folder+"/configuration.yaml")
+		g.Expect(status).To(Equal(exitOK), stderr)
+		g.Expect(out).To(ContainSubstring("FirstToken"))
+	})
+
+	It("finishes the streams of a drained VM", func() {
+		d := deploy(GinkgoTB())
+		g := d.g
+		answer, err := d.post(1, "/v1/completions", "", completionBody(120, true))
+		g.Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		stderr, status := "", 0
+		_, stderr, status = d.operate(1, "drain")
+		g.Expect(status).To(Equal(exitOK), stderr)
+		text, whole := readStream(answer.Body)
+		g.Expect(whole).To(BeTrue())
+		g.Expect(text).To(Equal(wholeAnswer(120)))
+		<-d.vms[1].ended
+		g.Expect(d.vms[1].ProcessState.ExitCode()).To(Equal(exitOK))
+	})
+
+	It("has no second run and no outage after a kill", func() {
+		d := deploy(GinkgoTB())
+		g := d.g
+		answer, err := d.post(2, "/orders/reservations", "beam-7", `{"Count":4}`)
 		g.Expect(err).NotTo(HaveOccurred())
-		var body reply
-		g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
 		answer.Body.Close()
 		g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
-		g.Expect(body.Choices[0].Text).To(Equal(wholeAnswer(20)))
-		if vm == vmCount-1 {
-			out, stderr, status := d.operate(0, "explain", answer.Header.Get("Figtrack-Request"))
-			g.Expect(status).To(Equal(exitOK), stderr)
-			g.Expect(out).To(ContainSubstring("placed attempt 1 for vm-3: prefill on desk-1, decode on desk-"))
-			g.Expect(out).To(ContainSubstring("vm-3: ended as Answered after 1 attempts, class LoadNote"))
-		}
-	}
-	out, stderr, status := d.operate(1, "classes", "set", "LoadNote", "--first-token", "4s", "--wait")
-	g.Expect(status).To(Equal(exitOK), stderr)
-	g.Expect(out).To(Equal("revision 2 is in force on all live VMs\n"))
-	out, _, _ = d.operate(2, "classes")
-	g.Expect(out).To(ContainSubstring("4s"))
-	_, stderr, status = d.operate(0, "classes", "add", "LoadNote", "--first-token", "1s", "--per-token", "1s")
-	g.Expect(status).To(Equal(exitFailed))
-	g.Expect(stderr).To(ContainSubstring("LoadNote"))
-	out, stderr, status = d.operate(0, "status")
-	g.Expect(status).To(Equal(exitOK), stderr)
-	g.Expect(out).To(ContainSubstring("vm-3"))
-	_, stderr, status = d.operate(0, "upstreams", "retire", "desk-2", "--wait")
-	g.Expect(status).To(Equal(exitOK), stderr)
-	answer, err := d.post(0, "/v1/completions", "", completionBody(20, false))
-	g.Expect(err).NotTo(HaveOccurred())
-	answer.Body.Close()
-	out, _, _ = d.operate(1, "explain", answer.Header.Get("Figtrack-Request"))
-	g.Expect(out).To(ContainSubstring("decode on desk-3"))
-	out, stderr, status = d.operate(0, "diff", d.folder+"/configuration.yaml")
-	g.Expect(status).To(Equal(exitOK), stderr)
-	g.Expect(out).To(ContainSubstring("FirstToken"))
-}
+		stream, err := d.post(2, "/v1/completions", "", completionBody(200, true))
+		g.Expect(err).NotTo(HaveOccurred())
+		defer stream.Body.Close()
+		d.vms[2].end(syscall.SIGKILL)
+		_, whole := readStream(stream.Body)
+		g.Expect(whole).To(BeFalse())
 
-func TestADrainedVMFinishesItsStreams(t *testing.T) {
-	d := deploy(t)
-	g := d.g
-	answer, err := d.post(1, "/v1/completions", "", completionBody(120, true))
-	g.Expect(err).NotTo(HaveOccurred())
-	defer answer.Body.Close()
-	stderr, status := "", 0
-	_, stderr, status = d.operate(1, "drain")
-	g.Expect(status).To(Equal(exitOK), stderr)
-	text, whole := readStream(answer.Body)
-	g.Expect(whole).To(BeTrue())
-	g.Expect(text).To(Equal(wholeAnswer(120)))
-	<-d.vms[1].ended
-	g.Expect(d.vms[1].ProcessState.ExitCode()).To(Equal(exitOK))
-}
+		answer, err = d.post(0, "/orders/reservations", "beam-7", `{"Count":4}`)
+		g.Expect(err).NotTo(HaveOccurred())
+		var body reply
+		g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
+		answer.Body.Close()
+		g.Expect(body).To(Equal(reply{Reason: "KeyTaken", Ran: "Unknown"}))
 
-func TestAKilledVMLeavesNoSecondRunAndNoOutage(t *testing.T) {
-	d := deploy(t)
-	g := d.g
-	answer, err := d.post(2, "/orders/reservations", "beam-7", `{"Count":4}`)
-	g.Expect(err).NotTo(HaveOccurred())
-	answer.Body.Close()
-	g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
-	stream, err := d.post(2, "/v1/completions", "", completionBody(200, true))
-	g.Expect(err).NotTo(HaveOccurred())
-	defer stream.Body.Close()
-	d.vms[2].end(syscall.SIGKILL)
-	_, whole := readStream(stream.Body)
-	g.Expect(whole).To(BeFalse())
-
-	answer, err = d.post(0, "/orders/reservations", "beam-7", `{"Count":4}`)
-	g.Expect(err).NotTo(HaveOccurred())
-	var body reply
-	g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
-	answer.Body.Close()
-	g.Expect(body).To(Equal(reply{Reason: "KeyTaken", Ran: "Unknown"}))
-
-	again, err := d.post(1, "/v1/completions", "", completionBody(40, true))
-	g.Expect(err).NotTo(HaveOccurred())
-	defer again.Body.Close()
-	text, whole := readStream(again.Body)
-	g.Expect(whole).To(BeTrue())
-	g.Expect(text).To(Equal(wholeAnswer(40)))
-}
+		again, err := d.post(1, "/v1/completions", "", completionBody(40, true))
+		g.Expect(err).NotTo(HaveOccurred())
+		defer again.Body.Close()
+		text, whole := readStream(again.Body)
+		g.Expect(whole).To(BeTrue())
+		g.Expect(text).To(Equal(wholeAnswer(40)))
+	})
 
-func TestAFrozenVMAndAStoreOutageStopNobodyElse(t *testing.T) {
-	d := deploy(t)
-	g := d.g
-	g.Expect(d.vms[2].Process.Signal(syscall.SIGSTOP)).To(Succeed())
-	d.store.end(syscall.SIGKILL)
-	g.Eventually(func() string {
-		answer, err := d.post(0, "/v1/completions", "", completionBody(30, true))
-		if err != nil {
-			return err.Error()
-		}
+	It("serves beside a frozen VM and a dead store", func() {
+		d := deploy(GinkgoTB())
+		g := d.g
+		g.Expect(d.vms[2].Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		d.store.end(syscall.SIGKILL)
+		g.Eventually(func() string {
+			answer, err := d.post(0, "/v1/completions", "", completionBody(30, true))
+			if err != nil {
+				return err.Error()
+			}
+			defer answer.Body.Close()
+			text, _ := readStream(answer.Body)
+			return text
+		}).WithTimeout(patience).Should(Equal(wholeAnswer(30)))
+		answer, err := d.post(1, "/orders/reservations", "beam-9", `{"Count":1}`)
+		g.Expect(err).NotTo(HaveOccurred())
 		defer answer.Body.Close()
-		text, _ := readStream(answer.Body)
-		return text
-	}).WithTimeout(patience).Should(Equal(wholeAnswer(30)))
-	answer, err := d.post(1, "/orders/reservations", "beam-9", `{"Count":1}`)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer answer.Body.Close()
-	var body reply
-	g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
-	g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(body.Ran).To(Equal("No"))
-	stock, err := http.Get("http://" + d.callers[1] + "/orders/stock/sal")
-	g.Expect(err).NotTo(HaveOccurred())
-	stock.Body.Close()
-	g.Expect(stock.StatusCode).To(Equal(http.StatusOK))
-}
+		var body reply
+		g.Expect(json.NewDecoder(answer.Body).Decode(&body)).To(Succeed())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(body.Ran).To(Equal("No"))
+		stock, err := http.Get("http://" + d.callers[1] + "/orders/stock/sal")
+		g.Expect(err).NotTo(HaveOccurred())
+		stock.Body.Close()
+		g.Expect(stock.StatusCode).To(Equal(http.StatusOK))
+	})
 
-func TestWrongUseSaysWhatToDo(t *testing.T) {
-	g := NewWithT(t)
-	for _, c := range []struct {
-		args   []string
-		status int
-		says   string
-	}{
-		{nil, exitUsage, "Usage: figtrack COMMAND"},
-		{[]string{"fly"}, exitUsage, `unknown command "fly"; see figtrack --help`},
-		{[]string{"check", "nowhere.yaml"}, exitUsage, "examples are in examples/"},
-		{[]string{"serve"}, exitUsage, "figtrack serve --help"},
-		{[]string{"replay", "nowhere.jsonl"}, exitUsage, "nowhere.jsonl"},
-		{[]string{"status", "--address", "127.0.0.1:1", "--certificate", "x", "--key", "y"}, exitFailed, "figtrack keys"},
-		{[]string{"completion", "fish"}, exitUsage, "allowed: bash, zsh"},
-	} {
-		_, stderr, status := figtrack(c.args...)
-		g.Expect(status).To(Equal(c.status), "%v", c.args)
-		g.Expect(stderr).To(ContainSubstring(c.says), "%v", c.args)
-		g.Expect(stderr).NotTo(ContainSubstring("goroutine"))
-	}
-}
+	It("says what to do after wrong use", func() {
+		g := NewWithT(GinkgoTB())
+		for _, c := range []struct {
+			args   []string
+			status int
+			says   string
+		}{
+			{nil, exitUsage, "Usage: figtrack COMMAND"},
+			{[]string{"fly"}, exitUsage, `unknown command "fly"; see figtrack --help`},
+			{[]string{"check", "nowhere.yaml"}, exitUsage, "examples are in examples/"},
+			{[]string{"serve"}, exitUsage, "figtrack serve --help"},
+			{[]string{"replay", "nowhere.jsonl"}, exitUsage, "nowhere.jsonl"},
+			{[]string{"status", "--address", "127.0.0.1:1", "--certificate", "x", "--key", "y"}, exitFailed, "figtrack keys"},
+			{[]string{"completion", "fish"}, exitUsage, "allowed: bash, zsh"},
+		} {
+			_, stderr, status := figtrack(c.args...)
+			g.Expect(status).To(Equal(c.status), "%v", c.args)
+			g.Expect(stderr).To(ContainSubstring(c.says), "%v", c.args)
+			g.Expect(stderr).NotTo(ContainSubstring("goroutine"))
+		}
+	})
+})
