Tell a retirement to all VMs before the store has answered

The server left out what the cores offer: notices of upstreams that are gone were kept, a retired upstream was not known as such to health, a drain for an order could be undone by health and ended on a reading that was older than it.

Change: the configuration's upstreams and retirements go to the membership and to health; an operator's retirement is told at once and taken back if it is refused; a draining runner counts as leaving and as idle only 3 s after the drain began; a VM whose name another process has, or that the platform lists as leaving, stops.

--- a/demo.go
+++ b/demo.go
@@ -78,10 +78,7 @@
 func (discard) Close() error { return nil }
 
 func printReport(w io.Writer, r demonstrator.Report) {
-	t := table.NewWriter()
-	t.SetOutputMirror(w)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"Class", "Sent", "Answered", "Not run", "Wrong", "In target", "First p50", "p95", "Token p95"})
+	t := newTable(w, "Class", "Sent", "Answered", "Not run", "Wrong", "In target", "First", "p95", "Token")
 	for _, l := range r.Lines {
 		t.AppendRow(table.Row{
 			l.Class, l.Requests, l.Answered, l.Refused, l.Wrong, l.InTarget,
--- a/remote.go
+++ b/remote.go
@@ -115,6 +115,8 @@
 	t := table.NewWriter()
 	t.SetOutputMirror(w)
 	t.SetStyle(table.StyleLight)
+	t.Style().Options.DrawBorder = false
+	t.Style().Options.SeparateColumns = false
 	t.SetAllowedRowLength(tableWidth)
 	t.AppendHeader(header)
 	return t
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -6,6 +6,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/orderer"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/registrar"
@@ -86,7 +87,8 @@
 	own := s.own()
 	s.poller.SetShards(s.ctx, own)
 	s.reclaimer.SetShards(s.ctx, compared(own))
-	s.orders.Offer(wanted(s.Configuration(), own))
+	s.orders.Offer(orderer.WantedOf(s.Configuration(), runnersOf(own)))
+	s.members.Offer(prober.Configured{Upstreams: all(catalog)})
 	s.health.assign(assigned(catalog, own))
 	s.health.feedAll()
 }
@@ -103,28 +105,42 @@
 func compared(own []registrar.Shard) []reclaimer.Shard {
 	var out []reclaimer.Shard
 	for _, shard := range own {
-		one := reclaimer.Shard{ID: shard.ID}
+		out = append(out, reclaimer.Shard{ID: shard.ID, Upstreams: runnersOf([]registrar.Shard{shard})})
+	}
+	return out
+}
+
+// all names every upstream of a catalog.
+func all(catalog *registrar.Catalog) []identifier.Upstream {
+	var out []identifier.Upstream
+	for _, u := range catalog.Upstreams() {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+// runnersOf names the runners of shards.
+func runnersOf(shards []registrar.Shard) []identifier.Upstream {
+	var out []identifier.Upstream
+	for _, shard := range shards {
 		for _, u := range shard.Upstreams {
-			one.Upstreams = append(one.Upstreams, u.ID)
+			out = append(out, u.ID)
 		}
-		out = append(out, one)
 	}
 	return out
 }
 
-// assigned names all upstreams and those that this VM probes: plain services,
-// which every VM calls, and the runners of its own shards.
+// assigned names all upstreams, those that are retired, and those that this VM
+// probes: plain services, which every VM calls, and the runners of its own
+// shards.
 func assigned(catalog *registrar.Catalog, own []registrar.Shard) prober.Assigned {
-	var out prober.Assigned
+	out := prober.Assigned{All: all(catalog), Probed: runnersOf(own)}
 	for _, u := range catalog.Upstreams() {
-		out.All = append(out.All, u.ID)
 		if u.Role == identifier.RolePlain {
 			out.Probed = append(out.Probed, u.ID)
 		}
-	}
-	for _, shard := range own {
-		for _, u := range shard.Upstreams {
-			out.Probed = append(out.Probed, u.ID)
+		if u.Leaving {
+			out.Retired = append(out.Retired, u.ID)
 		}
 	}
 	return out
--- a/server/health.go
+++ b/server/health.go
@@ -145,13 +145,28 @@
 	h.feed(out.Upstream, out.Health)
 }
 
-// feed tells the owner's core, if this VM is the owner.
+// feed tells the owner's core, if this VM is the owner. A runner that waits for
+// an order gets no new work, whatever its health.
 func (h *health) feed(u identifier.Upstream, state prober.Health) {
+	if _, draining := h.s.isDraining(u); draining && state == prober.HealthUp {
+		state = prober.HealthLeaving
+	}
 	h.s.dispatcher.Feed(u, admitter.UpstreamChanged{
 		Upstream: admitter.Upstream{ID: u, State: admitter.UpstreamState(state)},
 	})
 }
 
+// repeat feeds the present state of an upstream again.
+func (h *health) repeat(u identifier.Upstream) {
+	h.mu.Lock()
+	state, impaired := h.states[u]
+	h.mu.Unlock()
+	if !impaired {
+		state = prober.HealthUp
+	}
+	h.feed(u, state)
+}
+
 // feedAll repeats what is not up, for cores that were just made.
 func (h *health) feedAll() {
 	h.mu.Lock()
--- a/server/membership.go
+++ b/server/membership.go
@@ -45,6 +45,10 @@
 		})
 	case prober.Superseded:
 		s.Log.Error().Str("By", out.By.Address).Msg("AnotherProcessHasThisName")
+		s.Drain()
+	case prober.ListedLeaving:
+		s.Log.Info().Msg("ListedAsLeaving")
+		s.Drain()
 	}
 }
 
--- a/server/orders.go
+++ b/server/orders.go
@@ -2,14 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+	"time"
 
-	"github.com/figtrack/figtrack/admitter"
-	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/orderer"
-	"github.com/figtrack/figtrack/registrar"
 )
 
 func (s *Server) newOrders() *orderer.Shell {
@@ -53,50 +50,34 @@
 	}
 }
 
+// drainSettles is how long after the start of a drain a runner's word that it
+// is idle is taken: what was placed before has reached it by then, and its
+// reports have caught up.
+const drainSettles = 3 * time.Second
+
 // drainRunner keeps new work from a runner that waits for an order.
 func (s *Server) drainRunner(out orderer.Drain) {
-	state := admitter.UpstreamUp
 	if out.On {
-		state = admitter.UpstreamLeaving
-		s.draining.Store(out.Upstream, true)
+		s.draining.Store(out.Upstream, time.Now())
 	} else {
 		s.draining.Delete(out.Upstream)
 	}
-	s.dispatcher.Feed(out.Upstream, admitter.UpstreamChanged{Upstream: admitter.Upstream{ID: out.Upstream, State: state}})
+	s.health.repeat(out.Upstream)
 }
 
-// Idle implements poller.Health: the runner holds no request by its own word.
-func (h *health) Idle(u identifier.Upstream) {
-	if _, draining := h.s.draining.Load(u); draining {
-		h.s.orders.Offer(orderer.Drained{Upstream: u})
+// isDraining says whether a runner waits for an order, and since when.
+func (s *Server) isDraining(u identifier.Upstream) (since time.Time, draining bool) {
+	value, draining := s.draining.Load(u)
+	if !draining {
+		return time.Time{}, false
 	}
+	return value.(time.Time), true
 }
 
-// wanted is what the runners of the owned shards should serve.
-func wanted(d configurer.Document, own []registrar.Shard) orderer.Wanted {
-	out := orderer.Wanted{Revision: d.Revision}
-	for _, shard := range own {
-		pool, ok := d.Pool(shard.Pool)
-		if !ok {
-			continue
-		}
-		for _, u := range shard.Upstreams {
-			one, known := d.Upstream(u.ID)
-			if !known || one.Retired {
-				continue
-			}
-			out.Runners = append(out.Runners, orderer.Want{
-				Upstream:    u.ID,
-				Pool:        shard.Pool,
-				ChecksFence: one.ChecksFence,
-				Serving: orderer.Serving{
-					Models:   slices.Clone(pool.Models),
-					Adapters: slices.Clone(pool.Adapters),
-					Version:  pool.Version,
-					Role:     one.Role,
-				},
-			})
-		}
+// Idle implements poller.Health: the runner holds no request by its own word.
+func (h *health) Idle(u identifier.Upstream) {
+	since, draining := h.s.isDraining(u)
+	if draining && time.Since(since) >= drainSettles {
+		h.s.orders.Offer(orderer.Drained{Upstream: u})
 	}
-	return out
 }
--- a/server/sync.go
+++ b/server/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/operator"
+	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/syncer"
 )
@@ -66,15 +67,33 @@
 		return operator.Submission{Result: syncer.ResultBusy}
 	}
 	defer s.submits.forget(token)
+	s.announce(change, true)
 	out := operator.Submission{Result: syncer.ResultUnknown}
 	for {
 		select {
 		case <-ctx.Done():
 			return out
 		case answer := <-answers:
-			if take(&out, answer, wait) {
-				return out
+			if !take(&out, answer, wait) {
+				continue
 			}
+			if out.Result != syncer.ResultAccepted && out.Result != syncer.ResultUnknown {
+				s.announce(change, false)
+			}
+			return out
+		}
+	}
+}
+
+// announce tells all VMs of the retirements in a change before the store has
+// answered, or takes that back for a change that was refused.
+func (s *Server) announce(change configurer.Change, on bool) {
+	for _, op := range change.Operations {
+		switch op := op.(type) {
+		case configurer.RetireUpstream:
+			s.members.Offer(prober.UpstreamLeaving{Upstream: op.ID, Leaving: on, Source: prober.SourceOperator})
+		case configurer.RestoreUpstream:
+			s.members.Offer(prober.UpstreamLeaving{Upstream: op.ID, Leaving: !on, Source: prober.SourceOperator})
 		}
 	}
 }
