--- a/prober/shell.go
+++ b/prober/shell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -67,18 +68,7 @@
 
 // Run drives the core until ctx ends.
 func (s *Shell) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-s.ring:
-			s.step(timer, e)
-		case <-timer.C:
-			s.step(timer, Wake{})
-		}
-	}
+	looper.Run[Event](ctx, s.ring, Wake{}, s.step)
 }
 
 func (s *Shell) step(timer *time.Timer, e Event) {
--- a/server/health.go
+++ b/server/health.go
@@ -12,6 +12,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/operator"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/registrar"
@@ -95,20 +96,13 @@
 }
 
 func (h *health) run() {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	for {
-		var e prober.HealthEvent = prober.HealthWake{}
-		select {
-		case <-h.s.ctx.Done():
-			return
-		case e = <-h.ring:
-		case <-timer.C:
-		}
-		now := time.Now()
-		for _, out := range h.core.Step(now, e) {
-			h.perform(now, timer, out)
-		}
+	looper.Run[prober.HealthEvent](h.s.ctx, h.ring, prober.HealthWake{}, h.step)
+}
+
+func (h *health) step(timer *time.Timer, e prober.HealthEvent) {
+	now := time.Now()
+	for _, out := range h.core.Step(now, e) {
+		h.perform(now, timer, out)
 	}
 }
 
--- a/syncer/shell.go
+++ b/syncer/shell.go
@@ -8,6 +8,7 @@
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -77,18 +78,7 @@
 
 // Run drives the core until ctx ends.
 func (s *Shell) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-s.ring:
-			s.step(ctx, timer, e)
-		case <-timer.C:
-			s.step(ctx, timer, Wake{})
-		}
-	}
+	looper.Run[Event](ctx, s.ring, Wake{}, func(timer *time.Timer, e Event) { s.step(ctx, timer, e) })
 }
 
 func (s *Shell) step(ctx context.Context, timer *time.Timer, e Event) {
