Send tokens that came together in one write

Change: a token is flushed when the next one has not come yet; a stream's lines are read without a scanner. The benchmark has one caller and 64.

--- a/deduper/shell.go
+++ b/deduper/shell.go
@@ -151,7 +151,7 @@
 	for {
 		select {
 		case part := <-c.parts:
-			if sink.Token(part) != nil {
+			if c.send(part, sink) != nil {
 				return outcomer.CallerGone{}
 			}
 		case out := <-c.done:
@@ -164,12 +164,20 @@
 	}
 }
 
+// send gives a part to the sink. Parts that have come together go out together.
+func (c *connection) send(part driver.Token, sink relayer.Sink) error {
+	if err := sink.Token(part); err != nil || len(c.parts) > 0 {
+		return err
+	}
+	return relayer.Flush(sink)
+}
+
 // rest gives the parts that came before the end.
 func (c *connection) rest(sink relayer.Sink, out outcomer.Outcome) outcomer.Outcome {
 	for {
 		select {
 		case part := <-c.parts:
-			if sink.Token(part) != nil {
+			if c.send(part, sink) != nil {
 				return outcomer.CallerGone{}
 			}
 		default:
--- a/driver/stream.go
+++ b/driver/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 
@@ -18,7 +19,7 @@
 type lineStream struct {
 	upstream identifier.Upstream
 	body     io.ReadCloser
-	lines    *bufio.Scanner
+	lines    *bufio.Reader
 	// next is the number of the token that must come next.
 	next identifier.Tokens
 	// opened says that the first line has come.
@@ -28,8 +29,7 @@
 }
 
 func newStream(upstream identifier.Upstream, body io.ReadCloser, from identifier.Tokens) *lineStream {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxLineBytes)
+	lines := bufio.NewReaderSize(body, maxLineBytes)
 	return &lineStream{upstream: upstream, body: body, lines: lines, next: from}
 }
 
@@ -65,19 +65,29 @@
 	return *line.Token, nil
 }
 
+// Ready says that the next token has come already.
+func (s *lineStream) Ready() bool {
+	waiting, _ := s.lines.Peek(s.lines.Buffered())
+	return s.over == nil && bytes.IndexByte(waiting, '\n') >= 0
+}
+
 // Close ends the reading. The engine keeps the hold until its Release.
 func (s *lineStream) Close() error { return s.body.Close() }
 
 func (s *lineStream) read() (StreamLine, error) {
 	var line StreamLine
-	if !s.lines.Scan() {
-		err := s.lines.Err()
-		if err == nil {
-			err = io.ErrUnexpectedEOF
-		}
+	text, err := s.lines.ReadSlice('\n')
+	switch {
+	case errors.Is(err, io.EOF) && len(text) > 0:
+		// The last line of a stream may lack its end.
+		err = nil
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return line, s.fail(KindUnknown, errors.Wrap(err, "the stream broke off"))
 	}
-	if err := json.Unmarshal(s.lines.Bytes(), &line); err != nil {
+	if err := json.Unmarshal(text, &line); err != nil {
 		return line, s.fail(KindUnknown, errors.Wrap(err, "read the stream"))
 	}
 	if line.Refusal == nil {
--- a/listener/streamer.go
+++ b/listener/streamer.go
@@ -19,7 +19,7 @@
 	started bool
 }
 
-// Token implements relayer.Sink.
+// Token implements relayer.Sink. The event goes out with the next Flush.
 func (s *streamer) Token(t driver.Token) error {
 	one := choice{}
 	if t.Finish != "" {
@@ -61,12 +61,13 @@
 	line = append(line, "data: "...)
 	line = append(line, text...)
 	line = append(line, "\n\n"...)
-	if _, err := s.w.Write(line); err != nil {
-		return err
-	}
-	return s.control.Flush()
+	_, err := s.w.Write(line)
+	return err
 }
 
+// Flush implements relayer.Flusher.
+func (s *streamer) Flush() error { return s.control.Flush() }
+
 // finish sends the end of a whole answer.
 func (s *streamer) finish() {
 	if s.includeUsage {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -317,6 +317,7 @@
 			return outcomer.Answered{}
 		}
 		if err != nil {
+			_ = Flush(a.sink)
 			return a.stop(ctx, a.place.Decode, err)
 		}
 		if token.Index < a.written {
@@ -325,7 +326,7 @@
 		if token.Index > a.written {
 			return a.stop(ctx, a.place.Decode, errors.New("a token is missing"))
 		}
-		if a.sink.Token(token) != nil {
+		if a.send(token, stream) != nil {
 			if leavesStream(ctx) {
 				return outcomer.CallerGone{}
 			}
@@ -336,6 +337,18 @@
 	}
 }
 
+// send gives a token to the caller. Tokens that have come together go out
+// together.
+func (a *attempt) send(token driver.Token, stream driver.Stream) error {
+	if err := a.sink.Token(token); err != nil {
+		return err
+	}
+	if s, ok := stream.(interface{ Ready() bool }); ok && s.Ready() {
+		return nil
+	}
+	return Flush(a.sink)
+}
+
 func (a *attempt) wrote(token driver.Token) {
 	if a.output == 0 {
 		a.ticket.Report(admitter.FirstToken{Key: a.key})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -60,6 +60,17 @@
 	Token(t driver.Token) error
 }
 
+// Flusher is a Sink that may keep tokens back until Flush.
+type Flusher interface{ Flush() error }
+
+// Flush sends on what a sink keeps back.
+func Flush(sink Sink) error {
+	if f, ok := sink.(Flusher); ok {
+		return f.Flush()
+	}
+	return nil
+}
+
 // Releaser answers for what engines hold for this VM's attempts.
 type Releaser interface {
 	// Vouch says that a hold is in use, Disown that it is not any more.
--- a/server/relay_bench_test.go
+++ b/server/relay_bench_test.go
@@ -164,15 +164,14 @@
 	}
 }
 
-// drive sends b.N requests from benchCallers callers and returns the times of
-// all, sorted.
-func drive(b *testing.B, address string) []time.Duration {
+// drive sends b.N requests from so many callers and reports rate and times.
+func drive(b *testing.B, address string, callers int) {
 	client := poster.NewClient()
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, benchModel, strings.Repeat("sill beam ", 100), benchTokens)
 	times := make([]time.Duration, b.N)
 	next := make(chan int)
 	var wg sync.WaitGroup
-	for range benchCallers {
+	for range callers {
 		wg.Go(func() {
 			for i := range next {
 				times[i] = one(b, client, address, body)
@@ -192,7 +191,6 @@
 	slices.Sort(times)
 	b.ReportMetric(float64(b.N)*benchTokens/b.Elapsed().Seconds(), "tokens/s")
 	b.ReportMetric(float64(times[len(times)*99/100])/float64(time.Millisecond), "p99-ms")
-	return times
 }
 
 // processorTime is that of this process: callers, engine and relay together.
@@ -223,12 +221,14 @@
 func BenchmarkRelay(b *testing.B) {
 	engine := instantEngine()
 	defer engine.Close()
-	b.Run("bare", func(b *testing.B) {
-		bare := httptest.NewServer(bareRelay(engine.URL))
-		defer bare.Close()
-		drive(b, strings.TrimPrefix(bare.URL, "http://"))
-	})
-	b.Run("figtrack", func(b *testing.B) {
-		drive(b, startRouter(b, engine.URL))
-	})
+	bare := httptest.NewServer(bareRelay(engine.URL))
+	defer bare.Close()
+	for _, callers := range []int{1, benchCallers} {
+		b.Run(fmt.Sprintf("bare/callers=%d", callers), func(b *testing.B) {
+			drive(b, strings.TrimPrefix(bare.URL, "http://"), callers)
+		})
+		b.Run(fmt.Sprintf("figtrack/callers=%d", callers), func(b *testing.B) {
+			drive(b, startRouter(b, engine.URL), callers)
+		})
+	}
 }
