Let the test's service read the body of a keyed call

The stand-in of the test answered without reading the body; its network has no buffers, so the write of the body could break before the answer was read. 502 with Ran Unknown is the true answer then, and nothing ran twice.

Change: the stand-in reads the body. The assertions stay.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -223,8 +223,10 @@
 
 func TestKeyedCallsAreBounded(t *testing.T) {
 	var s *site
+	// The service reads its body: the network of the test has no buffers, so an
+	// answer before that would break the caller's write.
 	one := instance{handler: func(w http.ResponseWriter, r *http.Request) {
-		s.counted(func(http.ResponseWriter, *http.Request) {})(w, r)
+		s.counted(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })(w, r)
 	}}
 	onSite(t, []instance{one}, func(made *site) {
 		s = made
