Give the processes of the scenarios an address of their own

Change: the ports of a deployment are chosen together, on a loopback address that belongs to the test process.

--- a/process_test.go
+++ b/process_test.go
@@ -104,22 +104,28 @@
 
 const vmCount = 3
 
-func freePorts(g *WithT, network string, n int) []string {
-	var out []string
-	for range n {
-		if network == "udp" {
-			s, err := net.ListenPacket("udp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			defer s.Close()
-			out = append(out, s.LocalAddr().String())
-			continue
-		}
-		s, err := net.Listen("tcp", "127.0.0.1:0")
+// ownAddress is a loopback address that no other process uses, so that nobody
+// takes a port between its choice here and its use by a VM.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
+// freePorts chooses ports for sockets of both kinds, all different.
+func freePorts(g *WithT, tcp, udp int) (tcpPorts, udpPorts []string) {
+	for range tcp {
+		s, err := net.Listen("tcp", ownAddress())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		tcpPorts = append(tcpPorts, s.Addr().String())
+	}
+	for range udp {
+		s, err := net.ListenPacket("udp", ownAddress())
 		g.Expect(err).NotTo(HaveOccurred())
 		defer s.Close()
-		out = append(out, s.Addr().String())
+		udpPorts = append(udpPorts, s.LocalAddr().String())
 	}
-	return out
+	return tcpPorts, udpPorts
 }
 
 // deploy starts everything and applies a configuration.
@@ -132,9 +138,8 @@
 	_, stderr, status := figtrack(keys...)
 	d.g.Expect(status).To(Equal(exitOK), stderr)
 	d.store = d.start("store", "fake", "store")
-	d.callers = freePorts(d.g, "tcp", vmCount)
-	d.operators = freePorts(d.g, "tcp", vmCount)
-	between := freePorts(d.g, "udp", vmCount)
+	ports, between := freePorts(d.g, 2*vmCount, vmCount)
+	d.callers, d.operators = ports[:vmCount], ports[vmCount:]
 	for i := range vmCount {
 		d.startVM(i, between)
 	}
