Read the options of record and replay as all commands do

Cause: both had a parser and messages of their own beside parse, and the command values stood in a file that is named after neither.

Change: parse, writeJSON and a file each. The message for an unknown option names the command now, so the test expects the whole sentence in place of its last words. Server's New is split by what it joins.

--- a/record.go
+++ b/record.go
@@ -5,12 +5,17 @@
 	"io"
 	"os"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/tracer"
 )
 
+var recordCommand = command{
+	name:        "record",
+	description: "make a trace of a site under load",
+	run:         runRecord,
+}
+
 type recordOptions struct {
 	Site     string  `long:"site" default:"himal" choice:"himal" choice:"tafelbaai" description:"site whose load is recorded"`
 	Scenario string  `long:"scenario" default:"surge" description:"surge, hot-prefix, mixed, death, stall, cancel, uneven or links"`
@@ -22,18 +27,9 @@
 // runRecord makes a trace of a site under load.
 func runRecord(args []string, stdout, stderr io.Writer) int {
 	var options recordOptions
-	p := flags.NewNamedParser("figtrack record", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Options", "", &options); err != nil {
-		panic(err)
-	}
-	rest, err := p.ParseArgs(args)
-	if status, done := usage(err, stdout, stderr); done {
+	if status, done := parse("record", "[options]", &options, args, stdout, stderr); done {
 		return status
 	}
-	if len(rest) > 0 {
-		fmt.Fprintf(stderr, "figtrack record: unexpected argument %q, try figtrack record --help\n", rest[0])
-		return exitUsage
-	}
 	trace, err := tracer.Record(tracer.Plan{
 		Site: options.Site, Scenario: options.Scenario, Load: options.Load, Seed: options.Seed,
 	})
@@ -62,19 +58,3 @@
 	}
 	return errors.Wrap(file.Close(), "write trace")
 }
-
-// usage handles what a parser of flags returns. It says whether the command
-// is over and with which status.
-func usage(err error, stdout, stderr io.Writer) (status int, done bool) {
-	var flagErr *flags.Error
-	switch {
-	case err == nil:
-		return exitOK, false
-	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
-		fmt.Fprintln(stdout, flagErr.Message)
-		return exitOK, true
-	default:
-		fmt.Fprintf(stderr, "figtrack: %v, try --help\n", err)
-		return exitUsage, true
-	}
-}
--- a/replay.go
+++ b/replay.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/parser"
@@ -15,6 +14,12 @@
 	"github.com/figtrack/figtrack/tracer"
 )
 
+var replayCommand = command{
+	name:        "replay",
+	description: "replay a trace in virtual time and measure it",
+	run:         runReplay,
+}
+
 type replayOptions struct {
 	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
 	Policy   string   `long:"policy" description:"policy that decides, figtrack if it is not given"`
@@ -24,20 +29,21 @@
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
 	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
 	All      bool     `long:"all" description:"replay every policy, or that of --policy, on the recorded traces of both sites"`
+	Args     struct {
+		Trace string `positional-arg-name:"TRACE" description:"trace, or log of a run"`
+	} `positional-args:"yes"`
 }
 
 // runReplay replays a trace and prints the measures.
 func runReplay(args []string, stdout, stderr io.Writer) int {
 	var options replayOptions
-	p := flags.NewNamedParser("figtrack replay", flags.HelpFlag|flags.PassDoubleDash)
-	p.Usage = "[OPTIONS] [TRACE]"
-	if _, err := p.AddGroup("Options", "", &options); err != nil {
-		panic(err)
-	}
-	rest, err := p.ParseArgs(args)
-	if status, done := usage(err, stdout, stderr); done {
+	if status, done := parse("replay", "[options] TRACE", &options, args, stdout, stderr); done {
 		return status
 	}
+	var rest []string
+	if options.Args.Trace != "" {
+		rest = append(rest, options.Args.Trace)
+	}
 	if err := replay(options, rest, stdout, stderr); err != nil {
 		fmt.Fprintf(stderr, "figtrack replay: %v\n", err)
 		return exitUsage
@@ -81,7 +87,7 @@
 		}
 	}
 	if options.JSON {
-		return printJSON(stdout, results)
+		return writeJSON(stdout, results)
 	}
 	replayer.WriteTable(stdout, results)
 	return nil
@@ -191,14 +197,8 @@
 		return err
 	}
 	if options.JSON {
-		return printJSON(stdout, results)
+		return writeJSON(stdout, results)
 	}
 	replayer.WriteSummary(stdout, results)
 	return nil
 }
-
-func printJSON(w io.Writer, results []replayer.Result) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(results), "print the measures")
-}
--- a/replay_test.go
+++ b/replay_test.go
@@ -56,7 +56,7 @@
 		{replayInto, []string{trace, "--settings", "none.yaml"}, "give the path of a settings file"},
 		{replayInto, []string{trace, "--policy", "least-load", "--settings", "none.yaml"}, "holds for the policy figtrack only"},
 		{replayInto, []string{trace, "--plot", "out.txt"}, "allowed are names such as out.png"},
-		{replayInto, []string{trace, "--fast"}, "try --help"},
+		{replayInto, []string{trace, "--fast"}, "unknown flag `fast'; see figtrack replay --help"},
 		{replayInto, []string{"--all", trace}, "leave out"},
 		{replayInto, []string{"--all", "--plot", "out.png"}, "--all goes with --policy, --seed and --json only"},
 		{recordInto, []string{"--site", "paris"}, "Allowed values are: himal or tafelbaai"},
--- a/server/server.go
+++ b/server/server.go
@@ -116,34 +116,54 @@
 		drainAsked: make(chan struct{}),
 	}
 	kept := n.transport(false)
+	s.joinFleet(kept)
+	s.joinRequests()
+	s.registerMetrics()
+	s.joinCallers(kept)
+	return s
+}
+
+// joinFleet makes the duties that know other VMs, upstreams and the
+// configuration.
+func (s *Server) joinFleet(kept *http.Transport) {
 	engines := &http.Client{Transport: kept}
 	s.registrar = registrar.New(func(u registrar.Upstream) driver.Engine {
 		return driver.NewHTTP(u.ID, "http://"+u.Address, engines)
 	})
-	s.messenger = n.Messenger
+	s.messenger = s.Messenger
 	if s.messenger == nil {
-		s.messenger = messenger.New(n.Settings.VM, n.Settings.Deployment, n.Incarnation, n.Keyring, n.VMs, n.Log)
+		s.messenger = messenger.New(s.self.ID, s.Settings.Deployment, s.Incarnation, s.Keyring, s.VMs, s.Log)
 	}
-	s.dispatcher = dispatcher.New(n.Settings.VM, s.messenger, s.newCore, uint64(n.Incarnation), n.Log)
+	s.dispatcher = dispatcher.New(s.self.ID, s.messenger, s.newCore, uint64(s.Incarnation), s.Log)
 	s.members = s.newMembers()
 	s.health = newHealth(s)
+	s.poller = poller.New(s.registrar, s.dispatcher, s.health, s.Log)
 	s.sync = s.newSync()
 	s.orders = s.newOrders()
-	s.operators = operator.New(s, n.Keyring)
-	self := reclaimer.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}
-	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, n.Log)
-	s.suspects = quarantiner.NewShell(n.Settings.VM, s.engine, s.guardOf, s.liveNames, s.messenger, n.Log)
-	s.poller = poller.New(s.registrar, s.dispatcher, s.health, n.Log)
-	s.relayer = relayer.New(n.Settings.VM, n.Settings.DataCentre, n.Incarnation, s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, ctx}, s.health,
-		recorder.New(s, s.metrics, n.Log), n.Log)
-	s.deduper = deduper.NewShell(deduper.Start{VM: n.Settings.VM, Incarnation: n.Incarnation}, s.relayer, s.engine, s.reclaimer, s.messenger)
-	s.claims = claimer.NewShell(n.Settings.VM, n.Incarnation, n.Store, s.messenger, s.claimLeaders)
-	services := forwarder.New(s.registrar, s.claims, s.health, forwarder.Transports{Kept: kept, Fresh: n.transport(true)},
-		n.Settings.Callers.MaxBodyBytes, n.Settings.Callers.RequestTimeout, n.Log)
+	s.operators = operator.New(s, s.Keyring)
+}
+
+// joinRequests makes the duties that answer for requests in flight.
+func (s *Server) joinRequests() {
+	self := reclaimer.Start{VM: s.self.ID, Incarnation: s.Incarnation}
+	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, s.Log)
+	s.suspects = quarantiner.NewShell(s.self.ID, s.engine, s.guardOf, s.liveNames, s.messenger, s.Log)
+	s.claims = claimer.NewShell(s.self.ID, s.Incarnation, s.Store, s.messenger, s.claimLeaders)
+	s.relayer = relayer.New(
+		s.self.ID, s.self.DataCentre, s.Incarnation,
+		s.dispatcher, s.registrar, s.reclaimer, quarantine{s.suspects, s.ctx}, s.health,
+		recorder.New(s, s.metrics, s.Log), s.Log,
+	)
+	s.deduper = deduper.NewShell(deduper.Start(self), s.relayer, s.engine, s.reclaimer, s.messenger)
+}
+
+// joinCallers makes the callers' side.
+func (s *Server) joinCallers(kept *http.Transport) {
+	callers := s.Settings.Callers
+	transports := forwarder.Transports{Kept: kept, Fresh: s.transport(true)}
+	services := forwarder.New(s.registrar, s.claims, s.health, transports, callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
-	s.registerMetrics()
-	s.listener = listener.New(n.Settings.Callers, s.deduper, s, services, s, metrics, n.Log)
-	return s
+	s.listener = listener.New(callers, s.deduper, s, services, s, metrics, s.Log)
 }
 
 const (
