Replace all VMs under load

Cause: the promise that a planned stop cuts off nothing was proved for one VM at a time, not for a fleet that is replaced one VM after the other.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -47,6 +47,8 @@
 	VMs, Prefill, Decode, Services int
 	DataCentres                    []identifier.DataCentre
 	Classes                        []configurer.Class
+	// Notice is how long a stopping VM still takes requests.
+	Notice time.Duration
 }
 
 // Himal is the size of Himal Kath Ghar: nine runners of spec-desk and three
@@ -75,6 +77,8 @@
 	// Addresses are the callers' addresses of the VMs.
 	Addresses []string
 	shape     Shape
+	authority *certifier.Authority
+	peers     []parser.Peer
 	upstreams []configurer.Upstream
 	log       io.Writer
 }
@@ -205,7 +209,8 @@
 func duration(d time.Duration) configurer.Duration { return configurer.Duration(d) }
 
 func (f *Fleet) startVMs() error {
-	authority, err := certifier.NewAuthority(deployment, time.Now(), keysLive)
+	var err error
+	f.authority, err = certifier.NewAuthority(deployment, time.Now(), keysLive)
 	if err != nil {
 		return err
 	}
@@ -213,14 +218,30 @@
 	if err != nil {
 		return err
 	}
+	f.peers = peers
 	for i, p := range peers {
-		if err := f.startVM(authority, p, peers, sockets[i]); err != nil {
+		s, address, err := f.startVM(p, sockets[i], "127.0.0.1:0")
+		if err != nil {
 			return errors.Wrapf(err, "start %s", p.VM)
 		}
+		f.Servers = append(f.Servers, s)
+		f.Addresses = append(f.Addresses, address)
 	}
 	return nil
 }
 
+// Replace stops a VM gracefully and starts it again on its addresses. It
+// returns the number of requests that were cut off.
+func (f *Fleet) Replace(i int) (cut int, err error) {
+	cut = f.Servers[i].Stop(nil)
+	socket, err := net.ListenPacket("udp", f.peers[i].Address)
+	if err != nil {
+		return cut, errors.Wrap(err, "open the socket between VMs again")
+	}
+	f.Servers[i], _, err = f.startVM(f.peers[i], socket, f.Addresses[i])
+	return cut, err
+}
+
 // sockets opens the sockets between VMs, so that every VM knows the ports of
 // all.
 func (f *Fleet) sockets() ([]net.PacketConn, []parser.Peer, error) {
@@ -241,25 +262,26 @@
 	return sockets, peers, nil
 }
 
-func (f *Fleet) startVM(a *certifier.Authority, self parser.Peer, peers []parser.Peer, socket net.PacketConn) error {
-	pair, err := a.Issue(certifier.RoleVM, string(self.VM), time.Now(), keysLive)
+func (f *Fleet) startVM(self parser.Peer, socket net.PacketConn, address string) (*server.Server, string, error) {
+	pair, err := f.authority.Issue(certifier.RoleVM, string(self.VM), time.Now(), keysLive)
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	ring, err := certifier.NewKeyring(deployment, pair, a.Pair().Certificate, time.Now)
+	ring, err := certifier.NewKeyring(deployment, pair, f.authority.Pair().Certificate, time.Now)
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
+		return nil, "", errors.Wrap(err, "listen for callers")
 	}
 	cfg := parser.Default()
 	cfg.Deployment = deployment
 	cfg.VM = self.VM
 	cfg.DataCentre = self.DataCentre
-	cfg.VMs.Peers = others(peers, self.VM)
+	cfg.VMs.Peers = others(f.peers, self.VM)
 	cfg.Prefer = admitter.PreferWastedPrefill
+	cfg.Drain.Notice = f.shape.Notice
 	metrics := keeper.NewMetrics()
 	store := keeper.New(keeper.Settings{Endpoints: []string{f.Store.URL()}}, metrics)
 	memory := explainer.New()
@@ -275,9 +297,7 @@
 		Memory:       memory,
 		Log:          server.NewLog(f.log, memory, self.VM, zerolog.InfoLevel),
 	})
-	f.Servers = append(f.Servers, s)
-	f.Addresses = append(f.Addresses, callers.Addr().String())
-	return s.Start()
+	return s, callers.Addr().String(), s.Start()
 }
 
 func others(peers []parser.Peer, self identifier.VM) []parser.Peer {
