--- a/scenario_test.go
+++ b/scenario_test.go
@@ -77,6 +77,10 @@
 				g.Expect(out).To(ContainSubstring("vm-3: ended as Answered after 1 attempts, class LoadNote"))
 			}
 		}
+		_, stderr, status := figtrack("status", "--address", d.operators[0], "--authorities", d.folder+"/authority.pem",
+			"--certificate", d.folder+"/vm-vm-1.pem", "--key", d.folder+"/vm-vm-1.key")
+		g.Expect(status).To(Equal(exitFailed), "the certificate of a VM is none of an operator")
+		g.Expect(stderr).NotTo(ContainSubstring("goroutine"))
 		out, stderr, status := d.operate(1, "classes", "set", "LoadNote", "--first-token", "4s", "--wait")
 		g.Expect(status).To(Equal(exitOK), stderr)
 		g.Expect(out).To(Equal("revision 2 is in force on all live VMs\n"))
