Say what a VM without a configuration waits for

Cause: with an unreachable store a VM said only that it has no configuration.

Change: /readyz and a warning every 5 s name the store's setting and the command that gives a configuration.

--- a/server/server.go
+++ b/server/server.go
@@ -221,6 +221,7 @@
 			}
 		})
 	}
+	s.wg.Go(s.warnNotReady)
 	s.Log.Info().
 		Str("Callers", s.Callers.Addr().String()).
 		Str("VMs", s.VMs.LocalAddr().String()).
@@ -228,6 +229,27 @@
 	return nil
 }
 
+// warnEvery is the time between two warnings of a VM that gets no requests.
+const warnEvery = 5 * time.Second
+
+// warnNotReady says in the log why the VM gets no requests, until it does.
+func (s *Server) warnNotReady() {
+	ticker := time.NewTicker(warnEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		reason := s.Ready()
+		if reason == "" {
+			return
+		}
+		s.Log.Warn().Str("Reason", reason).Msg("NotReady")
+	}
+}
+
 // Metrics returns the VM's metrics.
 func (s *Server) Metrics() prometheus.Gatherer { return s.metrics }
 
@@ -239,7 +261,7 @@
 		return "the VM is stopping"
 	}
 	if s.configuration.Revision == 0 {
-		return "no configuration yet"
+		return "no configuration yet: neither the store nor another VM has given one; check Store.Endpoints, or give one with figtrack apply"
 	}
 	return ""
 }
