Work out owners and models once a view, not once a request

Cause: each ask hashed all live VMs to find its shard's owner, each command sorted the owned shards, and each request sorted the models. A configuration in force was logged twice.

Change: the dispatcher keeps owners and order with its view, the catalog its models; slices.Contains takes the place of a copy of it.

--- a/dispatcher/asker.go
+++ b/dispatcher/asker.go
@@ -25,7 +25,7 @@
 		return
 	}
 	t.shard = shard.ID
-	t.owner = shard.Owner(d.view.Live)
+	t.owner = d.owners[shard.ID]
 	d.toOwner(now, t, t.ask)
 }
 
--- a/dispatcher/command.go
+++ b/dispatcher/command.go
@@ -1,9 +1,6 @@
 package dispatcher
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/wire"
@@ -39,7 +36,3 @@
 func (report) command()      {}
 func (feed) command()        {}
 func (received) command()    {}
-
-func sortedShards(m map[identifier.Shard]*owned) []identifier.Shard {
-	return slices.Sorted(maps.Keys(m))
-}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,10 +64,14 @@
 	// snapshots are what the metrics tell of the owned shards.
 	snapshots atomic.Pointer[[]snapshot]
 
-	view    View
+	view View
+	// owners names the VM that owns each shard of the view.
+	owners  map[identifier.Shard]identifier.VM
 	tickets map[admitter.Key]*Ticket
 	// owned has one entry for each shard whose owner is this VM.
 	owned map[identifier.Shard]*owned
+	// order holds the keys of owned, sorted.
+	order []identifier.Shard
 	timer *time.Timer
 }
 
@@ -157,7 +161,7 @@
 // wake steps the cores that are due and sets the timer for the next one.
 func (d *Dispatcher) wake(now time.Time) {
 	var next time.Time
-	for _, id := range sortedShards(d.owned) {
+	for _, id := range d.order {
 		o := d.owned[id]
 		if !o.wakeAt.IsZero() && !o.wakeAt.After(now) {
 			o.wakeAt = time.Time{}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -69,7 +69,7 @@
 // publish renews the snapshots; the loop calls it.
 func (d *Dispatcher) publish() {
 	out := make([]snapshot, 0, len(d.owned))
-	for _, id := range sortedShards(d.owned) {
+	for _, id := range d.order {
 		out = append(out, snapshot{shard: id, estimates: d.owned[id].core.Estimates()})
 	}
 	d.snapshots.Store(&out)
--- a/dispatcher/owner.go
+++ b/dispatcher/owner.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,19 +17,15 @@
 func (d *Dispatcher) setView(now time.Time, v View) {
 	old := d.view
 	d.view = v
-	present := make(map[identifier.Shard]bool)
+	d.owners = make(map[identifier.Shard]identifier.VM)
 	for _, s := range v.Catalog.Shards() {
-		if s.Owner(v.Live) != d.self {
-			continue
-		}
-		present[s.ID] = true
-		d.own(now, s, old)
-	}
-	for _, id := range sortedShards(d.owned) {
-		if !present[id] {
-			delete(d.owned, id)
+		d.owners[s.ID] = s.Owner(v.Live)
+		if d.owners[s.ID] == d.self {
+			d.own(now, s, old)
 		}
 	}
+	maps.DeleteFunc(d.owned, func(id identifier.Shard, _ *owned) bool { return d.owners[id] != d.self })
+	d.order = slices.Sorted(maps.Keys(d.owned))
 	d.handOver(now)
 }
 
@@ -35,11 +33,11 @@
 // asks them for those that are not yet placed.
 func (d *Dispatcher) handOver(now time.Time) {
 	for _, t := range d.tickets {
-		shard, ok := d.shard(t.shard)
-		if !ok || shard.Owner(d.view.Live) == t.owner {
+		owner, ok := d.owners[t.shard]
+		if !ok || owner == t.owner {
 			continue
 		}
-		t.owner = shard.Owner(d.view.Live)
+		t.owner = owner
 		switch {
 		case !t.answered:
 			d.ask(now, t)
@@ -55,15 +53,6 @@
 	}
 }
 
-func (d *Dispatcher) shard(id identifier.Shard) (registrar.Shard, bool) {
-	for _, s := range d.view.Catalog.Shards() {
-		if s.ID == id {
-			return s, true
-		}
-	}
-	return registrar.Shard{}, false
-}
-
 // own makes the core of a shard, or tells it what has changed.
 func (d *Dispatcher) own(now time.Time, s registrar.Shard, old View) {
 	o := d.owned[s.ID]
@@ -75,12 +64,12 @@
 	gone := o.shard.Upstreams
 	o.shard = s
 	for _, c := range d.view.Classes {
-		if !contains(old.Classes, c) {
+		if !slices.Contains(old.Classes, c) {
 			d.step(now, o, admitter.ClassChanged{Class: c})
 		}
 	}
 	for _, u := range s.Upstreams {
-		if !contains(gone, u) {
+		if !slices.Contains(gone, u) {
 			d.step(now, o, admitter.UpstreamChanged{Upstream: describe(u, stateOf(u))})
 		}
 	}
@@ -91,22 +80,8 @@
 	}
 }
 
-func contains[T comparable](list []T, one T) bool {
-	for _, x := range list {
-		if x == one {
-			return true
-		}
-	}
-	return false
-}
-
 func member(s registrar.Shard, id identifier.Upstream) bool {
-	for _, u := range s.Upstreams {
-		if u.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.Upstreams, func(u registrar.Upstream) bool { return u.ID == id })
 }
 
 func stateOf(u registrar.Upstream) admitter.UpstreamState {
@@ -129,7 +104,7 @@
 
 // feed gives an event to the core of the upstream's shard.
 func (d *Dispatcher) feed(now time.Time, id identifier.Upstream, e admitter.Event) {
-	for _, shard := range sortedShards(d.owned) {
+	for _, shard := range d.order {
 		o := d.owned[shard]
 		if !member(o.shard, id) {
 			continue
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -3,6 +3,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -46,6 +47,8 @@
 	pools     []Pool
 	shards    []Shard
 	byModel   map[identifier.Model][]Shard
+	// models holds the keys of byModel, sorted.
+	models []identifier.Model
 }
 
 // Registrar gives the present catalog to all duties.
@@ -85,6 +88,7 @@
 	// The longest prefix comes first, so that it wins.
 	sort.SliceStable(c.pools, func(i, j int) bool { return len(c.pools[i].Prefix) > len(c.pools[j].Prefix) })
 	c.shard()
+	c.models = slices.Sorted(maps.Keys(c.byModel))
 	r.present.Store(c)
 	return c
 }
@@ -127,14 +131,7 @@
 func (c *Catalog) ShardsFor(m identifier.Model) []Shard { return c.byModel[m] }
 
 // Models returns the models that are served, sorted.
-func (c *Catalog) Models() []identifier.Model {
-	models := make([]identifier.Model, 0, len(c.byModel))
-	for m := range c.byModel {
-		models = append(models, m)
-	}
-	slices.Sort(models)
-	return models
-}
+func (c *Catalog) Models() []identifier.Model { return c.models }
 
 // Service returns the plain service for a path and its instances, sorted.
 func (c *Catalog) Service(path string) (Pool, []Upstream, bool) {
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -33,7 +33,6 @@
 	}
 	s.configuration = c
 	s.registrar.Replace(c.Pools, c.Upstreams)
-	s.Log.Info().Uint64("Revision", uint64(c.Revision)).Msg("ConfigurationInForce")
 	s.changed()
 }
 
