Read the kind of an error and wait for a context in one place

Change: driver.KindOf, keeper.KindOf and looper.Sleep serve them; a wrapper of proto.Size is gone. Behaviour is the same.

--- a/claimer/loop.go
+++ b/claimer/loop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figtrack/figtrack/keeper"
 )
 
@@ -112,9 +110,5 @@
 	if err == nil {
 		return ""
 	}
-	var failed *keeper.Error
-	if errors.As(err, &failed) {
-		return failed.Kind
-	}
-	return keeper.KindUnknown
+	return keeper.KindOf(err)
 }
--- a/deduper/reading.go
+++ b/deduper/reading.go
@@ -109,8 +109,7 @@
 }
 
 func isGone(err error) bool {
-	var e *driver.Error
-	return errors.As(err, &e) && e.Kind != driver.KindUnknown
+	return driver.KindOf(err) != driver.KindUnknown
 }
 
 // read gives the tokens of a stream to the core and returns their number.
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figtrack/figtrack/identifier"
 )
 
@@ -188,3 +190,13 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of a failed call; KindUnknown for an error that says
+// none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindUnknown
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Purpose names who makes a call, for the budget.
@@ -80,3 +82,13 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of a failed call; KindUnknown for an error that says
+// none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindUnknown
+}
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -57,7 +57,7 @@
 		if err == nil && reply.Succeeded {
 			return Entry{Key: s.key, Value: s.value, Version: Version(reply.Header.Revision)}, true, nil
 		}
-		if err != nil && try == 0 && kind(err) == KindNotDone {
+		if err != nil && try == 0 && KindOf(err) == KindNotDone {
 			return Entry{}, false, err
 		}
 		entry, known, err := s.present(ctx, reply, err)
@@ -82,14 +82,6 @@
 	return s.failed(s.purpose, KindUnknown, cause)
 }
 
-func kind(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return KindUnknown
-}
-
 // send makes the transaction. A repeat is charged to the share but does not
 // wait for it, so that a lost reply is settled soon.
 func (s swap) send(ctx context.Context, try int) (txnReply, error) {
--- a/looper/looper.go
+++ b/looper/looper.go
@@ -1,5 +1,5 @@
 // Package looper runs the goroutine of a shell: events of a bounded ring and
-// the wakes of one timer, one at a time.
+// the wakes of one timer, one at a time. Sleep is its wait outside the loop.
 package looper
 
 import (
@@ -26,3 +26,15 @@
 		}
 	}
 }
+
+// Sleep waits for d. It returns false where ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -10,7 +10,6 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/figtrack/figtrack/certifier"
 	"github.com/figtrack/figtrack/wire"
@@ -156,5 +155,3 @@
 	answer, err := p.m.read(bufio.NewReader(stream))
 	return answer, errors.Wrapf(err, "await the answer of VM %s", p.VM)
 }
-
-func messageSize(e *wire.Envelope) int { return proto.Size(e) }
--- a/messenger/quic.go
+++ b/messenger/quic.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/figtrack/figtrack/certifier"
 	"github.com/figtrack/figtrack/identifier"
@@ -210,6 +211,6 @@
 		return nil, err
 	}
 	m.counters.received.Add(1)
-	m.counters.bytesReceived.Add(uint64(messageSize(&e)))
+	m.counters.bytesReceived.Add(uint64(proto.Size(&e)))
 	return &e, nil
 }
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 )
@@ -235,8 +233,7 @@
 
 // unanswered notes that an order may still arrive.
 func (c *Core) unanswered(now time.Time, r *runner, err error) {
-	var known *driver.Error
-	if !errors.As(err, &known) || known.Kind == driver.KindUnknown {
+	if driver.KindOf(err) == driver.KindUnknown {
 		r.uncertainUntil = now.Add(LongestPause)
 	}
 	c.fail(now, r, ReasonEngineDown)
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -14,6 +14,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -100,10 +101,8 @@
 
 func (r *reader) run(ctx context.Context) {
 	// The readings of a VM's runners are spread over the pace.
-	select {
-	case <-ctx.Done():
+	if !looper.Sleep(ctx, rand.N(every)) {
 		return
-	case <-time.After(rand.N(every)):
 	}
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
@@ -139,12 +138,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	kind := driver.KindUnknown
-	var e *driver.Error
-	if errors.As(err, &e) {
-		kind = e.Kind
-	}
-	r.health.Failed(r.id, kind)
+	r.health.Failed(r.id, driver.KindOf(err))
 }
 
 func (r *reader) loaded(load driver.Load) {
--- a/quarantiner/guarding.go
+++ b/quarantiner/guarding.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -135,7 +134,7 @@
 	for found == nil && ctx.Err() == nil {
 		found = s.probe(ctx, death)
 		if found == nil {
-			pause(ctx, probeEvery)
+			looper.Sleep(ctx, probeEvery)
 		}
 	}
 	s.post(func(now time.Time) {
@@ -160,22 +159,14 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	load, err := engine.Load(ctx)
-	var failed *driver.Error
 	switch {
 	case err == nil && load.Incarnation == death.Incarnation:
 		return UpstreamAlive{Death: death}
 	case err == nil:
 		return UpstreamDied{Death: death}
-	case errors.As(err, &failed) && failed.Kind == driver.KindNotRun && ctx.Err() == nil:
+	case driver.KindOf(err) == driver.KindNotRun && ctx.Err() == nil:
 		return UpstreamDied{Death: death}
 	default:
 		return nil
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/reclaimer/loop.go
+++ b/reclaimer/loop.go
@@ -5,10 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 )
 
 // Run drives the cores until ctx ends.
@@ -102,8 +101,7 @@
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	err := engine.Release(ctx, order.Hold)
-	var known *driver.Error
-	return err == nil || errors.As(err, &known) && known.Kind == driver.KindGone
+	return err == nil || driver.KindOf(err) == driver.KindGone
 }
 
 // listAll asks the engines of all owned shards for their holds.
@@ -129,7 +127,7 @@
 	}
 	go func() {
 		defer func() { <-s.calls }()
-		pause(ctx, rand.N(PollEvery/listSpread))
+		looper.Sleep(ctx, rand.N(PollEvery/listSpread))
 		ctx, stop := context.WithTimeout(ctx, callTimeout)
 		defer stop()
 		holds, err := engine.Holds(ctx)
@@ -142,13 +140,6 @@
 // listSpread is the part of PollEvery over which listings are spread.
 const listSpread = 4
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // compare advances the core of a shard.
 func (s *Shell) compare(shard identifier.Shard, e Event) {
 	core := s.cores[shard]
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -7,6 +7,7 @@
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/quarantiner"
 )
@@ -29,7 +30,7 @@
 		case quarantiner.KindRefuse:
 			return outcomer.NewQuarantined(v.After)
 		case quarantiner.KindWait:
-			if !sleep(ctx, v.After) {
+			if !looper.Sleep(ctx, v.After) {
 				return outcomer.CallerGone{}
 			}
 		default:
@@ -40,17 +41,6 @@
 	return outcomer.NewQuarantined(retryAfter)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // begin says that the attempt goes to an upstream. A suspect waits until no
 // other runs there. Prefill is begun before decode, so that two suspects can't
 // wait for each other. It returns false when the caller is gone.
@@ -60,7 +50,7 @@
 		return true
 	}
 	for !a.quarantine.Start(ctx, run, a.print, a.alone) {
-		if !sleep(ctx, guardWait) {
+		if !looper.Sleep(ctx, guardWait) {
 			return false
 		}
 	}
@@ -74,7 +64,7 @@
 	if a.written == 0 || out.Reason == admitter.ReasonPromptTooLong {
 		return false
 	}
-	sleep(ctx, min(out.RetryAfter, longestGoOnWait))
+	looper.Sleep(ctx, min(out.RetryAfter, longestGoOnWait))
 	a.again = true
 	return true
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -133,7 +133,7 @@
 	if ctx.Err() != nil {
 		return a.withdraw()
 	}
-	a.fail(u, kindOf(err))
+	a.fail(u, driver.KindOf(err))
 	return a.end()
 }
 
@@ -144,14 +144,6 @@
 	return leaves
 }
 
-func kindOf(err error) driver.Kind {
-	var e *driver.Error
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return driver.KindUnknown
-}
-
 func (a *attempt) prefill(ctx context.Context) outcomer.Outcome {
 	engine, ok := a.registrar.Catalog().Engine(a.place.Prefill)
 	if !ok {
@@ -194,7 +186,7 @@
 			a.ticket.Report(admitter.TransferEnded{Key: a.key, Took: result.Took})
 			return a.decode(ctx)
 		}
-		if kindOf(err) == driver.KindGone {
+		if driver.KindOf(err) == driver.KindGone {
 			return a.lost(ctx, err)
 		}
 		if !a.move(ctx, err) {
@@ -233,7 +225,7 @@
 // move asks the owner for another decode engine. It returns false where there
 // is none.
 func (a *attempt) move(ctx context.Context, err error) bool {
-	full := kindOf(err) == driver.KindFull
+	full := driver.KindOf(err) == driver.KindFull
 	if !full {
 		a.releaser.Release(a.place.Decode, a.hold)
 	}
@@ -246,13 +238,13 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		a.excluded = append(a.excluded, a.place.Decode)
 	default:
-		a.fail(a.place.Decode, kindOf(err))
+		a.fail(a.place.Decode, driver.KindOf(err))
 	}
 	a.log.Info().
 		Str("Request", string(a.key.Request)).
 		Uint32("Attempt", uint32(a.key.Attempt)).
 		Str("Upstream", string(a.place.Decode)).
-		Str("Kind", string(kindOf(err))).
+		Str("Kind", string(driver.KindOf(err))).
 		Dur("WithinMs", a.place.TransferWithin).
 		Msg("TransferFailed")
 	a.ticket.Report(admitter.TransferFailed{Key: a.key, Full: full})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/figtrack/figtrack/dispatcher"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/registrar"
@@ -170,7 +171,7 @@
 			continue
 		}
 		refusals++
-		if !sleep(ctx, rand.N(fullWait)*time.Duration(refusals)) {
+		if !looper.Sleep(ctx, rand.N(fullWait)*time.Duration(refusals)) {
 			return outcomer.CallerGone{}
 		}
 	}
--- a/syncer/submit.go
+++ b/syncer/submit.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
@@ -149,8 +147,7 @@
 }
 
 func mayHaveTakenEffect(err error) bool {
-	var e *keeper.Error
-	return !errors.As(err, &e) || e.Kind == keeper.KindUnknown
+	return keeper.KindOf(err) == keeper.KindUnknown
 }
 
 // written puts a document that this VM wrote into force.
