Route for the users' platform: the whole path, thin

Cause: figtrack spoke only its own interface. Ruled out: a second program; serve picks the path by its settings.

--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,221 @@
+// Package launcher runs the duties of one VM on the users' platform: the
+// callers' listener, the readiness check, the metrics, the view of the store
+// and a stop that cuts off nothing.
+package launcher
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/budgeter"
+	"github.com/figtrack/figtrack/drainer"
+	"github.com/figtrack/figtrack/follower"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/platform"
+	"github.com/figtrack/figtrack/router"
+	"github.com/figtrack/figtrack/tracker"
+)
+
+const (
+	// memoryShare is the part of the process's memory at which the runtime
+	// collects garbage harder; the rest is for stacks and sockets.
+	memoryShare = 0.6
+	// bodyShare is the part of it that callers' bodies may take.
+	bodyShare = 0.2
+	// wakeEvery is the pace at which time passes in the view.
+	wakeEvery = 250 * time.Millisecond
+	// reloadEvery is the pace at which the settings file is compared.
+	reloadEvery = 2 * time.Second
+	// exitMargin is how long before the end of the grace the process is gone.
+	exitMargin = 300 * time.Millisecond
+	// watchMargin is what is left of the contact time for a new call when a
+	// wait for the store got no answer.
+	watchMargin = time.Second
+	megabyte    = 1 << 20
+)
+
+// VM is one process.
+type VM struct {
+	path string
+	cfg  parser.Settings
+	log  zerolog.Logger
+
+	registry *prometheus.Registry
+	fleet    *router.Fleet
+	router   *router.Router
+	callers  *http.Server
+	shell    *follower.Shell
+	drain    *drainer.Core
+	// isLeaving makes the readiness check fail.
+	isLeaving atomic.Bool
+	wg        sync.WaitGroup
+}
+
+// New joins the duties of a VM whose settings were read from path.
+func New(path string, cfg parser.Settings, log zerolog.Logger) *VM {
+	p := cfg.Platform
+	vm := &VM{path: path, cfg: cfg, log: log, registry: prometheus.NewRegistry()}
+	dial := platform.NewDial()
+	storeMetrics := keeper.NewMetrics()
+	vm.registry.MustRegister(storeMetrics)
+	metrics := router.NewMetrics(vm.registry)
+	store := platform.NewStore(strings.TrimPrefix(cfg.Store.Endpoints[0], "http://"), dial, storeMetrics)
+	runners := platform.NewRunners(dial)
+	budget := budgeter.New(budgeter.Settings{Ratio: p.RetryRatio, Window: p.RetryWindow, Allowance: p.RetrySlack}, assumedVMs)
+	view := tracker.New(cfg.DataCentre, uint64(time.Now().UnixNano()))
+	vm.fleet = router.NewFleet(platform.Reader{}, runners, view, budget, metrics, log)
+	vm.router = router.New(vm.fleet, runners, metrics, log)
+	bodies := int64(float64(p.MemoryMB) * bodyShare * megabyte)
+	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout)
+	vm.shell = follower.NewShell(store, keeper.PurposeConfiguration, "", p.Contact-watchMargin, vm.fleet)
+	vm.drain = drainer.New(drainer.Settings{Notice: cfg.Drain.Notice, Limit: cfg.Drain.Limit - exitMargin})
+	return vm
+}
+
+// assumedVMs is the fleet's size until it is known; the largest stated fleet
+// has fewer, so that the allowance is never overspent.
+const assumedVMs = 400
+
+// Run serves until a signal ends the VM. It returns the number of answers that
+// it had to cut off.
+func (vm *VM) Run(signals <-chan os.Signal) (cut int, err error) {
+	debug.SetMemoryLimit(int64(float64(vm.cfg.Platform.MemoryMB) * memoryShare * megabyte))
+	stdlog.SetOutput(vm.log)
+	stdlog.SetFlags(0)
+	callers, err := net.Listen("tcp", vm.cfg.Callers.Address)
+	if err != nil {
+		return 0, errors.Wrap(err, "Callers.Address can't be used; is another program on this port?")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := vm.serveControl(ctx); err != nil {
+		return 0, err
+	}
+	vm.goes(func() { vm.shell.Run(ctx) })
+	go vm.callers.Serve(platform.Listener{Listener: callers}) // Ends with the process.
+	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
+	cut = vm.loop(signals)
+	vm.log.Info().Int("Cut", cut).Msg("Stopped")
+	return cut, nil
+}
+
+func (vm *VM) goes(f func()) {
+	vm.wg.Add(1)
+	go func() {
+		defer vm.wg.Done()
+		f()
+	}()
+}
+
+// serveControl opens the readiness check and the metrics.
+func (vm *VM) serveControl(ctx context.Context) error {
+	ready := echo.New()
+	ready.GET(platform.PathReady, func(c *echo.Context) error {
+		if vm.isLeaving.Load() || !vm.fleet.IsReady() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	if err := vm.listen(ctx, "Platform.Ready", vm.cfg.Platform.Ready, ready); err != nil {
+		return err
+	}
+	if vm.cfg.Platform.Metrics == "" {
+		return nil
+	}
+	metrics := echo.New()
+	metrics.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(vm.registry, promhttp.HandlerOpts{})))
+	return vm.listen(ctx, "Platform.Metrics", vm.cfg.Platform.Metrics, metrics)
+}
+
+func (vm *VM) listen(ctx context.Context, setting, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, setting+" can't be used; is another program on this port?")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: vm.cfg.Callers.HeaderTimeout}
+	go s.Serve(l) // Ends with the process.
+	context.AfterFunc(ctx, func() { s.Close() })
+	return nil
+}
+
+// loop handles signals and time until the VM is to exit.
+func (vm *VM) loop(signals <-chan os.Signal) (cut int) {
+	wake := time.NewTicker(wakeEvery)
+	defer wake.Stop()
+	reload := time.NewTicker(reloadEvery)
+	defer reload.Stop()
+	for {
+		var events []drainer.Event
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				vm.reload()
+				continue
+			}
+			vm.log.Info().Str("Signal", s.String()).Int("InFlight", vm.router.InFlight()).Msg("Stopping")
+			events = append(events, drainer.Signalled{})
+		case <-wake.C:
+			vm.fleet.Wake()
+			if vm.isLeaving.Load() {
+				events = append(events, drainer.WorkChanged{Work: drainer.Work{Streams: vm.router.InFlight()}}, drainer.Wake{})
+			}
+		case <-reload.C:
+			vm.reload()
+		}
+		for _, e := range events {
+			if exit, ok := vm.perform(vm.drain.Step(time.Now(), e)); ok {
+				return exit.Cut
+			}
+		}
+	}
+}
+
+// perform does what the drainer decided; there is nothing to tell to peers.
+func (vm *VM) perform(outcomes []drainer.Outcome) (drainer.Exit, bool) {
+	for _, o := range outcomes {
+		switch o := o.(type) {
+		case drainer.FailReadiness:
+			vm.isLeaving.Store(true)
+			vm.callers.SetKeepAlivesEnabled(false)
+		case drainer.RefuseNew:
+			vm.router.Close()
+			vm.log.Info().Int("InFlight", vm.router.InFlight()).Msg("RefusingNew")
+		case drainer.CutStreams:
+			vm.log.Warn().Int("Count", o.Count).Msg("StreamsCut")
+		case drainer.Exit:
+			return o, true
+		}
+	}
+	return drainer.Exit{}, false
+}
+
+// reload reads the settings again. Those that can change while the VM runs are
+// taken over; a file that can't be used leaves the former ones in force.
+func (vm *VM) reload() {
+	cfg, err := parser.Load(vm.path)
+	if err != nil {
+		vm.log.Warn().AnErr("Error", err).Msg("SettingsNotRead")
+		return
+	}
+	if cfg.Log.Level == vm.cfg.Log.Level {
+		return
+	}
+	vm.log.Info().Str("Level", cfg.Log.Level).Msg("SettingsInForce")
+	vm.cfg.Log.Level = cfg.Log.Level
+}
--- a/parser/page.go
+++ b/parser/page.go
@@ -26,6 +26,8 @@
 		switch {
 		case f.Type.Kind() == reflect.Struct:
 			rows(w, name+".", v.Field(i))
+		case f.Type.Kind() == reflect.Pointer:
+			rows(w, name+".", reflect.Zero(f.Type.Elem()))
 		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
 			rows(w, name+"[].", reflect.Zero(f.Type.Elem()))
 		}
@@ -56,6 +58,8 @@
 			words = append(words, "each:")
 		case "required":
 			words = append(words, "must be given")
+		case "required_without":
+			words = append(words, "must be given without "+param)
 		default:
 			words = append(words, allowed(name, param))
 		}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -106,7 +106,7 @@
 	if _, rest, ok := strings.Cut(name, "."); ok {
 		name = rest
 	}
-	if first.Tag() == "required" {
+	if first.Tag() == "required" || first.Tag() == "required_without" {
 		return fmt.Sprintf("%s is missing", name)
 	}
 	return fmt.Sprintf("%s: %s is not allowed; allowed: %s", name, quote(first.Value()), allowed(first.Tag(), first.Param()))
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -22,9 +22,22 @@
 	VMs        VMs                   `yaml:"VMs" validate:"required" doc:"The listener for other VMs, and who they are."`
 	Operators  Operators             `yaml:"Operators" doc:"The listener for operators. Closed when Address is empty."`
 	Store      Store                 `yaml:"Store" validate:"required" doc:"The platform's key-value service."`
-	Keys       Keys                  `yaml:"Keys" validate:"required" doc:"Certificate and key of this VM. Each value is PEM text, env:NAME or file:PATH."`
+	Keys       Keys                  `yaml:"Keys" validate:"required_without=Platform,omitempty" doc:"Certificate and key of this VM. Each value is PEM text, env:NAME or file:PATH. Not needed with Platform."`
 	Drain      Drain                 `yaml:"Drain" doc:"Graceful shutdown."`
-	Log        Log                   `yaml:"Log" doc:"The log on standard error, JSON lines."`
+	Log        Log                   `yaml:"Log" doc:"The log, JSON lines on standard error, or on standard output with Platform."`
+	Platform   *Platform             `yaml:"Platform" doc:"Given where figtrack routes for the users' platform, which holds routes and upstreams in its store."`
+}
+
+// Platform are the settings of a VM on the users' platform. Its bounds are
+// what the platform's operators state.
+type Platform struct {
+	Ready       string        `yaml:"Ready" validate:"required,ip_port" doc:"IP and TCP port where the balancer asks whether this VM takes callers."`
+	Metrics     string        `yaml:"Metrics" validate:"omitempty,ip_port" doc:"IP and TCP port of the metrics, path /metrics. Closed when empty."`
+	Contact     time.Duration `yaml:"Contact" validate:"min=1s,max=1m" doc:"Time without disruption after which the platform counts a VM as in touch. Waits for the store are shorter."`
+	RetryRatio  float64       `yaml:"RetryRatio" validate:"min=0,max=1" doc:"Extra sends to runners allowed for each request, over the whole fleet."`
+	RetryWindow time.Duration `yaml:"RetryWindow" validate:"min=1s,max=10m" doc:"Time over which extra sends are counted."`
+	RetrySlack  float64       `yaml:"RetrySlack" validate:"min=0" doc:"Extra sends allowed in a window beside RetryRatio, over the whole fleet."`
+	MemoryMB    int           `yaml:"MemoryMB" validate:"min=32,max=1048576" doc:"Memory of this VM's process, in MB."`
 }
 
 // Callers are the settings of the listener for callers.
--- /dev/null
+++ b/router/fleet.go
@@ -0,0 +1,225 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/budgeter"
+	"github.com/figtrack/figtrack/follower"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/tracker"
+)
+
+// comeBackAfter is the first advice to a refused caller: decode memory frees
+// several times a second at the stated load.
+const comeBackAfter = 300 * time.Millisecond
+
+// Reader gives entries of the store their meaning. An error says why an entry
+// names nothing that can be used.
+type Reader interface {
+	Read(entry keeper.Entry) (Document, error)
+}
+
+// Fleet is what this VM knows: the configuration in force, the upstreams and
+// the retry budget. It is safe for several goroutines.
+type Fleet struct {
+	reader  Reader
+	runners Runners
+	log     zerolog.Logger
+	metrics *Metrics
+	// configuration is nil until the first one is known.
+	configuration atomic.Pointer[Configuration]
+	// lostSince is when the store was lost in Unix ns; zero while it answers.
+	lostSince atomic.Int64
+
+	mu      sync.Mutex
+	view    *tracker.Tracker
+	budget  *budgeter.Budget
+	listed  bool
+	changed chan struct{}
+}
+
+// NewFleet returns a fleet that knows nothing yet.
+func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, metrics *Metrics, log zerolog.Logger) *Fleet {
+	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, changed: make(chan struct{})}
+}
+
+// IsReady says that a configuration and the upstreams are known.
+func (f *Fleet) IsReady() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && f.configuration.Load() != nil
+}
+
+// ViewAge returns for how long the store has not answered; zero while it does.
+func (f *Fleet) ViewAge(now time.Time) time.Duration {
+	since := f.lostSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
+// TakeAll implements follower.Taker.
+func (f *Fleet) TakeAll(entries []keeper.Entry) {
+	var runners []tracker.Runner
+	for _, entry := range entries {
+		switch d := f.read(entry).(type) {
+		case Settled:
+			f.settle(d.Configuration)
+		case Registered:
+			runners = append(runners, d.Runner)
+		}
+	}
+	f.step(tracker.Listed{Runners: runners})
+	f.mu.Lock()
+	f.listed = true
+	f.mu.Unlock()
+}
+
+// Take implements follower.Taker.
+func (f *Fleet) Take(entry keeper.Entry) {
+	switch d := f.read(entry).(type) {
+	case Settled:
+		f.settle(d.Configuration)
+	case Registered:
+		f.step(tracker.Told{Runner: d.Runner})
+	case Deregistered:
+		f.step(tracker.Removed{ID: d.ID, Version: d.Version})
+	}
+}
+
+// StoreLost implements follower.Taker.
+func (f *Fleet) StoreLost(o follower.StoreLost) {
+	f.lostSince.Store(o.Since.UnixNano())
+	f.metrics.storeUp.Set(0)
+	f.log.Warn().Time("Since", o.Since).AnErr("Error", o.Err).Msg("StoreLost")
+}
+
+// StoreFound implements follower.Taker.
+func (f *Fleet) StoreFound(o follower.StoreFound) {
+	f.lostSince.Store(0)
+	f.metrics.storeUp.Set(1)
+	f.log.Info().Dur("Away", o.Away).Msg("StoreFound")
+	f.step(tracker.StoreBack{})
+}
+
+func (f *Fleet) read(entry keeper.Entry) Document {
+	d, err := f.reader.Read(entry)
+	if err != nil {
+		f.metrics.badEntries.Inc()
+		f.log.Warn().Str("Key", entry.Key).Int64("Version", int64(entry.Version)).AnErr("Error", err).Msg("EntryNotRead")
+		return Foreign{}
+	}
+	return d
+}
+
+// settle puts a configuration in force, if it is newer.
+func (f *Fleet) settle(c *Configuration) {
+	now := f.configuration.Load()
+	if now != nil && c.Revision <= now.Revision {
+		return
+	}
+	f.configuration.Store(c)
+	f.metrics.revision.Set(float64(c.Revision))
+	f.log.Info().Uint64("Revision", uint64(c.Revision)).Int("Routes", c.Count).Int("Pools", len(c.Pools)).Msg("ConfigurationInForce")
+}
+
+func (f *Fleet) step(e tracker.Event) {
+	f.mu.Lock()
+	changes := f.view.Step(time.Now(), e)
+	f.metrics.upstreams.Set(float64(f.view.Len()))
+	f.mu.Unlock()
+	f.tell(changes)
+}
+
+// Wake lets time pass in the view.
+func (f *Fleet) Wake() { f.step(tracker.Wake{}) }
+
+// tell logs changes and drops the connections to runners that are gone.
+func (f *Fleet) tell(changes []tracker.Change) {
+	for _, change := range changes {
+		switch c := change.(type) {
+		case tracker.Joined:
+			f.logRunner(c.Runner).Str("Role", string(c.Runner.Role)).Str("Address", c.Runner.Address).Msg("RunnerJoined")
+		case tracker.Left:
+			f.logRunner(c.Runner).Msg("RunnerLeaving")
+			f.runners.Forget(c.Runner)
+		case tracker.Missing:
+			f.logRunner(c.Runner).Time("Until", c.Until).Msg("RunnerMissing")
+		case tracker.Gone:
+			f.logRunner(c.Runner).Msg("RunnerGone")
+			f.runners.Forget(c.Runner)
+		case tracker.Suspected:
+			f.metrics.suspicions.Inc()
+			f.logRunner(c.Runner).Time("Until", c.Until).Str("Reason", c.Reason).Msg("RunnerSuspected")
+		case tracker.Trusted:
+			f.logRunner(c.Runner).Msg("RunnerTrusted")
+		}
+	}
+}
+
+func (f *Fleet) logRunner(r tracker.Runner) *zerolog.Event {
+	return f.log.Info().
+		Str("Upstream", string(r.ID)).
+		Str("Pool", string(r.Pool)).
+		Int64("Version", r.Version)
+}
+
+// Plain implements attempter.Fleet.
+func (f *Fleet) Plain(now time.Time, pool identifier.Pool, without tracker.Without) (tracker.Runner, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Plain(now, pool, without)
+}
+
+// Prefill implements attempter.Fleet.
+func (f *Fleet) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Prefill(now, pool, near, without)
+}
+
+// Decode implements attempter.Fleet.
+func (f *Fleet) Decode(now time.Time, pool identifier.Pool, without tracker.Without) []tracker.Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Decode(now, pool, without)
+}
+
+// Spend implements attempter.Fleet.
+func (f *Fleet) Spend(now time.Time, pool identifier.Pool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	allowed := f.budget.Take(now, pool)
+	f.metrics.retries.WithLabelValues(word(allowed, "Allowed", "Denied")).Inc()
+	return allowed
+}
+
+// RetryAfter implements attempter.Fleet.
+func (f *Fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return comeBackAfter }
+
+func (f *Fleet) arrived(now time.Time, pool identifier.Pool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Arrived(now, pool)
+}
+
+// with runs a function on the view and logs what it changed.
+func (f *Fleet) with(use func(now time.Time, view *tracker.Tracker) []tracker.Change) {
+	f.mu.Lock()
+	changes := use(time.Now(), f.view)
+	f.mu.Unlock()
+	f.tell(changes)
+}
+
+func word(is bool, yes, no string) string {
+	if is {
+		return yes
+	}
+	return no
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/attempter"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/matcher"
+)
+
+// staleAfter is how long the store may be away until an unknown route is no
+// proof any more: a route may have been added meanwhile.
+const staleAfter = time.Second
+
+// notReadyAfter is the advice to a caller of a VM that knows no configuration:
+// the balancer needs about that long to send callers elsewhere.
+const notReadyAfter = time.Second
+
+// Router serves the requests of callers.
+type Router struct {
+	fleet   *Fleet
+	runners Runners
+	metrics *Metrics
+	log     zerolog.Logger
+	// inFlight counts the requests without a final answer.
+	inFlight atomic.Int64
+	// isClosed says that new requests are refused.
+	isClosed atomic.Bool
+}
+
+// New returns a router of a fleet.
+func New(fleet *Fleet, runners Runners, metrics *Metrics, log zerolog.Logger) *Router {
+	return &Router{fleet: fleet, runners: runners, metrics: metrics, log: log}
+}
+
+// InFlight returns the number of requests without a final answer.
+func (r *Router) InFlight() int { return int(r.inFlight.Load()) }
+
+// Close makes the router refuse new requests.
+func (r *Router) Close() { r.isClosed.Store(true) }
+
+// Limits returns what callers may send, false before the first configuration.
+func (r *Router) Limits() (Limits, bool) {
+	c := r.fleet.configuration.Load()
+	if c == nil {
+		return Limits{}, false
+	}
+	return c.Limits, true
+}
+
+// Serve answers one request. It returns when the answer is sent or ctx, which
+// ends with the caller, has ended.
+func (r *Router) Serve(ctx context.Context, q *Request, caller Caller) {
+	r.inFlight.Add(1)
+	r.metrics.inFlight.Inc()
+	defer func() {
+		r.inFlight.Add(-1)
+		r.metrics.inFlight.Dec()
+	}()
+	configuration := r.fleet.configuration.Load()
+	if configuration == nil || !r.fleet.IsReady() || r.isClosed.Load() {
+		r.reply(q, caller, "", NotRun{Reason: reasonNotReady, After: notReadyAfter})
+		return
+	}
+	route, ok := configuration.Routes.Match(q.Host, path(q.Target))
+	if !ok {
+		r.noRoute(q, caller, configuration)
+		return
+	}
+	job := r.job(q, route, configuration)
+	r.log.Info().
+		Str("Request", string(q.ID)).
+		Str("Route", route.Name).
+		Str("Pool", string(job.Pool)).
+		Uint64("Revision", uint64(configuration.Revision)).
+		Dur("ViewAge", r.fleet.ViewAge(q.Arrived)).
+		Int("Input", int(job.Input)).
+		Int("Output", int(q.Prompt.Output)).
+		Int("Expected", int(q.Prompt.Expected)).
+		Dur("Left", job.Deadline.Sub(q.Arrived)).
+		Msg("Arrived")
+	r.fleet.arrived(q.Arrived, job.Pool)
+	newPassage(r, q, caller, route, job).serve(ctx)
+}
+
+// Reasons of the router's own.
+const (
+	reasonNotReady attempter.Reason = "NotReady"
+	reasonNoRoute  attempter.Reason = "NoRoute"
+	reasonOldView  attempter.Reason = "OldView"
+)
+
+// noRoute answers a request that no route covers. Only a fresh view proves
+// that there is none.
+func (r *Router) noRoute(q *Request, caller Caller, c *Configuration) {
+	age := r.fleet.ViewAge(time.Now())
+	if age > staleAfter {
+		r.reply(q, caller, "", NotRun{Reason: reasonOldView, After: notReadyAfter})
+		return
+	}
+	r.log.Info().Str("Request", string(q.ID)).Uint64("Revision", uint64(c.Revision)).Dur("ViewAge", age).Msg("RouteUnknown")
+	r.reply(q, caller, "", NoRoute{})
+}
+
+func (r *Router) job(q *Request, route matcher.Route, c *Configuration) attempter.Job {
+	limit := route.Timeout
+	if q.Patience > 0 && (limit == 0 || q.Patience < limit) {
+		limit = q.Patience
+	}
+	pool := route.Pool(rand.Float64())
+	return attempter.Job{
+		Request:     q.ID,
+		Pool:        pool,
+		Repeatable:  route.Repeatable(),
+		IsStream:    route.Kind == matcher.KindStream,
+		NeedsEngine: c.Pools[pool].HasEngines,
+		Input:       q.Prompt.Input,
+		Output:      outputEstimate(q.Prompt),
+		MaxAttempts: max(route.MaxAttempts, 1),
+		Target:      route.Target,
+		Arrived:     q.Arrived,
+		Deadline:    q.Arrived.Add(limit),
+	}
+}
+
+// outputEstimate returns the tokens to reserve for an answer.
+func outputEstimate(p Prompt) identifier.Tokens { return p.Output }
+
+// path returns a target without its query.
+func path(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// reply sends a final answer of figtrack's own.
+func (r *Router) reply(q *Request, caller Caller, kind matcher.Kind, reply Reply) {
+	line := r.log.Info().Str("Request", string(q.ID)).Dur("Took", time.Since(q.Arrived))
+	var outcome string
+	switch reply := reply.(type) {
+	case NotRun:
+		outcome = "NotRun"
+		line = line.Str("Reason", string(reply.Reason)).Dur("ComeBack", reply.After)
+	case Unknown:
+		outcome = "Unknown"
+		line = line.Str("Reason", string(reply.Reason)).Bool("Late", reply.Late)
+	case NoRoute:
+		outcome = "NoRoute"
+		line = line.Str("Reason", string(reasonNoRoute))
+	case Broken:
+		outcome = "Broken"
+		line = line.Str("Reason", string(reply.Reason))
+	}
+	line.Msg(outcome)
+	r.metrics.requests.WithLabelValues(string(kind), outcome).Inc()
+	caller.Reply(reply)
+}
--- a/serve.go
+++ b/serve.go
@@ -27,7 +27,7 @@
 }
 
 type serveOptions struct {
-	Config string `long:"config" required:"yes" value-name:"FILE" description:"settings file, see docs/SETTINGS.md"`
+	Config string `long:"config" env:"FIGTRACK_CONFIG" required:"yes" value-name:"FILE" description:"settings file, see docs/SETTINGS.md"`
 }
 
 // keysReadEvery is the pace at which keys in files are read again.
@@ -43,6 +43,9 @@
 		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
 		return exitUsage
 	}
+	if cfg.Platform != nil {
+		return servePlatform(o.Config, cfg, stdout, stderr)
+	}
 	memory := explainer.New()
 	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
--- /dev/null
+++ b/serve_platform.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/launcher"
+	"github.com/figtrack/figtrack/parser"
+)
+
+// servePlatform runs a VM on the users' platform until a signal ends it.
+func servePlatform(path string, cfg parser.Settings, stdout, stderr io.Writer) int {
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
+	if err != nil {
+		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
+		return exitUsage
+	}
+	w, closeLog := launcher.NewWriter(stdout)
+	defer closeLog()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	vm := launcher.New(path, cfg, launcher.NewLog(w, cfg, level))
+	cut, err := vm.Run(signals)
+	if err != nil {
+		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
+		return exitFailed
+	}
+	if cut > 0 {
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/tracker/choose.go
@@ -0,0 +1,128 @@
+package tracker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Costs that the choice weighs, all in the same unit.
+const (
+	// crossing is the cost of a call to another data centre: the round trip
+	// between the stated ones, and its price.
+	crossing = 12 * time.Millisecond
+	// failing is the cost of a certain failure: a whole target is lost.
+	failing = time.Second
+	// suspecting is the cost of a runner that gave no answer lately.
+	suspecting = 10 * time.Second
+	// lapsing is the cost of a prefill engine whose handles lapse.
+	lapsing = 2 * time.Second
+	// readTime is a prefill engine's time for one prompt token.
+	readTime = 30 * time.Microsecond
+	// plainTime is a plain call's time where none was measured yet.
+	plainTime = 30 * time.Millisecond
+	// tieWithin is the difference of two costs that counts as none.
+	tieWithin = time.Millisecond
+)
+
+// Without is a set of runners that a choice leaves out.
+type Without map[identifier.Upstream]bool
+
+// Plain chooses a runner for a call to a plain service. The reason is empty
+// where one was found.
+func (t *Tracker) Plain(now time.Time, pool identifier.Pool, without Without) (Runner, bool) {
+	return t.best(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
+		if u.Role != identifier.RolePlain {
+			return 0, false
+		}
+		mean := u.latency
+		if mean == 0 {
+			mean = plainTime
+		}
+		queue := mean * time.Duration(u.calls) / time.Duration(max(u.Slots, 1))
+		if now.Before(u.fullUntil) {
+			queue += mean
+		}
+		return queue + t.base(now, u), true
+	})
+}
+
+// Prefill chooses a prefill engine for a prompt that is to be decoded in a
+// data centre.
+func (t *Tracker) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without Without) (Runner, bool) {
+	return t.best(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
+		if u.Role != identifier.RolePrefill {
+			return 0, false
+		}
+		cost := time.Duration(u.reading)*readTime + t.base(now, u)
+		if u.DataCentre != near {
+			cost += crossing
+		}
+		if now.Before(u.lapseUntil) {
+			cost += lapsing
+		}
+		return cost, true
+	})
+}
+
+// Decode returns the decode engines that may have room, the best first.
+// Engines that refused a moment ago are left out.
+func (t *Tracker) Decode(now time.Time, pool identifier.Pool, without Without) []Runner {
+	type choice struct {
+		Runner
+		cost time.Duration
+	}
+	var all []choice
+	t.turns++
+	for i, u := range t.pools[pool] {
+		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] || now.Before(u.fullUntil) {
+			continue
+		}
+		cost := time.Duration(u.holding)*decodeWeight + t.base(now, u)
+		cost += time.Duration((uint64(i)+t.turns)%uint64(len(t.pools[pool]))) * time.Microsecond
+		all = append(all, choice{u.Runner, cost})
+	}
+	slices.SortStableFunc(all, func(a, b choice) int { return int(a.cost - b.cost) })
+	runners := make([]Runner, len(all))
+	for i, c := range all {
+		runners[i] = c.Runner
+	}
+	return runners
+}
+
+// decodeWeight is the cost of one token that this VM holds at a decode engine:
+// another request of the stated size weighs as much as a crossing.
+const decodeWeight = 3 * time.Microsecond
+
+// base is the cost of a runner for any call.
+func (t *Tracker) base(now time.Time, u *upstream) time.Duration {
+	cost := time.Duration(u.failures * float64(failing))
+	if u.DataCentre != t.home {
+		cost += crossing
+	}
+	if now.Before(u.suspectUntil) {
+		cost += suspecting
+	}
+	return cost
+}
+
+// best returns the runner with the lowest cost; ties go round.
+func (t *Tracker) best(pool []*upstream, without Without, cost func(*upstream) (time.Duration, bool)) (Runner, bool) {
+	t.turns++
+	var found *upstream
+	var lowest time.Duration
+	for i := range pool {
+		u := pool[(uint64(i)+t.turns)%uint64(len(pool))]
+		if u.Leaving || without[u.ID] {
+			continue
+		}
+		if c, ok := cost(u); ok && (found == nil || c+tieWithin < lowest) {
+			found, lowest = u, c
+		}
+	}
+	if found == nil {
+		return Runner{}, false
+	}
+	return found.Runner, true
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,244 @@
+package tracker
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// MissingGrace is how long entries that lapsed in an outage of the store may
+// stay away after its return; the store's operators state two seconds.
+const MissingGrace = 2 * time.Second
+
+// MaxDeparted bounds the memory of runners that are gone; a day of the stated
+// fleets replaces fewer.
+const MaxDeparted = 4096
+
+// Event is an input of the view. The set is sealed.
+type Event interface{ event() }
+
+// Listed carries all entries that stand in the store.
+type Listed struct{ Runners []Runner }
+
+// Told carries one entry as it was written.
+type Told struct{ Runner Runner }
+
+// Removed says that an entry was removed at a version.
+type Removed struct {
+	ID      identifier.Upstream
+	Version int64
+}
+
+// StoreBack says that the store answers again after an outage.
+type StoreBack struct{}
+
+// Wake lets time pass.
+type Wake struct{}
+
+func (Listed) event()    {}
+func (Told) event()      {}
+func (Removed) event()   {}
+func (StoreBack) event() {}
+func (Wake) event()      {}
+
+// Tracker is the view of one VM. It is not safe for several goroutines.
+type Tracker struct {
+	home identifier.DataCentre
+	// upstreams holds those that are listed or missing.
+	upstreams map[identifier.Upstream]*upstream
+	// pools holds the same by pool, ordered by id, so that equal inputs give
+	// equal choices.
+	pools map[identifier.Pool][]*upstream
+	// graceUntil is when an entry that is away since an outage counts as gone.
+	graceUntil time.Time
+	// departed holds the last MaxDeparted runners that are gone, so that a late
+	// write of theirs doesn't bring them back.
+	departed map[identifier.Upstream]Runner
+	// turns counts choices; ties are broken by it.
+	turns uint64
+	out   []Change
+}
+
+// upstream is a runner with what this VM has learned of it.
+type upstream struct {
+	Runner
+	ledger
+	// missingUntil is zero while the runner's entry stands.
+	missingUntil time.Time
+}
+
+// New returns an empty view of a VM in a data centre. The seed sets where ties
+// begin, so that VMs with equal views don't choose alike.
+func New(home identifier.DataCentre, seed uint64) *Tracker {
+	return &Tracker{
+		home:      home,
+		upstreams: map[identifier.Upstream]*upstream{},
+		pools:     map[identifier.Pool][]*upstream{},
+		departed:  map[identifier.Upstream]Runner{},
+		turns:     seed,
+	}
+}
+
+// Step takes in one event and returns what it changed.
+func (t *Tracker) Step(now time.Time, e Event) []Change {
+	t.out = nil
+	switch e := e.(type) {
+	case Listed:
+		t.listed(now, e)
+	case Told:
+		t.told(e.Runner)
+	case Removed:
+		if u := t.upstreams[e.ID]; u != nil && e.Version > u.Version {
+			t.lose(now, u)
+		}
+	case StoreBack:
+		t.graceUntil = now.Add(MissingGrace)
+	case Wake:
+	default:
+		panic(fmt.Sprintf("tracker: event %T", e))
+	}
+	t.expire(now)
+	return t.out
+}
+
+func (t *Tracker) listed(now time.Time, e Listed) {
+	listed := make(map[identifier.Upstream]bool, len(e.Runners))
+	for _, r := range e.Runners {
+		listed[r.ID] = true
+		t.told(r)
+	}
+	for _, u := range t.ordered() {
+		if !listed[u.ID] {
+			t.lose(now, u)
+		}
+	}
+}
+
+func (t *Tracker) told(r Runner) {
+	u := t.upstreams[r.ID]
+	if u != nil && r.Version < u.Version || t.isOld(r) {
+		return
+	}
+	if u != nil && u.Start == r.Start && u.Address == r.Address && u.Pool == r.Pool {
+		t.renew(u, r)
+		return
+	}
+	if u != nil {
+		t.drop(u)
+	}
+	t.upstreams[r.ID] = &upstream{Runner: r}
+	t.index(r.Pool)
+	if r.Leaving {
+		t.out = append(t.out, Left{r})
+		return
+	}
+	t.out = append(t.out, Joined{r})
+}
+
+// renew takes in a later statement of the same start. A runner that leaves
+// doesn't come back but by a new start.
+func (t *Tracker) renew(u *upstream, r Runner) {
+	if r.Sequence < u.Sequence {
+		return
+	}
+	left := r.Leaving && !u.Leaving
+	r.Leaving = r.Leaving || u.Leaving
+	u.Runner, u.missingUntil = r, time.Time{}
+	if left {
+		t.out = append(t.out, Left{r})
+	}
+}
+
+// isOld says that an entry repeats what a runner said before it was gone.
+func (t *Tracker) isOld(r Runner) bool {
+	d, ok := t.departed[r.ID]
+	return ok && t.upstreams[r.ID] == nil && d.Start == r.Start && r.Sequence <= d.Sequence
+}
+
+// lose handles an entry that is no longer in the store.
+func (t *Tracker) lose(now time.Time, u *upstream) {
+	if !u.missingUntil.IsZero() {
+		return
+	}
+	if now.Before(t.graceUntil) && !u.Leaving {
+		u.missingUntil = t.graceUntil
+		t.out = append(t.out, Missing{u.Runner, t.graceUntil})
+		return
+	}
+	t.drop(u)
+	t.out = append(t.out, Gone{u.Runner})
+}
+
+func (t *Tracker) expire(now time.Time) {
+	for _, u := range t.ordered() {
+		if !u.missingUntil.IsZero() && !now.Before(u.missingUntil) {
+			t.drop(u)
+			t.out = append(t.out, Gone{u.Runner})
+		}
+	}
+}
+
+func (t *Tracker) drop(u *upstream) {
+	delete(t.upstreams, u.ID)
+	t.index(u.Pool)
+	if len(t.departed) >= MaxDeparted {
+		clear(t.departed)
+	}
+	t.departed[u.ID] = u.Runner
+}
+
+func (t *Tracker) index(pool identifier.Pool) {
+	var all []*upstream
+	for _, u := range t.upstreams {
+		if u.Pool == pool {
+			all = append(all, u)
+		}
+	}
+	slices.SortFunc(all, func(a, b *upstream) int { return compareIDs(a.ID, b.ID) })
+	t.pools[pool] = all
+}
+
+func (t *Tracker) ordered() []*upstream {
+	all := make([]*upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b *upstream) int { return compareIDs(a.ID, b.ID) })
+	return all
+}
+
+func compareIDs(a, b identifier.Upstream) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Knows says that the entry of a runner's present start stands.
+func (t *Tracker) Knows(r Runner) bool {
+	u := t.upstreams[r.ID]
+	return u != nil && u.Start == r.Start && !u.Leaving
+}
+
+// Len returns the number of known upstreams.
+func (t *Tracker) Len() int { return len(t.upstreams) }
+
+// Runners returns all known upstreams, ordered by id.
+func (t *Tracker) Runners() []Runner {
+	var all []Runner
+	for _, u := range t.ordered() {
+		all = append(all, u.Runner)
+	}
+	return all
+}
+
+// HasEngines says that a pool has prefill or decode engines.
+func (t *Tracker) HasEngines(pool identifier.Pool) bool {
+	return slices.ContainsFunc(t.pools[pool], func(u *upstream) bool { return u.Role != identifier.RolePlain })
+}
