End an answer that breaks midway as broken

Cause: the request's core counted a delivered answer as ended, so that the break that followed was dropped and the connection closed as if whole. Ruled out: the runner's framing; its connection had failed by keep-alive. A failed answer is now passed on where the retry budget is empty.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -79,6 +79,7 @@
 	phasePrefilling
 	phaseRunning
 	phaseResting
+	phaseDelivering
 	phaseEnded
 )
 
@@ -93,6 +94,8 @@
 	sends int
 	// prefills counts the prefill calls.
 	prefills int
+	// isPaid says that the budget for the next send is spent already.
+	isPaid bool
 	// mayHaveRun says that a run's end is unknown.
 	mayHaveRun bool
 	// to is the runner of the run, or the one that keeps memory for it.
@@ -227,10 +230,11 @@
 }
 
 func (c *Core) run(now time.Time) {
-	if c.sends > 0 && !c.fleet.Spend(now, c.job.Pool) {
+	if c.sends > 0 && !c.isPaid && !c.fleet.Spend(now, c.job.Pool) {
 		c.giveUp(now, ReasonBudget)
 		return
 	}
+	c.isPaid = false
 	c.sends++
 	c.runs++
 	c.phase = phaseRunning
@@ -290,7 +294,7 @@
 func (c *Core) answered(now time.Time, e Answered) {
 	const firstServerError = 500
 	if e.Status < firstServerError || !c.job.Repeatable || !c.canRunAgain(now) {
-		c.phase = phaseEnded
+		c.phase = phaseDelivering
 		c.emit(Deliver{})
 		return
 	}
@@ -299,17 +303,19 @@
 	c.place(now)
 }
 
-// canRunAgain says that another run is allowed, has a runner and time left.
+// canRunAgain says that another run is allowed, has a runner and time left. It
+// spends the budget for it, so that a failure is passed on where it is empty.
 func (c *Core) canRunAgain(now time.Time) bool {
 	if c.runs >= c.job.MaxAttempts || !now.Before(c.job.Deadline) {
 		return false
 	}
 	c.without[c.to.ID] = true
-	if c.job.NeedsEngine {
-		return len(c.fleet.Decode(now, c.job.Pool, c.without)) > 0
+	ok := c.job.NeedsEngine && len(c.fleet.Decode(now, c.job.Pool, c.without)) > 0
+	if !c.job.NeedsEngine {
+		_, ok = c.fleet.Plain(now, c.job.Pool, c.without)
 	}
-	_, ok := c.fleet.Plain(now, c.job.Pool, c.without)
-	return ok
+	c.isPaid = ok && c.fleet.Spend(now, c.job.Pool)
+	return c.isPaid
 }
 
 func (c *Core) broken(now time.Time, e Broken) {
@@ -360,7 +366,7 @@
 	switch {
 	case e.Begun:
 		c.end(Break{ReasonTimeout})
-	case c.mayHaveRun || c.phase == phaseRunning:
+	case c.mayHaveRun || c.phase == phaseRunning || c.phase == phaseDelivering:
 		c.end(Fail{Reason: ReasonTimeout, Late: true})
 	default:
 		c.end(Refuse{Reason: ReasonTimeout})
--- /dev/null
+++ b/attempter/attempter_test.go
@@ -0,0 +1,182 @@
+package attempter_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/attempter"
+	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/tracker"
+)
+
+// start is the time at which each script's request arrives.
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// fleet is a fleet of two prefill engines, three decode engines and three
+// plain services, without any load.
+type fleet struct {
+	// empty says that no runner is usable, spent that the budget is.
+	empty, spent bool
+}
+
+func runner(id string, role identifier.Role) tracker.Runner {
+	return tracker.Runner{ID: identifier.Upstream(id), Role: role, DataCentre: "east"}
+}
+
+func (f *fleet) first(role identifier.Role, without tracker.Without, ids ...string) []tracker.Runner {
+	var all []tracker.Runner
+	for _, id := range ids {
+		if !f.empty && !without[identifier.Upstream(id)] {
+			all = append(all, runner(id, role))
+		}
+	}
+	return all
+}
+
+func one(all []tracker.Runner) (tracker.Runner, bool) {
+	if len(all) == 0 {
+		return tracker.Runner{}, false
+	}
+	return all[0], true
+}
+
+func (f *fleet) Plain(_ time.Time, _ identifier.Pool, without tracker.Without) (tracker.Runner, bool) {
+	return one(f.first(identifier.RolePlain, without, "s1", "s2", "s3"))
+}
+
+func (f *fleet) Prefill(_ time.Time, _ identifier.Pool, _ identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
+	return one(f.first(identifier.RolePrefill, without, "p1", "p2"))
+}
+
+func (f *fleet) Decode(_ time.Time, _ identifier.Pool, without tracker.Without) []tracker.Runner {
+	return f.first(identifier.RoleDecode, without, "d1", "d2", "d3")
+}
+
+func (f *fleet) Spend(time.Time, identifier.Pool) bool { return !f.spent }
+
+func (f *fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return 300 * time.Millisecond }
+
+// step is an event at a time after the start.
+type step struct {
+	at time.Duration
+	e  attempter.Event
+}
+
+type script struct {
+	name  string
+	job   attempter.Job
+	fleet fleet
+	steps []step
+}
+
+func stream(repeatable bool) attempter.Job {
+	return attempter.Job{
+		IsStream: true, NeedsEngine: true, Repeatable: repeatable, Input: 3000, Output: 900,
+		MaxAttempts: 2, Target: time.Second, Arrived: start, Deadline: start.Add(14 * time.Second),
+	}
+}
+
+func plain(repeatable bool) attempter.Job {
+	return attempter.Job{
+		Repeatable: repeatable, MaxAttempts: 2, Target: 200 * time.Millisecond,
+		Arrived: start, Deadline: start.Add(1200 * time.Millisecond),
+	}
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+var (
+	full    = attempter.Failed{Kind: driver.KindFull}
+	notRun  = attempter.Failed{Kind: driver.KindNotRun}
+	leaving = attempter.Failed{Kind: driver.KindLeaving}
+	lost    = attempter.Failed{Kind: driver.KindUnknown}
+	ok      = attempter.Answered{Status: 200}
+	failing = attempter.Answered{Status: 500}
+)
+
+var scripts = []script{
+	{"a stream is reserved, prefilled, run", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), ok},
+	}},
+	{"a stream that breaks midway is ended as broken", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), ok},
+		{ms(2000), attempter.Broken{LastEvent: "7", Begun: true}},
+	}},
+	{"a resumable stream goes on after its last event", stream(true), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), ok},
+		{ms(2000), attempter.Broken{LastEvent: "7", Begun: true}}, {ms(2001), attempter.Reserved{Hold: "i"}},
+		{ms(2100), attempter.Prefilled{Handle: "l"}}, {ms(2110), ok}, {ms(3000), attempter.Broken{LastEvent: "9", Begun: true}},
+	}},
+	{"a stream that breaks before its first event has an unknown outcome", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), ok},
+		{ms(120), attempter.Broken{}},
+	}},
+	{"without memory a stream is refused at once after its wait", stream(false), fleet{empty: true}, []step{
+		{0, attempter.Begin{}}, {ms(25), attempter.Rested{}}, {ms(125), attempter.Rested{}},
+	}},
+	{"a prefill that fails is tried elsewhere, then the decode engine reads", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), lost}, {ms(200), lost}, {ms(400), ok},
+	}},
+	{"a cache that lapsed is read by the decode engine", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), full}, {ms(400), ok},
+	}},
+	{"a caller that leaves gives back what is kept", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Abandoned{}},
+	}},
+	{"a payment whose answer is lost is not sent again", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), lost}}},
+	{"a payment that was refused goes elsewhere", plain(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), notRun}, {ms(2), leaving}, {ms(3), full},
+	}},
+	{"a refused payment is not sent again without a budget", plain(false), fleet{spent: true}, []step{{0, attempter.Begin{}}, {ms(1), full}}},
+	{"a failed payment is passed on", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), failing}}},
+	{"a payment in flight at its timeout has an unknown outcome", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(1200), attempter.Expired{}}}},
+	{"a lookup that failed is run again, once", plain(true), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(30), failing}, {ms(60), failing},
+	}},
+	{"a lookup whose answer is lost is run again", plain(true), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(30), lost}, {ms(60), ok}, {ms(61), attempter.Broken{}},
+	}},
+}
+
+func TestScripts(t *testing.T) {
+	var w strings.Builder
+	for _, s := range scripts {
+		fmt.Fprintf(&w, "%s\n", s.name)
+		core := attempter.New(s.job, &s.fleet)
+		for _, step := range s.steps {
+			fmt.Fprintf(&w, "  %6s %s\n", step.at, describe(step.e))
+			for _, o := range core.Step(start.Add(step.at), step.e) {
+				fmt.Fprintf(&w, "         -> %s\n", describe(o))
+			}
+		}
+		fmt.Fprintln(&w)
+	}
+	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
+}
+
+// describe writes an event or outcome in Pascal case, runners by their id.
+func describe(v any) string {
+	switch v := v.(type) {
+	case attempter.Reserve:
+		return fmt.Sprintf("Reserve %s %d for %s", v.To.ID, v.Tokens, v.For)
+	case attempter.Prefill:
+		return fmt.Sprintf("Prefill %s", v.To.ID)
+	case attempter.Run:
+		from := "its own prefill"
+		if v.Source != nil {
+			from = fmt.Sprintf("%s/%s", v.Source.Runner.ID, v.Source.Handle)
+		}
+		return fmt.Sprintf("Run %s from %s hold %q after %q", v.To.ID, from, v.Hold, v.After)
+	case attempter.Release:
+		return fmt.Sprintf("Release %s %s", v.To.ID, v.Hold)
+	case attempter.Discard:
+		return fmt.Sprintf("Discard %s %s", v.Source.Runner.ID, v.Source.Handle)
+	default:
+		return strings.TrimPrefix(fmt.Sprintf("%T%+v", v, v), "attempter.")
+	}
+}
