Count refused prefills against the retry budget

Cause: only an accepted first prefill is free of the budget; refused ones were not counted. Engines that refused a moment ago are now chosen last, and a decode engine reads the prompt where all prefill engines cost more than 1.5 s.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -67,6 +67,8 @@
 	Decode(now time.Time, pool identifier.Pool, without tracker.Without) []tracker.Runner
 	// Spend takes one extra send from the retry budget, if it allows one.
 	Spend(now time.Time, pool identifier.Pool) bool
+	// Count takes an extra send that could not be foreseen.
+	Count(now time.Time, pool identifier.Pool)
 	// RetryAfter estimates when a pool has room again.
 	RetryAfter(now time.Time, pool identifier.Pool) time.Duration
 }
@@ -221,6 +223,7 @@
 func (c *Core) read(now time.Time) {
 	r, ok := c.fleet.Prefill(now, c.job.Pool, c.to.DataCentre, c.unread)
 	if !ok || c.prefills >= MaxPrefills || c.prefills > 0 && !c.fleet.Spend(now, c.job.Pool) {
+		// The decode engine reads the prompt itself, at half the speed.
 		c.run(now)
 		return
 	}
@@ -258,6 +261,10 @@
 		}
 		c.reserve(now)
 	case phasePrefilling:
+		if e.Kind != driver.KindNotRun && e.Kind != driver.KindUnknown {
+			// Only a call that is accepted is free of the budget.
+			c.fleet.Count(now, c.job.Pool)
+		}
 		c.unread[c.reading.ID] = true
 		c.read(now)
 	case phaseRunning:
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -59,6 +59,8 @@
 
 func (f *fleet) Spend(time.Time, identifier.Pool) bool { return !f.spent }
 
+func (f *fleet) Count(time.Time, identifier.Pool) {}
+
 func (f *fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return 300 * time.Millisecond }
 
 // step is an event at a time after the start.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -200,6 +200,14 @@
 	return allowed
 }
 
+// Count implements attempter.Fleet.
+func (f *Fleet) Count(now time.Time, pool identifier.Pool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Spend(now, pool)
+	f.metrics.retries.WithLabelValues("Counted").Inc()
+}
+
 // RetryAfter implements attempter.Fleet.
 func (f *Fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return comeBackAfter }
 
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -16,12 +16,19 @@
 	failing = time.Second
 	// suspecting is the cost of a runner that gave no answer lately.
 	suspecting = 10 * time.Second
+	// refusing is the cost of a prefill engine whose queue was full a moment
+	// ago: the call would be refused and count against the retry budget.
+	refusing = 500 * time.Millisecond
 	// lapsing is the cost of a prefill engine whose handles lapse.
 	lapsing = 2 * time.Second
 	// readTime is a prefill engine's time for one prompt token.
 	readTime = 30 * time.Microsecond
 	// plainTime is a plain call's time where none was measured yet.
 	plainTime = 30 * time.Millisecond
+	// SelfRead is the wait for a prefill engine beyond which the decode engine
+	// reads the prompt: it takes twice the time of a prefill, and slows down
+	// what it decodes meanwhile.
+	SelfRead = 1500 * time.Millisecond
 	// tieWithin is the difference of two costs that counts as none.
 	tieWithin = time.Millisecond
 )
@@ -49,20 +56,24 @@
 }
 
 // Prefill chooses a prefill engine for a prompt that is to be decoded in a
-// data centre.
+// data centre. It finds none where each would cost more than SelfRead, the
+// decode engine's own reading.
 func (t *Tracker) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without Without) (Runner, bool) {
 	return t.best(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RolePrefill {
 			return 0, false
 		}
 		cost := time.Duration(u.reading)*readTime + t.base(now, u)
+		if now.Before(u.fullUntil) {
+			cost += refusing
+		}
 		if u.DataCentre != near {
 			cost += crossing
 		}
 		if now.Before(u.lapseUntil) {
 			cost += lapsing
 		}
-		return cost, true
+		return cost, cost < SelfRead
 	})
 }
 
