Keep a roster of VMs in the store and share the retry budget by it

Cause: the fleet's fixed allowance was split by an assumed 400 VMs, so that a VM with few requests could send nothing twice. Ruled out: gossip, which needs keys and a listener.

--- /dev/null
+++ b/enroller/shell.go
@@ -0,0 +1,82 @@
+package enroller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/looper"
+)
+
+// Leaser is the part of a store that the shell uses.
+type Leaser interface {
+	Grant(ctx context.Context, purpose keeper.Purpose, ttl time.Duration) (keeper.Lease, error)
+	KeepAlive(ctx context.Context, purpose keeper.Purpose, lease keeper.Lease) error
+	SwapLeased(ctx context.Context, purpose keeper.Purpose, key string, expected keeper.Version, value []byte, lease keeper.Lease) (keeper.Entry, bool, error)
+}
+
+// Shell makes the calls of one core.
+type Shell struct {
+	core  *Core
+	store Leaser
+	key   string
+	value []byte
+	log   zerolog.Logger
+}
+
+// NewShell returns a shell that keeps value under key.
+func NewShell(store Leaser, key string, value []byte, log zerolog.Logger) *Shell {
+	return &Shell{core: New(), store: store, key: key, value: value, log: log}
+}
+
+// Run keeps the entry until ctx ends.
+func (s *Shell) Run(ctx context.Context) {
+	var e Event = Wake{}
+	for ctx.Err() == nil {
+		e = s.perform(ctx, s.core.Step(e))
+	}
+}
+
+func (s *Shell) perform(ctx context.Context, o Outcome) Event {
+	switch o := o.(type) {
+	case Grant:
+		lease, err := s.store.Grant(ctx, keeper.PurposeMembership, o.TTL)
+		if err != nil {
+			return s.failed("Grant", err)
+		}
+		s.log.Info().Int64("Lease", int64(lease)).Msg("LeaseHad")
+		return Granted{lease}
+	case Write:
+		entry, done, err := s.store.SwapLeased(ctx, keeper.PurposeMembership, s.key, o.Expected, s.value, o.Lease)
+		switch {
+		case errors.Is(err, keeper.ErrLapsed):
+			return Lapsed{}
+		case err != nil:
+			return s.failed("Write", err)
+		case !done:
+			return Conflicted{entry.Version}
+		}
+		return Written{entry.Version}
+	case Renew:
+		err := s.store.KeepAlive(ctx, keeper.PurposeMembership, o.Lease)
+		if errors.Is(err, keeper.ErrLapsed) {
+			s.log.Warn().Int64("Lease", int64(o.Lease)).Msg("LeaseLost")
+			return Lapsed{}
+		}
+		if err != nil {
+			return s.failed("Renew", err)
+		}
+		return Renewed{}
+	case Rest:
+		looper.Sleep(ctx, o.For)
+	}
+	return Wake{}
+}
+
+func (s *Shell) failed(call string, err error) Event {
+	s.log.Info().Str("Call", call).AnErr("Error", err).Msg("EnrolmentFailed")
+	return Failed{}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,10 @@
 	RetryFirst = 50 * time.Millisecond
 	// RetryMost bounds the pause, so that an outage's end is noticed soon.
 	RetryMost = 400 * time.Millisecond
+	// BatchFor is the pause after a call that brought changes: those that come
+	// close together then take one call. It is a small part of the time within
+	// which a change has to be in force.
+	BatchFor = 150 * time.Millisecond
 	// AwayAfter is how long the store may fail to answer until it counts as
 	// away. A lost connection alone takes less to replace.
 	AwayAfter = time.Second
@@ -119,6 +123,10 @@
 	case Changed:
 		c.answered(now)
 		c.changed(e)
+		if len(e.Entries) > 0 {
+			c.emit(Rest{BatchFor})
+			break
+		}
 		c.call()
 	case Failed:
 		c.failed(now, e)
--- a/keeper/feed.go
+++ b/keeper/feed.go
@@ -10,6 +10,9 @@
 // ErrForgotten says that the service has dropped the history asked for.
 var ErrForgotten = errors.New("the store has dropped the history after this version; list the keys again")
 
+// ErrLapsed says that a lease has ended.
+var ErrLapsed = errors.New("the lease has ended; ask for a new one")
+
 // Snapshot is what stands below a prefix.
 type Snapshot struct {
 	Entries []Entry
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -24,7 +24,9 @@
 
 	"github.com/figtrack/figtrack/budgeter"
 	"github.com/figtrack/figtrack/drainer"
+	"github.com/figtrack/figtrack/enroller"
 	"github.com/figtrack/figtrack/follower"
+	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/platform"
@@ -61,6 +63,7 @@
 	router   *router.Router
 	callers  *http.Server
 	shell    *follower.Shell
+	enrol    *enroller.Shell
 	drain    *drainer.Core
 	// isLeaving makes the readiness check fail.
 	isLeaving atomic.Bool
@@ -68,7 +71,7 @@
 }
 
 // New joins the duties of a VM whose settings were read from path.
-func New(path string, cfg parser.Settings, log zerolog.Logger) *VM {
+func New(path string, cfg parser.Settings, log zerolog.Logger) (*VM, error) {
 	p := cfg.Platform
 	vm := &VM{path: path, cfg: cfg, log: log, registry: prometheus.NewRegistry()}
 	dial := platform.NewDial()
@@ -84,8 +87,13 @@
 	bodies := int64(float64(p.MemoryMB) * bodyShare * megabyte)
 	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout)
 	vm.shell = follower.NewShell(store, keeper.PurposeConfiguration, "", p.Contact-watchMargin, vm.fleet)
+	entry, err := router.RosterValue(cfg.VM, cfg.DataCentre, identifier.Incarnation(time.Now().UnixMilli()))
+	if err != nil {
+		return nil, errors.Wrap(err, "make the roster's entry")
+	}
+	vm.enrol = enroller.NewShell(store, router.RosterKey(cfg.VM), entry, log)
 	vm.drain = drainer.New(drainer.Settings{Notice: cfg.Drain.Notice, Limit: cfg.Drain.Limit - exitMargin})
-	return vm
+	return vm, nil
 }
 
 // assumedVMs is the fleet's size until it is known; the largest stated fleet
@@ -108,6 +116,7 @@
 		return 0, err
 	}
 	vm.goes(func() { vm.shell.Run(ctx) })
+	vm.goes(func() { vm.enrol.Run(ctx) })
 	go vm.callers.Serve(platform.Listener{Listener: callers}) // Ends with the process.
 	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
 	cut = vm.loop(signals)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,16 +37,17 @@
 	// lostSince is when the store was lost in Unix ns; zero while it answers.
 	lostSince atomic.Int64
 
-	mu      sync.Mutex
-	view    *tracker.Tracker
-	budget  *budgeter.Budget
-	listed  bool
-	changed chan struct{}
+	mu     sync.Mutex
+	view   *tracker.Tracker
+	budget *budgeter.Budget
+	roster roster
+	// listed says that the store's entries are known.
+	listed bool
 }
 
 // NewFleet returns a fleet that knows nothing yet.
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, metrics *Metrics, log zerolog.Logger) *Fleet {
-	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, changed: make(chan struct{})}
+	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster()}
 }
 
 // IsReady says that a configuration and the upstreams are known.
@@ -67,7 +69,12 @@
 // TakeAll implements follower.Taker.
 func (f *Fleet) TakeAll(entries []keeper.Entry) {
 	var runners []tracker.Runner
+	vms := map[identifier.VM]bool{}
 	for _, entry := range entries {
+		if f.takeOwn(entry) {
+			vms[identifier.VM(strings.TrimPrefix(entry.Key, rosterPrefix))] = true
+			continue
+		}
 		switch d := f.read(entry).(type) {
 		case Settled:
 			f.settle(d.Configuration)
@@ -77,12 +84,37 @@
 	}
 	f.step(tracker.Listed{Runners: runners})
 	f.mu.Lock()
+	f.roster.keepOnly(time.Now(), vms)
 	f.listed = true
 	f.mu.Unlock()
 }
 
+// takeOwn takes in an entry of figtrack's own.
+func (f *Fleet) takeOwn(entry keeper.Entry) bool {
+	if !strings.HasPrefix(entry.Key, rosterPrefix) {
+		return false
+	}
+	f.mu.Lock()
+	now := time.Now()
+	err := f.roster.take(now, entry)
+	n := f.roster.count(now)
+	f.budget.SetVMs(n)
+	f.mu.Unlock()
+	f.metrics.vms.Set(float64(n))
+	if err != nil {
+		f.metrics.badEntries.Inc()
+		f.log.Warn().Str("Key", entry.Key).AnErr("Error", err).Msg("EntryNotRead")
+		return true
+	}
+	f.log.Info().Str("Key", entry.Key).Bool("Lives", entry.Value != nil).Int64("Version", int64(entry.Version)).Int("VMs", n).Msg("RosterChanged")
+	return true
+}
+
 // Take implements follower.Taker.
 func (f *Fleet) Take(entry keeper.Entry) {
+	if f.takeOwn(entry) {
+		return
+	}
 	switch d := f.read(entry).(type) {
 	case Settled:
 		f.settle(d.Configuration)
@@ -138,7 +170,12 @@
 }
 
 // Wake lets time pass in the view.
-func (f *Fleet) Wake() { f.step(tracker.Wake{}) }
+func (f *Fleet) Wake() {
+	f.step(tracker.Wake{})
+	f.mu.Lock()
+	f.budget.SetVMs(f.roster.count(time.Now()))
+	f.mu.Unlock()
+}
 
 // tell logs changes and drops the connections to runners that are gone.
 func (f *Fleet) tell(changes []tracker.Change) {
@@ -181,6 +218,9 @@
 func (f *Fleet) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.budget.Left(now, pool) < 1 {
+		return tracker.Runner{}, false // A call that is refused would overdraw the budget.
+	}
 	return f.view.Prefill(now, pool, near, without)
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -26,6 +26,7 @@
 	suspicions prometheus.Counter
 	badEntries prometheus.Counter
 	storeUp    prometheus.Gauge
+	vms        prometheus.Gauge
 }
 
 // NewMetrics returns metrics that are in registry.
@@ -44,9 +45,10 @@
 		suspicions: counter("upstream_suspicions_total", "Times that an upstream was passed over because a call got no answer."),
 		badEntries: counter("unreadable_entries_total", "Entries of the store that could not be read."),
 		storeUp:    gauge("store_up", "1 while the store answers this VM, else 0."),
+		vms:        gauge("roster_vms", "VMs that live, or left a moment ago, by the store's word."),
 	}
 	registry.MustRegister(m.requests, m.inFlight, m.firstByte, m.whole, m.calls, m.callTimes, m.retries,
-		m.waits, m.revision, m.upstreams, m.suspicions, m.badEntries, m.storeUp)
+		m.waits, m.revision, m.upstreams, m.suspicions, m.badEntries, m.storeUp, m.vms)
 	return m
 }
 
--- /dev/null
+++ b/router/roster.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// Keys of figtrack's own in the store.
+const (
+	rosterPrefix = "figtrack/vms/"
+	ordersKey    = "figtrack/orders"
+)
+
+// rosterMemory is how long a VM that left the roster still has its share of
+// the retry budget: its last sends count in the present window.
+const rosterMemory = 20 * time.Second
+
+// RosterKey is the key of a VM's own entry.
+func RosterKey(vm identifier.VM) string { return rosterPrefix + string(vm) }
+
+// RosterValue is the value of a VM's own entry.
+func RosterValue(vm identifier.VM, in identifier.DataCentre, start identifier.Incarnation) ([]byte, error) {
+	return proto.Marshal(&wire.RosterEntry{VM: string(vm), DataCentre: string(in), Incarnation: uint64(start)})
+}
+
+// roster holds the VMs that live by the store's word.
+type roster struct {
+	// members holds the incarnation of each VM in the roster.
+	members map[identifier.VM]identifier.Incarnation
+	// departed holds when each VM left that is still counted.
+	departed map[identifier.VM]time.Time
+}
+
+func newRoster() roster {
+	return roster{members: map[identifier.VM]identifier.Incarnation{}, departed: map[identifier.VM]time.Time{}}
+}
+
+// take takes in an entry below rosterPrefix.
+func (r *roster) take(now time.Time, entry keeper.Entry) error {
+	vm := identifier.VM(strings.TrimPrefix(entry.Key, rosterPrefix))
+	if entry.Value == nil {
+		r.remove(now, vm)
+		return nil
+	}
+	var e wire.RosterEntry
+	if err := proto.Unmarshal(entry.Value, &e); err != nil {
+		return err
+	}
+	r.members[vm] = identifier.Incarnation(e.Incarnation)
+	delete(r.departed, vm)
+	return nil
+}
+
+// keepOnly removes the VMs that a list of all entries lacks.
+func (r *roster) keepOnly(now time.Time, listed map[identifier.VM]bool) {
+	for vm := range r.members {
+		if !listed[vm] {
+			r.remove(now, vm)
+		}
+	}
+}
+
+func (r *roster) remove(now time.Time, vm identifier.VM) {
+	if _, ok := r.members[vm]; ok {
+		r.departed[vm] = now
+	}
+	delete(r.members, vm)
+}
+
+// count returns the VMs that live or lived a moment ago; at least 1.
+func (r *roster) count(now time.Time) int {
+	for vm, at := range r.departed {
+		if now.Sub(at) > rosterMemory {
+			delete(r.departed, vm)
+		}
+	}
+	return max(1, len(r.members)+len(r.departed))
+}
--- a/serve_platform.go
+++ b/serve_platform.go
@@ -25,7 +25,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	vm := launcher.New(path, cfg, launcher.NewLog(w, cfg, level))
+	vm, err := launcher.New(path, cfg, launcher.NewLog(w, cfg, level))
+	if err != nil {
+		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
+		return exitFailed
+	}
 	cut, err := vm.Run(signals)
 	if err != nil {
 		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
