Order surplus prefill engines to decode, by one VM with a fence

Cause: prefill engines stand idle (a third to half used in bursts) while the memory of decode engines refuses callers. The first VM of the roster claims a record in the store before each order, whose version is the fencing number; an order is for the share of prefill that declared sizes ask for.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -64,6 +64,7 @@
 	callers  *http.Server
 	shell    *follower.Shell
 	enrol    *enroller.Shell
+	orders   *router.Orders
 	drain    *drainer.Core
 	// isLeaving makes the readiness check fail.
 	isLeaving atomic.Bool
@@ -87,7 +88,9 @@
 	bodies := int64(float64(p.MemoryMB) * bodyShare * megabyte)
 	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout)
 	vm.shell = follower.NewShell(store, keeper.PurposeConfiguration, "", p.Contact-watchMargin, vm.fleet)
-	entry, err := router.RosterValue(cfg.VM, cfg.DataCentre, identifier.Incarnation(time.Now().UnixMilli()))
+	start := identifier.Incarnation(time.Now().UnixMilli())
+	vm.orders = router.NewOrders(vm.fleet, runners, store, cfg.VM, start, log)
+	entry, err := router.RosterValue(cfg.VM, cfg.DataCentre, start)
 	if err != nil {
 		return nil, errors.Wrap(err, "make the roster's entry")
 	}
@@ -117,6 +120,7 @@
 	}
 	vm.goes(func() { vm.shell.Run(ctx) })
 	vm.goes(func() { vm.enrol.Run(ctx) })
+	vm.goes(func() { vm.orders.Run(ctx) })
 	go vm.callers.Serve(platform.Listener{Listener: callers}) // Ends with the process.
 	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
 	cut = vm.loop(signals)
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -23,6 +23,12 @@
 type Pool struct {
 	// HasEngines says that its runners read prompts and decode.
 	HasEngines bool
+	// Memory is the tokens that one of its engines holds, Slots the requests
+	// that run at once on it. Both are zero without engines.
+	Memory identifier.Tokens
+	Slots  int
+	// Switch is how long an engine is away when its role changes.
+	Switch time.Duration
 	// MaxConns is the most connections to one runner from the whole fleet.
 	MaxConns int
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -8,10 +8,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/budgeter"
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/stager"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -41,13 +43,17 @@
 	view   *tracker.Tracker
 	budget *budgeter.Budget
 	roster roster
+	// holder is the VM that gave the last order.
+	holder stager.Holder
+	// sizes holds the mean tokens of requests by pool.
+	sizes map[identifier.Pool]*sizes
 	// listed says that the store's entries are known.
 	listed bool
 }
 
 // NewFleet returns a fleet that knows nothing yet.
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, metrics *Metrics, log zerolog.Logger) *Fleet {
-	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster()}
+	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster(), sizes: map[identifier.Pool]*sizes{}}
 }
 
 // IsReady says that a configuration and the upstreams are known.
@@ -91,6 +97,10 @@
 
 // takeOwn takes in an entry of figtrack's own.
 func (f *Fleet) takeOwn(entry keeper.Entry) bool {
+	if entry.Key == ordersKey {
+		f.takeOrder(entry)
+		return true
+	}
 	if !strings.HasPrefix(entry.Key, rosterPrefix) {
 		return false
 	}
@@ -251,10 +261,13 @@
 // RetryAfter implements attempter.Fleet.
 func (f *Fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return comeBackAfter }
 
-func (f *Fleet) arrived(now time.Time, pool identifier.Pool) {
+func (f *Fleet) arrived(now time.Time, job attempter.Job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget.Arrived(now, pool)
+	f.budget.Arrived(now, job.Pool)
+	if job.NeedsEngine {
+		f.sizesOf(job.Pool).add(job.Input, job.Output)
+	}
 }
 
 // with runs a function on the view and logs what it changed.
--- a/router/request.go
+++ b/router/request.go
@@ -125,6 +125,8 @@
 	Discard(ctx context.Context, source attempter.Source) error
 	// Run sends a request. The answer may be a failure of the runner's own.
 	Run(ctx context.Context, r *Request, options RunOptions) (*Answer, error)
+	// Order changes the role of an engine.
+	Order(ctx context.Context, to tracker.Runner, role identifier.Role, holder identifier.VM, fence identifier.Fence) error
 	// Forget closes the idle connections to a runner.
 	Forget(r tracker.Runner)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -84,7 +84,7 @@
 		Int("Expected", int(q.Prompt.Expected)).
 		Dur("Left", job.Deadline.Sub(q.Arrived)).
 		Msg("Arrived")
-	r.fleet.arrived(q.Arrived, job.Pool)
+	r.fleet.arrived(q.Arrived, job)
 	newPassage(r, q, caller, route, job).serve(ctx)
 }
 
--- /dev/null
+++ b/stager/stager_test.go
@@ -0,0 +1,99 @@
+package stager_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/stager"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// pool returns a pool of prefill and decode engines of the stated sizes.
+func pool(prefill, decode int) stager.Pool {
+	p := stager.Pool{ID: "spec-desk", Memory: 42786, Slots: 64, Input: 3000, Output: 900}
+	for i := range prefill + decode {
+		role := identifier.RolePrefill
+		if i >= prefill {
+			role = identifier.RoleDecode
+		}
+		p.Engines = append(p.Engines, stager.Engine{ID: identifier.Upstream(fmt.Sprintf("e%d", i)), Role: role, DataCentre: "east"})
+	}
+	return p
+}
+
+func view(pools ...stager.Pool) stager.View {
+	return stager.View{Self: "vm-1", Start: 7, Members: []identifier.VM{"vm-2", "vm-1"}, IsFresh: true, Pools: pools}
+}
+
+func TestPrefillsFollowTheSizesOfRequests(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(stager.Prefills(9, pool(4, 5))).To(Equal(3))
+	long := pool(4, 5)
+	long.Input, long.Output = 12000, 200
+	g.Expect(stager.Prefills(9, long)).To(BeNumerically(">", 5))
+	g.Expect(stager.Prefills(3, pool(1, 2))).To(BeZero())
+}
+
+type step struct {
+	at time.Duration
+	e  stager.Event
+}
+
+func TestScripts(t *testing.T) {
+	const tick = 250 * time.Millisecond
+	surplus := stager.Looked{View: view(pool(4, 5))}
+	other := view(pool(4, 5))
+	other.Holder = stager.Holder{VM: "vm-9", Version: 40}
+	second := view(pool(4, 5))
+	second.Members = []identifier.VM{"vm-0", "vm-1"}
+	stale := view(pool(4, 5))
+	stale.IsFresh = false
+	away := stager.Looked{View: view(pool(3, 3))}
+	scripts := []struct {
+		name  string
+		steps []step
+	}{
+		{"a surplus that lasts is ordered away, once", []step{
+			{0, surplus}, {tick, surplus}, {6 * tick, surplus}, {6*tick + 1, stager.Claimed{Version: 12}}, {7 * tick, surplus},
+			{7*tick + 1, stager.Ordered{}}, {8 * tick, surplus}, {20 * tick, surplus},
+		}},
+		{"another holder's record is taken over first, its orders are waited out", []step{
+			{0, stager.Looked{View: other}}, {6 * tick, stager.Looked{View: other}}, {6*tick + 1, stager.Claimed{Version: 41}},
+			{8 * tick, surplus}, {20 * tick, surplus}, {23 * tick, surplus},
+		}},
+		{"only the first VM of the roster orders", []step{{0, stager.Looked{View: second}}, {9 * tick, stager.Looked{View: second}}}},
+		{"an old view orders nothing", []step{{0, surplus}, {2 * tick, stager.Looked{View: stale}}, {6 * tick, surplus}}},
+		{"a claim that fails is tried again", []step{{0, surplus}, {6 * tick, surplus}, {6*tick + 1, stager.Failed{}}, {8 * tick, surplus}}},
+		{"later a need has to last longer", []step{{40 * tick, surplus}, {50 * tick, surplus}, {60 * tick, surplus}}},
+		{"engines that are away change no proportion", []step{{0, stager.Looked{View: view(pool(3, 6))}}, {tick, away}, {60 * tick, away}}},
+	}
+	var w strings.Builder
+	for _, s := range scripts {
+		fmt.Fprintf(&w, "%s\n", s.name)
+		core := stager.New(start)
+		for _, step := range s.steps {
+			o := core.Step(start.Add(step.at), step.e)
+			fmt.Fprintf(&w, "  %7s %-8s %s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "stager."), describe(o))
+		}
+		fmt.Fprintln(&w)
+	}
+	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
+}
+
+func describe(o stager.Outcome) string {
+	switch o := o.(type) {
+	case stager.Claim:
+		return fmt.Sprintf("-> Claim over %d for %q %s", o.Expected, o.Engine.ID, o.Role)
+	case stager.Order:
+		return fmt.Sprintf("-> Order %s %s fence %d", o.Engine.ID, o.Role, o.Fence)
+	default:
+		return ""
+	}
+}
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -60,7 +60,7 @@
 // decode engine's own reading.
 func (t *Tracker) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without Without) (Runner, bool) {
 	return t.best(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
-		if u.Role != identifier.RolePrefill {
+		if u.Role != identifier.RolePrefill || now.Before(u.awayUntil) {
 			return 0, false
 		}
 		cost := time.Duration(u.reading)*readTime + t.base(now, u)
@@ -87,7 +87,7 @@
 	var all []choice
 	t.turns++
 	for i, u := range t.pools[pool] {
-		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] || now.Before(u.fullUntil) {
+		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] || now.Before(u.fullUntil) || now.Before(u.awayUntil) {
 			continue
 		}
 		cost := time.Duration(u.holding)*decodeWeight + t.base(now, u)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -31,17 +31,25 @@
 	Version int64
 }
 
+// RoleOrdered says that an engine was ordered to change its role and is away
+// until Until.
+type RoleOrdered struct {
+	ID    identifier.Upstream
+	Until time.Time
+}
+
 // StoreBack says that the store answers again after an outage.
 type StoreBack struct{}
 
 // Wake lets time pass.
 type Wake struct{}
 
-func (Listed) event()    {}
-func (Told) event()      {}
-func (Removed) event()   {}
-func (StoreBack) event() {}
-func (Wake) event()      {}
+func (Listed) event()      {}
+func (Told) event()        {}
+func (Removed) event()     {}
+func (RoleOrdered) event() {}
+func (StoreBack) event()   {}
+func (Wake) event()        {}
 
 // Tracker is the view of one VM. It is not safe for several goroutines.
 type Tracker struct {
@@ -65,6 +73,8 @@
 type upstream struct {
 	Runner
 	ledger
+	// awayUntil is when an engine is back that changes its role.
+	awayUntil time.Time
 	// missingUntil is zero while the runner's entry stands.
 	missingUntil time.Time
 }
@@ -95,6 +105,10 @@
 		}
 	case StoreBack:
 		t.graceUntil = now.Add(MissingGrace)
+	case RoleOrdered:
+		if u := t.upstreams[e.ID]; u != nil {
+			u.awayUntil = e.Until
+		}
 	case Wake:
 	default:
 		panic(fmt.Sprintf("tracker: event %T", e))
@@ -220,25 +234,32 @@
 	}
 }
 
-// Knows says that the entry of a runner's present start stands.
-func (t *Tracker) Knows(r Runner) bool {
-	u := t.upstreams[r.ID]
-	return u != nil && u.Start == r.Start && !u.Leaving
+// Runner returns a start of a runner that takes work.
+func (t *Tracker) Runner(id identifier.Upstream, start identifier.Incarnation) (Runner, bool) {
+	u := t.upstreams[id]
+	if u == nil || u.Start != start || u.Leaving {
+		return Runner{}, false
+	}
+	return u.Runner, true
 }
 
-// Len returns the number of known upstreams.
-func (t *Tracker) Len() int { return len(t.upstreams) }
+// PoolOf returns the pool of a runner.
+func (t *Tracker) PoolOf(id identifier.Upstream) (identifier.Pool, bool) {
+	u := t.upstreams[id]
+	if u == nil {
+		return "", false
+	}
+	return u.Runner.Pool, true
+}
 
-// Runners returns all known upstreams, ordered by id.
-func (t *Tracker) Runners() []Runner {
-	var all []Runner
-	for _, u := range t.ordered() {
+// Pool returns the runners of a pool, ordered by id.
+func (t *Tracker) Pool(pool identifier.Pool) []Runner {
+	all := make([]Runner, 0, len(t.pools[pool]))
+	for _, u := range t.pools[pool] {
 		all = append(all, u.Runner)
 	}
 	return all
 }
 
-// HasEngines says that a pool has prefill or decode engines.
-func (t *Tracker) HasEngines(pool identifier.Pool) bool {
-	return slices.ContainsFunc(t.pools[pool], func(u *upstream) bool { return u.Role != identifier.RolePlain })
-}
+// Len returns the number of known upstreams.
+func (t *Tracker) Len() int { return len(t.upstreams) }
