--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -193,7 +193,7 @@
 		c.reserve(now)
 		return
 	}
-	r, ok := c.fleet.Plain(now, c.job.Pool, c.without)
+	r, ok := c.plain(now)
 	if !ok {
 		c.giveUp(now, ReasonNoRunner)
 		return
@@ -202,6 +202,16 @@
 	c.run(now)
 }
 
+// plain chooses the runner of a plain call. One that failed is tried again
+// where there is no other.
+func (c *Core) plain(now time.Time) (tracker.Runner, bool) {
+	r, ok := c.fleet.Plain(now, c.job.Pool, c.without)
+	if !ok && c.sends < MaxSends {
+		return c.fleet.Plain(now, c.job.Pool, nil)
+	}
+	return r, ok
+}
+
 // reserve asks the next decode engine that may have room.
 func (c *Core) reserve(now time.Time) {
 	candidates := c.fleet.Decode(now, c.job.Pool, c.without)
@@ -319,7 +329,7 @@
 	c.without[c.to.ID] = true
 	ok := c.job.NeedsEngine && len(c.fleet.Decode(now, c.job.Pool, c.without)) > 0
 	if !c.job.NeedsEngine {
-		_, ok = c.fleet.Plain(now, c.job.Pool, c.without)
+		_, ok = c.plain(now)
 	}
 	c.isPaid = ok && c.fleet.Spend(now, c.job.Pool)
 	return c.isPaid
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -22,6 +22,8 @@
 type fleet struct {
 	// empty says that no runner is usable, spent that the budget is.
 	empty, spent bool
+	// lone says that there is one plain service.
+	lone bool
 }
 
 func runner(id string, role identifier.Role) tracker.Runner {
@@ -46,6 +48,9 @@
 }
 
 func (f *fleet) Plain(_ time.Time, _ identifier.Pool, without tracker.Without) (tracker.Runner, bool) {
+	if f.lone {
+		return one(f.first(identifier.RolePlain, without, "s1"))
+	}
 	return one(f.first(identifier.RolePlain, without, "s1", "s2", "s3"))
 }
 
@@ -140,6 +145,9 @@
 	{"a lookup that failed is run again, once", plain(true), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(30), failing}, {ms(60), failing},
 	}},
+	{"a lookup that failed at the only runner is run there again", plain(true), fleet{lone: true}, []step{
+		{0, attempter.Begin{}}, {ms(30), failing}, {ms(60), ok},
+	}},
 	{"a lookup whose answer is lost is run again", plain(true), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(30), lost}, {ms(60), ok}, {ms(61), attempter.Broken{}},
 	}},
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -211,6 +211,7 @@
 			vm.log.Info().Int("InFlight", vm.router.InFlight()).Msg("RefusingNew")
 		case drainer.CutStreams:
 			vm.log.Warn().Int("Count", o.Count).Msg("StreamsCut")
+			return drainer.Exit{Cut: o.Count}, true // The platform kills the process soon after.
 		case drainer.Exit:
 			return o, true
 		}
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -35,6 +35,9 @@
 		Str("Upstream", string(p.run.To.ID)).
 		Int("Status", a.Status).
 		Str("LastEvent", p.events.last).
+		Int("Runs", p.core.Runs()).
+		Dur("First", p.first).
+		Dur("LongestGap", p.gap).
 		Dur("Took", took)
 	if errors.Is(err, errCallerGone) {
 		line.AnErr("Error", err).Msg("Abandoned")
@@ -59,7 +62,8 @@
 		return nil
 	}
 	p.begun = true
-	p.metrics.firstByte.WithLabelValues(string(p.route.Kind)).Observe(time.Since(p.q.Arrived).Seconds())
+	p.first = time.Since(p.q.Arrived)
+	p.metrics.firstByte.WithLabelValues(string(p.route.Kind)).Observe(p.first.Seconds())
 	return gone(p.caller.Begin(a.Status, a.Header, a.Length))
 }
 
@@ -114,6 +118,15 @@
 	return nil
 }
 
+// noteGap measures the pauses between the parts of a stream.
+func (p *passage) noteGap() {
+	now := time.Now()
+	if !p.last.IsZero() {
+		p.gap = max(p.gap, now.Sub(p.last))
+	}
+	p.last = now
+}
+
 // relayBytes reads the rest of an answer and passes on what cut returns of it.
 func (p *passage) relayBytes(a *Answer, cut func([]byte) []byte) error {
 	buffer := make([]byte, readSize)
@@ -123,6 +136,7 @@
 			if err := p.beginAnswer(a); err != nil {
 				return err
 			}
+			p.noteGap()
 			if err := p.write(part); err != nil {
 				return err
 			}
--- a/router/passage.go
+++ b/router/passage.go
@@ -43,6 +43,10 @@
 	// begun says that the caller has the head of an answer.
 	begun  bool
 	events splitter
+	// first is the time from the arrival to the first byte of an answer, gap
+	// the longest pause between two reads after it, last the latest read.
+	first, gap time.Duration
+	last       time.Time
 }
 
 func newPassage(r *Router, q *Request, caller Caller, route matcher.Route, job attempter.Job) *passage {
@@ -269,7 +273,7 @@
 	case driver.KindLeaving:
 		return view.Misdirected(to)
 	default:
-		return view.Silent(now, to, err.Error())
+		return view.Silent(now, to, driver.KindOf(err) != driver.KindNotRun, err.Error())
 	}
 }
 
--- a/tracker/ledger.go
+++ b/tracker/ledger.go
@@ -85,23 +85,28 @@
 		}
 		u.latency += time.Duration(latencyWeight * float64(took-u.latency))
 	}
-	was := u.silences
+	wasSuspect := !u.suspectUntil.IsZero()
 	u.silences, u.suspectUntil = 0, time.Time{}
-	if was == 0 {
+	if !wasSuspect {
 		return nil
 	}
 	return []Change{Trusted{u.Runner}}
 }
 
-// Silent says that a call got no answer or could not be sent.
-func (t *Tracker) Silent(now time.Time, r Runner, reason string) []Change {
+// Silent says that a call got no answer, or could not even be sent. The first
+// call without an answer may have been a long one; the second in a row, or
+// one that could not be sent, makes the runner suspect.
+func (t *Tracker) Silent(now time.Time, r Runner, wasSent bool, reason string) []Change {
 	u := t.same(r)
 	if u == nil {
 		return nil
 	}
 	u.fail(true)
-	pass := min(SuspectFirst<<min(u.silences, 8), SuspectMost)
 	u.silences++
+	if wasSent && u.silences < 2 {
+		return nil
+	}
+	pass := min(SuspectFirst<<min(u.silences-1, 8), SuspectMost)
 	u.suspectUntil = now.Add(pass)
 	return []Change{Suspected{u.Runner, u.suspectUntil, reason}}
 }
