Break ties evenly, batch changes longer, keep a margin on the retry budget

Changes now wait 400 ms for others, a full runner is not tried twice, 0.85 of the budget is spent. Ruled out: refused reservations, which cost nothing.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -98,6 +98,8 @@
 	prefills int
 	// isPaid says that the budget for the next send is spent already.
 	isPaid bool
+	// hasFailed says that a runner's answer was a failure.
+	hasFailed bool
 	// mayHaveRun says that a run's end is unknown.
 	mayHaveRun bool
 	// to is the runner of the run, or the one that keeps memory for it.
@@ -206,7 +208,7 @@
 // where there is no other.
 func (c *Core) plain(now time.Time) (tracker.Runner, bool) {
 	r, ok := c.fleet.Plain(now, c.job.Pool, c.without)
-	if !ok && c.sends < MaxSends {
+	if !ok && c.hasFailed && c.sends < MaxSends {
 		return c.fleet.Plain(now, c.job.Pool, nil)
 	}
 	return r, ok
@@ -326,6 +328,7 @@
 	if c.runs >= c.job.MaxAttempts || !now.Before(c.job.Deadline) {
 		return false
 	}
+	c.hasFailed = true
 	c.without[c.to.ID] = true
 	ok := c.job.NeedsEngine && len(c.fleet.Decode(now, c.job.Pool, c.without)) > 0
 	if !c.job.NeedsEngine {
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -14,6 +14,10 @@
 // buckets is the number of parts of a window, which bounds its rounding error.
 const buckets = 20
 
+// spendShare is the part of the limits that is spent. The rest covers sends
+// that can't be foreseen and VMs that start with an empty count.
+const spendShare = 0.85
+
 // Settings are the limits of the whole fleet.
 type Settings struct {
 	// Ratio is the extra sends allowed for each request.
@@ -81,7 +85,7 @@
 		requests += w.requests[i]
 		extra += w.extra[i]
 	}
-	return b.cfg.Ratio*requests + b.cfg.Allowance/float64(b.vms) - extra
+	return spendShare*(b.cfg.Ratio*requests+b.cfg.Allowance/float64(b.vms)) - extra
 }
 
 func (b *Budget) window(now time.Time, pool identifier.Pool) *window {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -13,9 +13,9 @@
 const (
 	// TTL is how long an entry outlives its VM. Longer than most outages of
 	// the store, so that the others don't forget a VM that lives.
-	TTL = 10 * time.Second
+	TTL = 15 * time.Second
 	// RenewEvery leaves three tries within TTL.
-	RenewEvery = 3 * time.Second
+	RenewEvery = 4 * time.Second
 	// RetryEvery is the pause after a failed call.
 	RetryEvery = 500 * time.Millisecond
 )
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -22,7 +22,7 @@
 	// BatchFor is the pause after a call that brought changes: those that come
 	// close together then take one call. It is a small part of the time within
 	// which a change has to be in force.
-	BatchFor = 150 * time.Millisecond
+	BatchFor = 400 * time.Millisecond
 	// AwayAfter is how long the store may fail to answer until it counts as
 	// away. A lost connection alone takes less to replace.
 	AwayAfter = time.Second
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -253,16 +253,17 @@
 	if len(free) <= want {
 		return Engine{}, "", false // The orders that are under way suffice.
 	}
-	return mostCommon(free, by[identifier.RolePrefill]), identifier.RoleDecode, true
+	return mostCommon(free), identifier.RoleDecode, true
 }
 
-// mostCommon returns an engine of the data centre that has most of all.
-func mostCommon(free, all []Engine) Engine {
+// mostCommon returns an engine of the data centre that has most of them, so
+// that none is left without.
+func mostCommon(engines []Engine) Engine {
 	count := map[identifier.DataCentre]int{}
-	for _, e := range all {
+	for _, e := range engines {
 		count[e.DataCentre]++
 	}
-	return slices.MaxFunc(free, func(a, b Engine) int { return count[a.DataCentre] - count[b.DataCentre] })
+	return slices.MaxFunc(engines, func(a, b Engine) int { return count[a.DataCentre] - count[b.DataCentre] })
 }
 
 // Prefills returns how many of n engines of a pool are to read prompts; zero
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -29,7 +29,7 @@
 	// reads the prompt: it takes twice the time of a prefill, and slows down
 	// what it decodes meanwhile.
 	SelfRead = 1500 * time.Millisecond
-	// tieWithin is the difference of two costs that counts as none.
+	// tieWithin is the range of the random part of a cost.
 	tieWithin = time.Millisecond
 )
 
@@ -80,19 +80,12 @@
 // Decode returns the decode engines that may have room, the best first.
 // Engines that refused a moment ago are left out.
 func (t *Tracker) Decode(now time.Time, pool identifier.Pool, without Without) []Runner {
-	type choice struct {
-		Runner
-		cost time.Duration
-	}
 	var all []choice
-	t.turns++
-	for i, u := range t.pools[pool] {
+	for _, u := range t.pools[pool] {
 		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] || now.Before(u.fullUntil) || now.Before(u.awayUntil) {
 			continue
 		}
-		cost := time.Duration(u.holding)*decodeWeight + t.base(now, u)
-		cost += time.Duration((uint64(i)+t.turns)%uint64(len(t.pools[pool]))) * time.Microsecond
-		all = append(all, choice{u.Runner, cost})
+		all = append(all, choice{u.Runner, time.Duration(u.holding)*decodeWeight + t.base(now, u) + t.draw()})
 	}
 	slices.SortStableFunc(all, func(a, b choice) int { return int(a.cost - b.cost) })
 	runners := make([]Runner, len(all))
@@ -102,6 +95,18 @@
 	return runners
 }
 
+// choice is a runner with its cost.
+type choice struct {
+	Runner
+	cost time.Duration
+}
+
+// draw returns a small cost that breaks ties evenly. It depends on nothing but
+// the seed and the number of draws.
+func (t *Tracker) draw() time.Duration {
+	return time.Duration(t.source.Int64N(int64(tieWithin)))
+}
+
 // decodeWeight is the cost of one token that this VM holds at a decode engine:
 // another request of the stated size weighs as much as a crossing.
 const decodeWeight = 3 * time.Microsecond
@@ -118,17 +123,16 @@
 	return cost
 }
 
-// best returns the runner with the lowest cost; ties go round.
+// best returns the runner with the lowest cost; ties are broken evenly.
 func (t *Tracker) best(pool []*upstream, without Without, cost func(*upstream) (time.Duration, bool)) (Runner, bool) {
-	t.turns++
 	var found *upstream
 	var lowest time.Duration
-	for i := range pool {
-		u := pool[(uint64(i)+t.turns)%uint64(len(pool))]
+	for _, u := range pool {
 		if u.Leaving || without[u.ID] {
 			continue
 		}
-		if c, ok := cost(u); ok && (found == nil || c+tieWithin < lowest) {
+		c, ok := cost(u)
+		if c += t.draw(); ok && (found == nil || c < lowest) {
 			found, lowest = u, c
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -64,9 +65,9 @@
 	// departed holds the last MaxDeparted runners that are gone, so that a late
 	// write of theirs doesn't bring them back.
 	departed map[identifier.Upstream]Runner
-	// turns counts choices; ties are broken by it.
-	turns uint64
-	out   []Change
+	// source breaks ties.
+	source *rand.Rand
+	out    []Change
 }
 
 // upstream is a runner with what this VM has learned of it.
@@ -79,15 +80,15 @@
 	missingUntil time.Time
 }
 
-// New returns an empty view of a VM in a data centre. The seed sets where ties
-// begin, so that VMs with equal views don't choose alike.
+// New returns an empty view of a VM in a data centre. The seed breaks
+// ties, so that VMs with equal views don't choose alike.
 func New(home identifier.DataCentre, seed uint64) *Tracker {
 	return &Tracker{
 		home:      home,
 		upstreams: map[identifier.Upstream]*upstream{},
 		pools:     map[identifier.Pool][]*upstream{},
 		departed:  map[identifier.Upstream]Runner{},
-		turns:     seed,
+		source:    rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
