--- a/router/deliver.go
+++ b/router/deliver.go
@@ -45,7 +45,7 @@
 	}
 	if err != nil {
 		line.AnErr("Error", err).Msg("AnswerBroken")
-		p.fleet.with(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+		p.fleet.with(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
 			return view.Answered(p.run.To, true, 0)
 		})
 		return attempter.Broken{LastEvent: p.events.last, Begun: p.begun}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -179,6 +179,13 @@
 	f.tell(changes)
 }
 
+// Runner returns what is known of a runner.
+func (f *Fleet) Runner(id identifier.Upstream) (tracker.Runner, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Find(id)
+}
+
 // Wake lets time pass in the view.
 func (f *Fleet) Wake() {
 	f.step(tracker.Wake{})
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -61,12 +61,22 @@
 		steps []step
 	}{
 		{"a surplus that lasts is ordered away, once", []step{
-			{0, surplus}, {tick, surplus}, {6 * tick, surplus}, {6*tick + 1, stager.Claimed{Version: 12}}, {7 * tick, surplus},
-			{7*tick + 1, stager.Ordered{}}, {8 * tick, surplus}, {20 * tick, surplus},
+			{0, surplus},
+			{tick, surplus},
+			{6 * tick, surplus},
+			{6*tick + 1, stager.Claimed{Version: 12}},
+			{7 * tick, surplus},
+			{7*tick + 1, stager.Ordered{}},
+			{8 * tick, surplus},
+			{20 * tick, surplus},
 		}},
 		{"another holder's record is taken over first, its orders are waited out", []step{
-			{0, stager.Looked{View: other}}, {6 * tick, stager.Looked{View: other}}, {6*tick + 1, stager.Claimed{Version: 41}},
-			{8 * tick, surplus}, {20 * tick, surplus}, {23 * tick, surplus},
+			{0, stager.Looked{View: other}},
+			{6 * tick, stager.Looked{View: other}},
+			{6*tick + 1, stager.Claimed{Version: 41}},
+			{8 * tick, surplus},
+			{20 * tick, surplus},
+			{23 * tick, surplus},
 		}},
 		{"only the first VM of the roster orders", []step{{0, stager.Looked{View: second}}, {9 * tick, stager.Looked{View: second}}}},
 		{"an old view orders nothing", []step{{0, surplus}, {2 * tick, stager.Looked{View: stale}}, {6 * tick, surplus}}},
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -244,6 +244,15 @@
 	return u.Runner, true
 }
 
+// Find returns a runner whether it takes work or not.
+func (t *Tracker) Find(id identifier.Upstream) (Runner, bool) {
+	u := t.upstreams[id]
+	if u == nil {
+		return Runner{}, false
+	}
+	return u.Runner, true
+}
+
 // PoolOf returns the pool of a runner.
 func (t *Tracker) PoolOf(id identifier.Upstream) (identifier.Pool, bool) {
 	u := t.upstreams[id]
