--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -57,6 +57,8 @@
 	path string
 	cfg  parser.Settings
 	log  zerolog.Logger
+	// limiter bounds the lines of log.
+	limiter *Limiter
 
 	registry *prometheus.Registry
 	fleet    *router.Fleet
@@ -72,9 +74,9 @@
 }
 
 // New joins the duties of a VM whose settings were read from path.
-func New(path string, cfg parser.Settings, log zerolog.Logger) (*VM, error) {
+func New(path string, cfg parser.Settings, log zerolog.Logger, limiter *Limiter) (*VM, error) {
 	p := cfg.Platform
-	vm := &VM{path: path, cfg: cfg, log: log, registry: prometheus.NewRegistry()}
+	vm := &VM{path: path, cfg: cfg, log: log, limiter: limiter, registry: prometheus.NewRegistry()}
 	dial := platform.NewDial()
 	storeMetrics := keeper.NewMetrics()
 	vm.registry.MustRegister(storeMetrics)
@@ -185,6 +187,7 @@
 			events = append(events, drainer.Signalled{})
 		case <-wake.C:
 			vm.fleet.Wake()
+			vm.limiter.Report(vm.log)
 			if vm.isLeaving.Load() {
 				events = append(events, drainer.WorkChanged{Work: drainer.Work{Streams: vm.router.InFlight()}}, drainer.Wake{})
 			}
@@ -230,6 +233,15 @@
 	if cfg.Log.Level == vm.cfg.Log.Level {
 		return
 	}
-	vm.log.Info().Str("Level", cfg.Log.Level).Msg("SettingsInForce")
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
+	if err != nil {
+		vm.log.Warn().AnErr("Error", err).Msg("SettingsNotRead")
+		return
+	}
+	zerolog.SetGlobalLevel(level)
 	vm.cfg.Log.Level = cfg.Log.Level
+	vm.log.Info().Str("Level", cfg.Log.Level).Msg("SettingsInForce")
 }
+
+// Metrics returns the VM's registry.
+func (vm *VM) Metrics() *prometheus.Registry { return vm.registry }
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,83 @@
+package launcher_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/launcher"
+	"github.com/figtrack/figtrack/parser"
+	"github.com/figtrack/figtrack/recorder"
+)
+
+func settings() parser.Settings {
+	cfg := parser.Default()
+	cfg.VM, cfg.DataCentre = "vm-1", "east"
+	cfg.Store.Endpoints = []string{"http://127.0.0.1:1"}
+	cfg.Platform = &parser.Platform{MemoryMB: 128, Contact: 3 * time.Second, RetryWindow: 10 * time.Second}
+	return cfg
+}
+
+// TestMetricsPageIsFresh compares docs/METRICS-PLATFORM.md with what a VM
+// registers; go test ./launcher -run MetricsPage -update writes it.
+func TestMetricsPageIsFresh(t *testing.T) {
+	g := NewWithT(t)
+	vm, err := launcher.New("", settings(), zerolog.Nop(), launcher.NewLimiter())
+	g.Expect(err).NotTo(HaveOccurred())
+	page := "# Metrics on the users' platform\n\nServed at `/metrics` of `Platform.Metrics`.\n" +
+		"Made from the code by `go test ./launcher -run MetricsPage -update`.\n\n" + recorder.Table(vm.Metrics())
+	goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).Assert(t, "METRICS-PLATFORM", []byte(page))
+}
+
+func TestLogIsBoundedByKindAndSaysWhatItLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var w bytes.Buffer
+		limiter := launcher.NewLimiter()
+		log := launcher.NewLog(&w, settings(), limiter)
+		for range 1000 {
+			log.Info().Msg("Arrived")
+		}
+		log.Info().Msg("StoreLost")
+		g.Expect(bytes.Count(w.Bytes(), []byte("Arrived"))).To(Equal(300))
+		g.Expect(w.String()).To(ContainSubstring("StoreLost"))
+		limiter.Report(log)
+		g.Expect(w.String()).To(ContainSubstring(`"Kind":"Arrived","Lines":700`))
+		time.Sleep(time.Second)
+		log.Info().Msg("Arrived")
+		g.Expect(bytes.Count(w.Bytes(), []byte(`"message":"Arrived"`))).To(Equal(301))
+	})
+}
+
+// standing is a reader of the log that stands still.
+type standing struct{ released chan struct{} }
+
+// Write implements io.Writer.
+func (s standing) Write(p []byte) (int, error) {
+	<-s.released
+	return len(p), nil
+}
+
+var _ io.Writer = standing{}
+
+func TestLogNeverBlocksOnItsReader(t *testing.T) {
+	g := NewWithT(t)
+	out := standing{make(chan struct{})}
+	w, closeLog := launcher.NewWriter(out)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for range 20_000 {
+			w.Write([]byte("line\n"))
+		}
+	}()
+	g.Eventually(written).WithTimeout(10 * time.Second).Should(BeClosed())
+	close(out.released)
+	closeLog()
+}
--- a/launcher/log.go
+++ b/launcher/log.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,15 +26,63 @@
 	return zerolog.MultiLevelWriter(d), func() { d.Close() }
 }
 
+// linesPerSecond bounds the lines of one kind: a VM of the largest stated
+// fleet has about 13 requests a second at the peak, five lines each.
+const linesPerSecond = 300
+
+// Limiter bounds the lines of each kind, which is their message, and counts
+// what it leaves out. It is a hook of the log and safe for several goroutines.
+type Limiter struct {
+	mu sync.Mutex
+	// second is the present second since the start.
+	second int64
+	began  time.Time
+	// written and left count the lines of the present second by kind.
+	written, left map[string]int
+}
+
+// NewLimiter returns a limiter that has left nothing out.
+func NewLimiter() *Limiter {
+	return &Limiter{began: time.Now(), written: map[string]int{}, left: map[string]int{}}
+}
+
+// Run implements zerolog.Hook.
+func (l *Limiter) Run(e *zerolog.Event, _ zerolog.Level, kind string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := int64(time.Since(l.began) / time.Second); now != l.second {
+		l.second = now
+		clear(l.written)
+	}
+	if l.written[kind] >= linesPerSecond {
+		l.left[kind]++
+		e.Discard()
+		return
+	}
+	l.written[kind]++
+}
+
+// Report writes a line for each kind of which lines were left out.
+func (l *Limiter) Report(log zerolog.Logger) {
+	l.mu.Lock()
+	left := maps.Clone(l.left)
+	clear(l.left)
+	l.mu.Unlock()
+	for kind, n := range left {
+		log.Warn().Str("Kind", kind).Int("Lines", n).Msg("LinesLeftOut")
+	}
+}
+
 // NewLog returns the log of a VM: JSON lines with the time of day and the time
 // since the start, as the time of day may jump.
-func NewLog(w io.Writer, cfg parser.Settings, level zerolog.Level) zerolog.Logger {
+//
+// The level is that of the whole process, so that a reload can change it.
+func NewLog(w io.Writer, cfg parser.Settings, limiter *Limiter) zerolog.Logger {
 	return zerolog.New(w).
-		Level(level).
 		With().
 		Str("VM", string(cfg.VM)).
 		Logger().
-		Hook(stamp{began: time.Now()})
+		Hook(limiter, stamp{began: time.Now()})
 }
 
 // stamp gives each line its times.
--- a/serve_platform.go
+++ b/serve_platform.go
@@ -25,7 +25,9 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	vm, err := launcher.New(path, cfg, launcher.NewLog(w, cfg, level))
+	zerolog.SetGlobalLevel(level)
+	limiter := launcher.NewLimiter()
+	vm, err := launcher.New(path, cfg, launcher.NewLog(w, cfg, limiter), limiter)
 	if err != nil {
 		fmt.Fprintf(stderr, "figtrack serve: %v\n", err)
 		return exitFailed
