Test the cores of the platform's path, and write an entry again that is gone

Cause: the roster's entry can be taken away while its lease lives; the VM renewed the lease and stayed unknown to the fleet.

--- /dev/null
+++ b/budgeter/budgeter_test.go
@@ -0,0 +1,68 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/figtrack/figtrack/budgeter"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+var cfg = budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second, Allowance: 52}
+
+func TestAllowanceIsSharedByTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	taken := func(vms int) int {
+		b := budgeter.New(cfg, vms)
+		n := 0
+		for b.Take(start, "desk") {
+			n++
+		}
+		return n
+	}
+	g.Expect(taken(1)).To(Equal(44))
+	g.Expect(6 * taken(6)).To(BeNumerically("<=", 52))
+	g.Expect(taken(400)).To(BeZero())
+}
+
+// TestNoWindowIsOverspent looks at each span of the window's length, for any
+// course of requests and sends.
+func TestNoWindowIsOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := budgeter.New(cfg, 1)
+		now := start
+		var requests, extra []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b.Arrived(now, "desk")
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(t, "sends") {
+				if b.Take(now, "desk") {
+					extra = append(extra, now)
+				}
+			}
+		}
+		for _, from := range extra {
+			sends := within(extra, from, cfg.Window)
+			// Requests of the window and the one before count.
+			allowed := cfg.Ratio*float64(within(requests, from.Add(-cfg.Window), 2*cfg.Window)) + cfg.Allowance
+			if float64(sends) > allowed {
+				t.Fatalf("%d extra sends within a window, allowed %.1f", sends, allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from time.Time, d time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(d)) {
+			n++
+		}
+	}
+	return n
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -42,6 +42,9 @@
 // Lapsed says that the lease has ended.
 type Lapsed struct{}
 
+// Removed says that the entry is gone though the lease may live.
+type Removed struct{}
+
 // Failed says that the last call got no usable answer.
 type Failed struct{}
 
@@ -51,6 +54,7 @@
 func (Conflicted) event() {}
 func (Renewed) event()    {}
 func (Lapsed) event()     {}
+func (Removed) event()    {}
 func (Failed) event()     {}
 
 // Outcome is what the shell has to do. The set is sealed.
@@ -108,6 +112,9 @@
 	case Lapsed:
 		c.lease, c.version, c.isWritten = 0, 0, false
 		return c.next()
+	case Removed:
+		c.version, c.isWritten = 0, false
+		return c.next()
 	case Failed:
 		return Rest{RetryEvery}
 	default:
--- a/enroller/shell.go
+++ b/enroller/shell.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/keeper"
-	"github.com/figtrack/figtrack/looper"
 )
 
 // Leaser is the part of a store that the shell uses.
@@ -25,11 +24,13 @@
 	key   string
 	value []byte
 	log   zerolog.Logger
+	// removed says that the entry was seen to be gone.
+	removed chan struct{}
 }
 
 // NewShell returns a shell that keeps value under key.
 func NewShell(store Leaser, key string, value []byte, log zerolog.Logger) *Shell {
-	return &Shell{core: New(), store: store, key: key, value: value, log: log}
+	return &Shell{core: New(), store: store, key: key, value: value, log: log, removed: make(chan struct{}, 1)}
 }
 
 // Run keeps the entry until ctx ends.
@@ -71,11 +72,32 @@
 		}
 		return Renewed{}
 	case Rest:
-		looper.Sleep(ctx, o.For)
+		return s.rest(ctx, o.For)
 	}
 	return Wake{}
 }
 
+func (s *Shell) rest(ctx context.Context, d time.Duration) Event {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.removed:
+		s.log.Warn().Str("Key", s.key).Msg("EnrolmentRemoved")
+		return Removed{}
+	}
+	return Wake{}
+}
+
+// Removed tells that the entry was seen to be gone. It never blocks.
+func (s *Shell) Removed() {
+	select {
+	case s.removed <- struct{}{}:
+	default: // One is told already.
+	}
+}
+
 func (s *Shell) failed(call string, err error) Event {
 	s.log.Info().Str("Call", call).AnErr("Error", err).Msg("EnrolmentFailed")
 	return Failed{}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,72 @@
+package follower_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/follower"
+	"github.com/figtrack/figtrack/keeper"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func entry(key string, version keeper.Version, value ...byte) keeper.Entry {
+	return keeper.Entry{Key: key, Version: version, Value: value}
+}
+
+func TestScripts(t *testing.T) {
+	listed := follower.Listed{Snapshot: keeper.Snapshot{At: 10, Entries: []keeper.Entry{entry("a", 7, 'x'), entry("b", 12, 'y')}}}
+	changes := func(at keeper.Version, all ...keeper.Entry) follower.Changed {
+		return follower.Changed{Changes: keeper.Changes{At: at, Entries: all}}
+	}
+	failed := follower.Failed{}
+	type step struct {
+		at time.Duration
+		e  follower.Event
+	}
+	scripts := []struct {
+		name  string
+		steps []step
+	}{
+		{"changes follow the list; what a later page had is no news", []step{
+			{0, follower.Begin{}},
+			{1, listed},
+			{time.Second, changes(13, entry("b", 12, 'y'), entry("a", 13, 'z'))},
+			{2 * time.Second, follower.Rested{}},
+			{3 * time.Second, changes(14, entry("a", 14))},
+			{3 * time.Second, changes(14)},
+		}},
+		{"a lost connection goes on after the last change", []step{
+			{0, follower.Begin{}}, {1, listed}, {time.Second, failed}, {1100 * time.Millisecond, follower.Rested{}}, {1200 * time.Millisecond, changes(13, entry("c", 13, 'c'))},
+		}},
+		{"an outage is told, and its end before what changed in it", []step{
+			{0, follower.Begin{}},
+			{1, listed},
+			{time.Second, failed},
+			{1500 * time.Millisecond, failed},
+			{2 * time.Second, failed},
+			{3 * time.Second, failed},
+			{5 * time.Second, changes(15, entry("a", 15))},
+		}},
+		{"dropped history is listed again", []step{
+			{0, follower.Begin{}}, {1, listed}, {time.Second, follower.Failed{Forgotten: true}}, {time.Second, listed},
+		}},
+	}
+	var w strings.Builder
+	for _, s := range scripts {
+		fmt.Fprintf(&w, "%s\n", s.name)
+		core := follower.New()
+		for _, step := range s.steps {
+			fmt.Fprintf(&w, "  %5s %s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "follower."))
+			for _, o := range core.Step(start.Add(step.at), step.e) {
+				fmt.Fprintf(&w, "        -> %s\n", strings.TrimPrefix(fmt.Sprintf("%T%+v", o, o), "follower."))
+			}
+		}
+		fmt.Fprintln(&w)
+	}
+	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
+}
--- /dev/null
+++ b/router/splitter_test.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestSplitterPassesOnWholeEvents cuts a stream at any places.
+func TestSplitterPassesOnWholeEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var whole strings.Builder
+		n := rapid.IntRange(0, 12).Draw(t, "events")
+		for i := 1; i <= n; i++ {
+			fmt.Fprintf(&whole, "id: %d\ndata: %s\n\n", i, rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "data"))
+		}
+		text := whole.String() + rapid.SampledFrom([]string{"", "id: 99\nda", "\n"}).Draw(t, "rest")
+		var s splitter
+		var got strings.Builder
+		for left := text; left != ""; {
+			k := rapid.IntRange(1, len(left)).Draw(t, "cut")
+			part := s.push([]byte(left[:k]))
+			if len(part) > 0 && !strings.HasSuffix(string(part), "\n\n") {
+				t.Fatalf("passed on a part of an event: %q", part)
+			}
+			got.Write(part)
+			left = left[k:]
+		}
+		if n > 0 && s.last != fmt.Sprint(n) {
+			t.Fatalf("last event %q, sent were %d", s.last, n)
+		}
+		if got.String()+string(s.rest()) != text {
+			t.Fatalf("%q became %q", text, got.String()+string(s.rest()))
+		}
+	})
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,185 @@
+package tracker_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/tracker"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func runner(id string, role identifier.Role, in identifier.DataCentre) tracker.Runner {
+	return tracker.Runner{ID: identifier.Upstream(id), Start: 1, Pool: "desk", Role: role, DataCentre: in, Address: id, Slots: 6, Version: 1, Sequence: 1}
+}
+
+func changed(r tracker.Runner, change func(r *tracker.Runner)) tracker.Runner {
+	r.Version++
+	r.Sequence++
+	change(&r)
+	return r
+}
+
+func TestViewFollowsEntries(t *testing.T) {
+	s1 := runner("s1", identifier.RolePlain, "east")
+	leaving := changed(s1, func(r *tracker.Runner) { r.Leaving = true })
+	again := changed(leaving, func(r *tracker.Runner) { r.Leaving = false })
+	restarted := changed(again, func(r *tracker.Runner) { r.Start, r.Sequence = 2, 1 })
+	steps := []struct {
+		at time.Duration
+		e  tracker.Event
+	}{
+		{0, tracker.Listed{Runners: []tracker.Runner{s1, runner("s2", identifier.RolePlain, "west")}}},
+		{1 * time.Second, tracker.Told{Runner: leaving}},
+		{2 * time.Second, tracker.Told{Runner: again}},
+		{3 * time.Second, tracker.Told{Runner: restarted}},
+		{4 * time.Second, tracker.Removed{ID: "s1", Version: 2}},
+		{5 * time.Second, tracker.Removed{ID: "s1", Version: 9}},
+		{6 * time.Second, tracker.Told{Runner: restarted}},
+		{10 * time.Second, tracker.StoreBack{}},
+		{10 * time.Second, tracker.Listed{}},
+		{11 * time.Second, tracker.Wake{}},
+		{12 * time.Second, tracker.Wake{}},
+		{20 * time.Second, tracker.StoreBack{}},
+		{20 * time.Second, tracker.Told{Runner: changed(restarted, func(r *tracker.Runner) { r.Version = 20 })}},
+		{20 * time.Second, tracker.Removed{ID: "s1", Version: 21}},
+		{21 * time.Second, tracker.Told{Runner: changed(restarted, func(r *tracker.Runner) { r.Version, r.Sequence = 22, 9 })}},
+		{30 * time.Second, tracker.Wake{}},
+	}
+	var w strings.Builder
+	view := tracker.New("east", 1)
+	for _, s := range steps {
+		fmt.Fprintf(&w, "%3s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
+		for _, c := range view.Step(start.Add(s.at), s.e) {
+			fmt.Fprintf(&w, "    -> %s\n", describe(c))
+		}
+	}
+	goldie.New(t).Assert(t, "entries", []byte(w.String()))
+}
+
+func describe(c tracker.Change) string {
+	name := strings.TrimPrefix(fmt.Sprintf("%T", c), "tracker.")
+	switch c := c.(type) {
+	case tracker.Joined:
+		return fmt.Sprintf("%s %s start %d", name, c.Runner.ID, c.Runner.Start)
+	case tracker.Left:
+		return fmt.Sprintf("%s %s", name, c.Runner.ID)
+	case tracker.Missing:
+		return fmt.Sprintf("%s %s until %s", name, c.Runner.ID, c.Until.Sub(start))
+	case tracker.Gone:
+		return fmt.Sprintf("%s %s", name, c.Runner.ID)
+	default:
+		return name
+	}
+}
+
+// pools returns a view of prefill, decode and plain runners, two of each.
+func pools() *tracker.Tracker {
+	view := tracker.New("east", 1)
+	var all []tracker.Runner
+	for _, in := range []identifier.DataCentre{"east", "west"} {
+		all = append(all, runner("p-"+string(in), identifier.RolePrefill, in), runner("d-"+string(in), identifier.RoleDecode, in))
+		s := runner("s-"+string(in), identifier.RolePlain, in)
+		s.Pool = "orders"
+		all = append(all, s)
+	}
+	view.Step(start, tracker.Listed{Runners: all})
+	return view
+}
+
+func plain(view *tracker.Tracker, at time.Duration) identifier.Upstream {
+	r, _ := view.Plain(start.Add(at), "orders", nil)
+	return r.ID
+}
+
+func find(view *tracker.Tracker, id identifier.Upstream) tracker.Runner {
+	r, _ := view.Find(id)
+	return r
+}
+
+func TestTheNearRunnerIsChosenUntilItFails(t *testing.T) {
+	g := NewWithT(t)
+	view := pools()
+	g.Expect(plain(view, 0)).To(Equal(identifier.Upstream("s-east")))
+	east := find(view, "s-east")
+	view.Silent(start, east, true, "no answer")
+	view.Answered(east, false, time.Millisecond)
+	view.Silent(start, east, false, "connection refused")
+	g.Expect(plain(view, 0)).To(Equal(identifier.Upstream("s-west")))
+	view.Answered(east, false, time.Millisecond)
+	for range 10 {
+		view.Answered(east, false, time.Millisecond)
+	}
+	for range 10 {
+		view.Answered(east, true, 0)
+	}
+	g.Expect(plain(view, 0)).To(Equal(identifier.Upstream("s-west")), "half of its answers fail")
+}
+
+func TestFullEngineIsLeftOutForAMoment(t *testing.T) {
+	g := NewWithT(t)
+	view := pools()
+	east := find(view, "d-east")
+	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(2))
+	view.Full(start, east)
+	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(1))
+	view.Freed(east)
+	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(2))
+	view.Full(start, east)
+	g.Expect(view.Decode(start.Add(tracker.FullFor), "desk", nil)).To(HaveLen(2))
+}
+
+func TestPrefillStaysNearItsDecodeEngine(t *testing.T) {
+	g := NewWithT(t)
+	view := pools()
+	near := func(in identifier.DataCentre) identifier.Upstream {
+		r, _ := view.Prefill(start, "desk", in, nil)
+		return r.ID
+	}
+	g.Expect(near("east")).To(Equal(identifier.Upstream("p-east")))
+	view.Began(find(view, "p-east"), tracker.Load{Reading: 3000})
+	g.Expect(near("east")).To(Equal(identifier.Upstream("p-west")), "a prompt that waits costs more than the way")
+	view.Lapsed(start, find(view, "p-west"))
+	g.Expect(near("east")).To(Equal(identifier.Upstream("p-east")))
+	view.Lapsed(start, find(view, "p-east"))
+	g.Expect(near("east")).To(BeEmpty(), "the decode engine reads")
+}
+
+func TestEngineThatChangesItsRoleIsAway(t *testing.T) {
+	g := NewWithT(t)
+	view := pools()
+	view.Step(start, tracker.RoleOrdered{ID: "p-east", Until: start.Add(6 * time.Second)})
+	r, _ := view.Prefill(start, "desk", "east", nil)
+	g.Expect(r.ID).To(Equal(identifier.Upstream("p-west")))
+	r, _ = view.Prefill(start.Add(6*time.Second), "desk", "east", nil)
+	g.Expect(r.ID).To(Equal(identifier.Upstream("p-east")))
+}
+
+func TestTiesAreBrokenEvenly(t *testing.T) {
+	g := NewWithT(t)
+	view := tracker.New("east", 1)
+	var all []tracker.Runner
+	for i := range 12 {
+		role := identifier.RoleDecode
+		if i == 0 || i == 10 || i == 11 {
+			role = identifier.RolePrefill
+		}
+		all = append(all, runner(fmt.Sprintf("e%02d", i), role, "east"))
+	}
+	view.Step(start, tracker.Listed{Runners: all})
+	count := map[identifier.Upstream]int{}
+	for range 3000 {
+		r, _ := view.Prefill(start, "desk", "east", nil)
+		count[r.ID]++
+	}
+	for id, n := range count {
+		g.Expect(n).To(BeNumerically("~", 1000, 120), string(id))
+	}
+	g.Expect(count).To(HaveLen(3))
+}
