--- a/commands.go
+++ b/commands.go
@@ -32,6 +32,7 @@
 		applyCommand,
 		diffCommand,
 		explainCommand,
+		timelineCommand,
 		drainCommand,
 		keysCommand,
 		recordCommand,
--- a/explain.go
+++ b/explain.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/figtrack/figtrack/explainer"
 	"github.com/figtrack/figtrack/identifier"
@@ -20,12 +21,35 @@
 
 type explainOptions struct {
 	remoteOptions
+	explainArgs
+}
+
+type explainArgs struct {
+	Log  []string `long:"log" value-name:"FILE" description:"read the log of a VM in place of asking one, may be given several times; no other option is needed then"`
 	Args struct {
-		Request string `positional-arg-name:"REQUEST" description:"value of the header Figtrack-Request" required:"yes"`
+		Request string `positional-arg-name:"REQUEST" description:"id of the request" required:"yes"`
 	} `positional-args:"yes"`
 }
 
+// readsLogs says that the story is told from files.
+func readsLogs(args []string) bool {
+	return slices.ContainsFunc(args, func(arg string) bool { return strings.HasPrefix(arg, "--log") })
+}
+
+func explainFromLogs(args []string, stdout, stderr io.Writer) int {
+	var o explainArgs
+	if status, done := parse("explain", "--log FILE... REQUEST", &o, args, stdout, stderr); done {
+		return status
+	}
+	return fromLogs("explain", o.Log, stdout, stderr, func(logs []io.Reader) ([]string, error) {
+		return explainer.Story(o.Args.Request, logs...)
+	})
+}
+
 func runExplain(args []string, stdout, stderr io.Writer) int {
+	if readsLogs(args) {
+		return explainFromLogs(args, stdout, stderr)
+	}
 	var o explainOptions
 	if status, done := parse("explain", "[options] REQUEST", &o, args, stdout, stderr); done {
 		return status
--- /dev/null
+++ b/explainer/story.go
@@ -0,0 +1,174 @@
+package explainer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxStoryLine is the longest line of a log that is read.
+const maxStoryLine = 1 << 20
+
+// entry is a line of a routing VM's log, with the fields that are told.
+type entry struct {
+	// VM and Uptime order the lines of one start; the time of day may jump.
+	VM       string
+	UptimeUs int64
+	Time     time.Time
+	Message  string `json:"message"`
+	// line is the place in the file, which orders equal times.
+	line int
+
+	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
+	Key, Role, Holder, LastEvent, Until                          string
+	Revision, Version                                            int64
+	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
+	Took, Left, ViewAge, ComeBack, First, LongestGap, Away       float64
+}
+
+// read reads the lines of a log. Text before a line's JSON is passed over.
+func read(r io.Reader, all []entry) ([]entry, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxStoryLine)
+	for s.Scan() {
+		_, text, found := bytes.Cut(s.Bytes(), []byte("{"))
+		if !found {
+			continue
+		}
+		one := entry{line: len(all)}
+		if json.Unmarshal(append([]byte("{"), text...), &one) != nil || one.Message == "" {
+			continue // The log of another program may be mixed in.
+		}
+		all = append(all, one)
+	}
+	return all, errors.Wrap(s.Err(), "read a log")
+}
+
+// Story tells what happened to a request by the logs of all VMs.
+func Story(request string, logs ...io.Reader) ([]string, error) {
+	return tell(logs, func(e entry) bool { return e.Request == request }, func(e entry) string { return e.step() })
+}
+
+// Timeline tells what VMs believed of the fleet: configurations, runners,
+// other VMs, the store and their own starts and stops.
+func Timeline(logs ...io.Reader) ([]string, error) {
+	return tell(logs, func(e entry) bool { return e.Request == "" }, func(e entry) string { return e.belief() })
+}
+
+// tell orders the chosen lines, each VM's by its steady clock, and puts them
+// into words.
+func tell(logs []io.Reader, isWanted func(entry) bool, words func(entry) string) ([]string, error) {
+	var all []entry
+	var err error
+	for _, r := range logs {
+		if all, err = read(r, all); err != nil {
+			return nil, err
+		}
+	}
+	all = ordered(all)
+	var out []string
+	for _, e := range all {
+		if text := words(e); isWanted(e) && text != "" {
+			out = append(out, fmt.Sprintf("%s %10.3f s  %s: %s", e.Time.UTC().Format("15:04:05.000"), time.Duration(e.UptimeUs*1000).Seconds(), e.VM, text))
+		}
+	}
+	return out, nil
+}
+
+// ordered sorts lines by a time of day that is corrected for jumps: the first
+// line of a start gives the offset of its steady clock.
+func ordered(all []entry) []entry {
+	start := map[string]time.Time{}
+	last := map[string]int64{}
+	at := make([]time.Time, len(all))
+	for i, e := range all {
+		if began, ok := start[e.VM]; !ok || e.UptimeUs < last[e.VM] && e.Message == "Started" || began.IsZero() {
+			start[e.VM] = e.Time.Add(-time.Duration(e.UptimeUs) * time.Microsecond)
+		}
+		last[e.VM] = e.UptimeUs
+		at[i] = start[e.VM].Add(time.Duration(e.UptimeUs) * time.Microsecond)
+	}
+	index := make([]int, len(all))
+	for i := range index {
+		index[i] = i
+	}
+	sort.SliceStable(index, func(i, j int) bool { return at[index[i]].Before(at[index[j]]) })
+	out := make([]entry, len(all))
+	for i, from := range index {
+		out[i] = all[from]
+	}
+	return out
+}
+
+// step tells a line about a request.
+func (e entry) step() string {
+	switch e.Message {
+	case "Arrived":
+		text := fmt.Sprintf("arrived on route %s for pool %s under revision %d, %.0f ms left", e.Route, e.Pool, e.Revision, e.Left)
+		if e.Input > 0 {
+			text += fmt.Sprintf("; prompt %d tokens, answer at most %d, expected %d", e.Input, e.Output, e.Expected)
+		}
+		if e.ViewAge > 0 {
+			text += fmt.Sprintf("; the store was silent for %.0f ms", e.ViewAge)
+		}
+		return text + "."
+	case "Called":
+		text := fmt.Sprintf("%s at %s: %s after %.0f ms", strings.ToLower(e.Call), e.Upstream, e.Outcome, e.Took)
+		if e.Error != "" {
+			text += " (" + e.Error + ")"
+		}
+		return text + "."
+	case "Answered":
+		return fmt.Sprintf("answered %d by %s after %.0f ms, first byte after %.0f ms, longest pause %.0f ms, runs %d.", e.Status, e.Upstream, e.Took, e.First, e.LongestGap, e.Runs)
+	case "AnswerBroken":
+		return fmt.Sprintf("the answer of %s broke after %.0f ms and event %q: %s.", e.Upstream, e.Took, e.LastEvent, e.Error)
+	case "NotRun":
+		return fmt.Sprintf("refused as not run after %.0f ms: %s; come back after %.0f ms.", e.Took, e.Reason, e.ComeBack)
+	case "Unknown", "Broken":
+		return fmt.Sprintf("ended as %s after %.0f ms: %s.", strings.ToLower(e.Message), e.Took, e.Reason)
+	case "Abandoned":
+		return fmt.Sprintf("the caller left after %.0f ms.", e.Took)
+	default:
+		return fmt.Sprintf("%s %s %s.", e.Message, e.Upstream, e.Reason)
+	}
+}
+
+// belief tells a line about the fleet; empty for one that is of no interest.
+func (e entry) belief() string {
+	switch e.Message {
+	case "Started", "RefusingNew":
+		return e.Message + "."
+	case "Stopping":
+		return fmt.Sprintf("stopping, %d requests in flight.", e.InFlight)
+	case "Stopped":
+		return fmt.Sprintf("stopped, %d answers cut off.", e.Cut)
+	case "ConfigurationInForce":
+		return fmt.Sprintf("configuration %d in force.", e.Revision)
+	case "RunnerJoined", "RunnerLeaving", "RunnerMissing", "RunnerGone", "RunnerSuspected", "RunnerTrusted":
+		text := fmt.Sprintf("runner %s of %s %s (version %d)", e.Upstream, e.Pool, strings.ToLower(strings.TrimPrefix(e.Message, "Runner")), e.Version)
+		if e.Until != "" {
+			text += " until " + e.Until
+		}
+		if e.Reason != "" {
+			text += ": " + e.Reason
+		}
+		return text + "."
+	case "StoreLost":
+		return "the store doesn't answer: " + e.Error + "."
+	case "StoreFound":
+		return fmt.Sprintf("the store answers again after %.0f ms.", e.Away)
+	case "OrderClaimed", "Ordered", "OrderSeen":
+		return fmt.Sprintf("%s: %s to %s %s.", e.Message, e.Upstream, e.Role, e.Error)
+	case "LeaseLost", "EnrolmentRemoved", "StoodStill", "SettingsInForce", "SettingsNotRead", "EntryNotRead", "LinesLeftOut":
+		return fmt.Sprintf("%s %s %s.", e.Message, e.Key, e.Error)
+	default:
+		return ""
+	}
+}
--- a/process_test.go
+++ b/process_test.go
@@ -217,3 +217,19 @@
 	}
 	return http.DefaultClient.Do(r)
 }
+
+func TestLogsTellTheStoryOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	out, _, status := figtrack("explain", "r1", "--log", "explainer/testdata/vm-1.log", "--log", "explainer/testdata/vm-2.log")
+	g.Expect(status).To(Equal(exitOK))
+	g.Expect(out).To(ContainSubstring("ended as broken"))
+	out, _, status = figtrack("timeline", "--log", "explainer/testdata/vm-2.log")
+	g.Expect(status).To(Equal(exitOK))
+	g.Expect(out).To(ContainSubstring("runner d1 of desk gone"))
+	_, stderr, status := figtrack("explain", "r9", "--log", "explainer/testdata/vm-2.log")
+	g.Expect(status).To(Equal(exitFailed))
+	g.Expect(stderr).To(ContainSubstring("give the logs of all VMs"))
+	_, stderr, status = figtrack("timeline", "--log", "nowhere.log")
+	g.Expect(status).To(Equal(exitUsage))
+	g.Expect(stderr).To(ContainSubstring("give the path"))
+}
--- /dev/null
+++ b/timeline.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/figtrack/figtrack/explainer"
+)
+
+var timelineCommand = command{
+	name:        "timeline",
+	description: "tell from logs what VMs believed of the fleet",
+	run:         runTimeline,
+}
+
+type timelineOptions struct {
+	Log []string `long:"log" required:"yes" value-name:"FILE" description:"log of a VM; may be given several times"`
+}
+
+func runTimeline(args []string, stdout, stderr io.Writer) int {
+	var o timelineOptions
+	if status, done := parse("timeline", "--log FILE...", &o, args, stdout, stderr); done {
+		return status
+	}
+	return fromLogs("timeline", o.Log, stdout, stderr, func(logs []io.Reader) ([]string, error) {
+		return explainer.Timeline(logs...)
+	})
+}
+
+// fromLogs prints what a function tells of the logs in files.
+func fromLogs(name string, files []string, stdout, stderr io.Writer, words func(logs []io.Reader) ([]string, error)) int {
+	var logs []io.Reader
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			fmt.Fprintf(stderr, "figtrack %s: %v; give the path of a VM's log\n", name, err)
+			return exitUsage
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	lines, err := words(logs)
+	for _, one := range lines {
+		fmt.Fprintln(stdout, one)
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "figtrack %s: %v\n", name, err)
+		return exitFailed
+	}
+	if len(lines) == 0 {
+		fmt.Fprintf(stderr, "figtrack %s: the logs have no such line; give the logs of all VMs\n", name)
+		return exitFailed
+	}
+	return exitOK
+}
