Leave silent decode engines out of the choice

Cause: a VM that was cut off from a third of the runners asked each of them for memory again and again, 250 ms each, out of a wait of 125 ms. One reservation without an answer now makes an engine suspect, for 0.5 to 2 s. Ruled out: a longer wait.

--- a/router/passage.go
+++ b/router/passage.go
@@ -25,6 +25,13 @@
 	tidyLimit = time.Second
 )
 
+// The calls, in logs and metrics.
+const (
+	callReserve = "Reserve"
+	callPrefill = "Prefill"
+	callRun     = "Run"
+)
+
 // passage is one request on its way. It belongs to one goroutine.
 type passage struct {
 	*Router
@@ -121,7 +128,7 @@
 	defer cancel()
 	began := time.Now()
 	hold, err := p.runners.Reserve(ctx, o.To, o.Tokens, o.For)
-	p.called("Reserve", o.To, began, err)
+	p.called(callReserve, o.To, began, err)
 	if err != nil {
 		return failed(err)
 	}
@@ -141,7 +148,7 @@
 	defer p.end(o.To, load)
 	began := time.Now()
 	handle, err := p.runners.Prefill(ctx, o.To, p.q, p.left())
-	p.called("Prefill", o.To, began, err)
+	p.called(callPrefill, o.To, began, err)
 	if err != nil {
 		return failed(err)
 	}
@@ -157,7 +164,7 @@
 	p.begin(o.To, p.load)
 	answer, err := p.runners.Run(ctx, p.q, RunOptions{Run: o, Left: p.left(), Priority: p.route.Priority})
 	isSilent := silent != nil && !silent.Stop()
-	p.called("Run", o.To, p.sent, err)
+	p.called(callRun, o.To, p.sent, err)
 	if err != nil {
 		cancel()
 		p.end(o.To, p.load)
@@ -254,12 +261,12 @@
 		AnErr("Error", err).
 		Msg("Called")
 	p.fleet.with(func(now time.Time, view *tracker.Tracker) []tracker.Change {
-		return learn(now, view, to, err, took)
+		return learn(now, view, to, call != callReserve, err, took)
 	})
 }
 
 // learn tells the view what a call says of its runner.
-func learn(now time.Time, view *tracker.Tracker, to tracker.Runner, err error, took time.Duration) []tracker.Change {
+func learn(now time.Time, view *tracker.Tracker, to tracker.Runner, mayBeLong bool, err error, took time.Duration) []tracker.Change {
 	if err == nil {
 		return view.Answered(to, false, took)
 	}
@@ -273,7 +280,8 @@
 	case driver.KindLeaving:
 		return view.Misdirected(to)
 	default:
-		return view.Silent(now, to, driver.KindOf(err) != driver.KindNotRun, err.Error())
+		wasSent := driver.KindOf(err) != driver.KindNotRun
+		return view.Silent(now, to, mayBeLong && wasSent, err.Error())
 	}
 }
 
--- a/tracker/ledger.go
+++ b/tracker/ledger.go
@@ -12,7 +12,7 @@
 	// call that got no answer; it doubles up to SuspectMost.
 	SuspectFirst = 500 * time.Millisecond
 	// SuspectMost bounds the time for which a runner that is back stays unused.
-	SuspectMost = 4 * time.Second
+	SuspectMost = 2 * time.Second
 	// FullFor is how long a refusal for want of room counts. A decode engine
 	// of the stated sizes frees a request's memory about that often.
 	FullFor = 60 * time.Millisecond
@@ -94,16 +94,16 @@
 }
 
 // Silent says that a call got no answer, or could not even be sent. The first
-// call without an answer may have been a long one; the second in a row, or
-// one that could not be sent, makes the runner suspect.
-func (t *Tracker) Silent(now time.Time, r Runner, wasSent bool, reason string) []Change {
+// call without an answer may have been a long one; the second in a row, one
+// that could not be sent or one that takes no work makes the runner suspect.
+func (t *Tracker) Silent(now time.Time, r Runner, mayBeLong bool, reason string) []Change {
 	u := t.same(r)
 	if u == nil {
 		return nil
 	}
 	u.fail(true)
 	u.silences++
-	if wasSent && u.silences < 2 {
+	if mayBeLong && u.silences < 2 {
 		return nil
 	}
 	pass := min(SuspectFirst<<min(u.silences-1, 8), SuspectMost)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -135,6 +135,14 @@
 	g.Expect(view.Decode(start.Add(tracker.FullFor), "desk", nil)).To(HaveLen(2))
 }
 
+func TestSilentDecodeEngineIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	view := pools()
+	view.Silent(start, find(view, "d-east"), false, "no answer")
+	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(1))
+	g.Expect(view.Decode(start.Add(tracker.SuspectFirst), "desk", nil)).To(HaveLen(2))
+}
+
 func TestPrefillStaysNearItsDecodeEngine(t *testing.T) {
 	g := NewWithT(t)
 	view := pools()
