Look first for a decode engine with memory to spare

A reservation asks for 3,000 tokens more than needed first, gives the surplus back at once, and asks without it where no engine has as much. Ruled out: a surplus kept until the run begins, reports, 6,000 tokens.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -25,6 +25,10 @@
 	MaxPrefills = 2
 	// HoldFor is how long memory is reserved, the longest that engines allow.
 	HoldFor = 2 * time.Second
+	// Slack is the free memory, in tokens, that an engine should have beyond a
+	// request: those that run there still grow, and one that finds no room is
+	// preempted and read again. It decides between engines, not on refusals.
+	Slack identifier.Tokens = 3000
 	// RestFor is the pause between two tries to reserve memory.
 	RestFor = 25 * time.Millisecond
 	// WaitShare is the part of the target after which a request without
@@ -64,7 +68,7 @@
 type Fleet interface {
 	Plain(now time.Time, pool identifier.Pool, without tracker.Without) (tracker.Runner, bool)
 	Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without tracker.Without) (tracker.Runner, bool)
-	Decode(now time.Time, pool identifier.Pool, without tracker.Without) []tracker.Runner
+	Decode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, without tracker.Without) []tracker.Runner
 	// Spend takes one extra send from the retry budget, if it allows one.
 	Spend(now time.Time, pool identifier.Pool) bool
 	// Count takes an extra send that could not be foreseen.
@@ -114,6 +118,10 @@
 	without tracker.Without
 	// unread holds the prefill engines that are not to be tried again.
 	unread tracker.Without
+	// slack is the room beyond its need that a request looks for first; zero
+	// once no engine had as much. isShrunk says that it was given back.
+	slack    identifier.Tokens
+	isShrunk bool
 	// waitUntil is when a request without memory is refused.
 	waitUntil time.Time
 	// after and begun say what the caller has of an answer.
@@ -129,6 +137,7 @@
 		fleet:     fleet,
 		without:   tracker.Without{},
 		unread:    tracker.Without{},
+		slack:     Slack,
 		waitUntil: job.Arrived.Add(job.Target / WaitShare),
 	}
 }
@@ -147,8 +156,7 @@
 	case Begin, Rested:
 		c.place(now)
 	case Reserved:
-		c.hold = e.Hold
-		c.read(now)
+		c.reserved(now, e.Hold)
 	case Prefilled:
 		c.source = &Source{c.reading, e.Handle}
 		c.run(now)
@@ -216,11 +224,17 @@
 
 // reserve asks the next decode engine that may have room.
 func (c *Core) reserve(now time.Time) {
-	candidates := c.fleet.Decode(now, c.job.Pool, c.without)
-	if len(candidates) > 0 {
-		c.to, c.phase = candidates[0], phaseReserving
-		c.emit(Reserve{To: c.to, Tokens: c.job.Input + c.job.Output, For: HoldFor})
-		return
+	for {
+		candidates := c.fleet.Decode(now, c.job.Pool, c.need()+c.slack, c.without)
+		if len(candidates) > 0 {
+			c.to, c.phase = candidates[0], phaseReserving
+			c.emit(Reserve{To: c.to, Tokens: c.need() + c.slack, For: HoldFor})
+			return
+		}
+		if c.slack == 0 {
+			break
+		}
+		c.slack = 0
 	}
 	if !now.Before(c.waitUntil) {
 		c.giveUp(now, ReasonNoMemory)
@@ -230,6 +244,21 @@
 	c.emit(Rest{min(RestFor, c.waitUntil.Sub(now))})
 }
 
+// need returns the memory that the request will fill.
+func (c *Core) need() identifier.Tokens { return c.job.Input + c.job.Output }
+
+// reserved handles memory that is kept. What was asked for beyond the need has
+// found the engine and is given back, as others may want it.
+func (c *Core) reserved(now time.Time, hold Hold) {
+	if c.slack > 0 && !c.isShrunk {
+		c.isShrunk = true
+		c.emit(Shrink{Hold: hold, Reserve: Reserve{To: c.to, Tokens: c.need(), For: HoldFor}})
+		return
+	}
+	c.hold = hold
+	c.read(now)
+}
+
 // read sends the prompt to a prefill engine; without one the decode engine
 // reads it.
 func (c *Core) read(now time.Time) {
@@ -268,6 +297,7 @@
 func (c *Core) failed(now time.Time, e Failed) {
 	switch c.phase {
 	case phaseReserving:
+		c.isShrunk = false
 		if e.Kind != driver.KindFull {
 			c.without[c.to.ID] = true
 		}
@@ -330,7 +360,7 @@
 	}
 	c.hasFailed = true
 	c.without[c.to.ID] = true
-	ok := c.job.NeedsEngine && len(c.fleet.Decode(now, c.job.Pool, c.without)) > 0
+	ok := c.job.NeedsEngine && len(c.fleet.Decode(now, c.job.Pool, c.need(), c.without)) > 0
 	if !c.job.NeedsEngine {
 		_, ok = c.plain(now)
 	}
@@ -359,7 +389,7 @@
 		c.giveUp(now, ReasonAttempts)
 	default:
 		c.waitUntil = now.Add(c.job.Target / WaitShare)
-		c.prefills = min(c.prefills, 1)
+		c.prefills, c.isShrunk = min(c.prefills, 1), false
 		c.place(now)
 	}
 }
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -58,7 +58,7 @@
 	return one(f.first(identifier.RolePrefill, without, "p1", "p2"))
 }
 
-func (f *fleet) Decode(_ time.Time, _ identifier.Pool, without tracker.Without) []tracker.Runner {
+func (f *fleet) Decode(_ time.Time, _ identifier.Pool, _ identifier.Tokens, without tracker.Without) []tracker.Runner {
 	return f.first(identifier.RoleDecode, without, "d1", "d2", "d3")
 }
 
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -85,6 +85,12 @@
 	For    time.Duration
 }
 
+// Shrink gives a hold back and asks the same engine for less memory.
+type Shrink struct {
+	Hold Hold
+	Reserve
+}
+
 // Prefill sends the request to a prefill engine.
 type Prefill struct {
 	To tracker.Runner
--- a/router/passage.go
+++ b/router/passage.go
@@ -90,6 +90,8 @@
 		switch o := o.(type) {
 		case attempter.Reserve:
 			next = p.reserve(ctx, o)
+		case attempter.Shrink:
+			next = p.shrink(ctx, o)
 		case attempter.Prefill:
 			next = p.prefill(ctx, o)
 		case attempter.Run:
@@ -129,6 +131,12 @@
 	began := time.Now()
 	hold, err := p.runners.Reserve(ctx, o.To, o.Tokens, o.For)
 	p.called(callReserve, o.To, began, err)
+	if err != nil && driver.KindOf(err) == driver.KindFull {
+		p.fleet.with(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+			view.Full(now, o.To, o.Tokens)
+			return nil
+		})
+	}
 	if err != nil {
 		return failed(err)
 	}
@@ -136,6 +144,18 @@
 	return attempter.Reserved{Hold: hold}
 }
 
+// shrink gives a hold back before it asks for a smaller one, as the engine may
+// not have room for both.
+func (p *passage) shrink(ctx context.Context, o attempter.Shrink) attempter.Event {
+	short, cancel := context.WithTimeout(ctx, reserveLimit)
+	err := p.runners.Release(short, o.To, o.Hold)
+	cancel()
+	if err != nil {
+		p.log.Info().Str("Request", string(p.q.ID)).Str("Upstream", string(o.To.ID)).AnErr("Error", err).Msg("HoldNotReleased")
+	}
+	return p.reserve(ctx, o.Reserve)
+}
+
 // reserveLimit bounds the call that reserves memory: it needs one round trip
 // and no slot.
 const reserveLimit = 250 * time.Millisecond
@@ -275,7 +295,9 @@
 	}
 	switch driver.KindOf(err) {
 	case driver.KindFull:
-		view.Full(now, to)
+		if mayBeLong {
+			view.Full(now, to, 0)
+		}
 		return view.Answered(to, false, 0)
 	case driver.KindLeaving:
 		return view.Misdirected(to)
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -77,14 +77,15 @@
 	})
 }
 
-// Decode returns the decode engines that may have room, the best first.
+// Decode returns the decode engines that may have room for some tokens, the
+// best first.
 // Engines that refused a moment ago, or didn't answer lately, are left out: a
 // try costs a part of the target.
-func (t *Tracker) Decode(now time.Time, pool identifier.Pool, without Without) []Runner {
+func (t *Tracker) Decode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, without Without) []Runner {
 	var all []choice
 	for _, u := range t.pools[pool] {
-		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] || now.Before(u.fullUntil) ||
-			now.Before(u.awayUntil) || now.Before(u.suspectUntil) {
+		if u.Role != identifier.RoleDecode || u.Leaving || without[u.ID] ||
+			now.Before(u.fullUntil) && tokens >= u.fullFrom || now.Before(u.awayUntil) || now.Before(u.suspectUntil) {
 			continue
 		}
 		all = append(all, choice{u.Runner, time.Duration(u.holding)*decodeWeight + t.base(now, u) + t.draw()})
--- a/tracker/ledger.go
+++ b/tracker/ledger.go
@@ -43,7 +43,9 @@
 	// suspectUntil, fullUntil and lapseUntil say how long a finding holds.
 	suspectUntil time.Time
 	fullUntil    time.Time
-	lapseUntil   time.Time
+	// fullFrom is the size from which on a request found no room.
+	fullFrom   identifier.Tokens
+	lapseUntil time.Time
 }
 
 // Load is what one call puts on a runner until it ends.
@@ -111,11 +113,17 @@
 	return []Change{Suspected{u.Runner, u.suspectUntil, reason}}
 }
 
-// Full says that a runner had no room at now.
-func (t *Tracker) Full(now time.Time, r Runner) {
-	if u := t.same(r); u != nil {
-		u.fullUntil = now.Add(FullFor)
+// Full says that a runner had no room for some tokens at now; zero stands for
+// a request of any size.
+func (t *Tracker) Full(now time.Time, r Runner, tokens identifier.Tokens) {
+	u := t.same(r)
+	if u == nil {
+		return
+	}
+	if now.Before(u.fullUntil) {
+		tokens = min(tokens, u.fullFrom)
 	}
+	u.fullUntil, u.fullFrom = now.Add(FullFor), tokens
 }
 
 // Freed says that a request of this VM has left a runner, so that there may be
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -126,21 +126,22 @@
 	g := NewWithT(t)
 	view := pools()
 	east := find(view, "d-east")
-	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(2))
-	view.Full(start, east)
-	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(1))
+	g.Expect(view.Decode(start, "desk", 3900, nil)).To(HaveLen(2))
+	view.Full(start, east, 3900)
+	g.Expect(view.Decode(start, "desk", 3900, nil)).To(HaveLen(1))
+	g.Expect(view.Decode(start, "desk", 3000, nil)).To(HaveLen(2), "a smaller request may find room")
 	view.Freed(east)
-	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(2))
-	view.Full(start, east)
-	g.Expect(view.Decode(start.Add(tracker.FullFor), "desk", nil)).To(HaveLen(2))
+	g.Expect(view.Decode(start, "desk", 3900, nil)).To(HaveLen(2))
+	view.Full(start, east, 3900)
+	g.Expect(view.Decode(start.Add(tracker.FullFor), "desk", 3900, nil)).To(HaveLen(2))
 }
 
 func TestSilentDecodeEngineIsLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	view := pools()
 	view.Silent(start, find(view, "d-east"), false, "no answer")
-	g.Expect(view.Decode(start, "desk", nil)).To(HaveLen(1))
-	g.Expect(view.Decode(start.Add(tracker.SuspectFirst), "desk", nil)).To(HaveLen(2))
+	g.Expect(view.Decode(start, "desk", 3900, nil)).To(HaveLen(1))
+	g.Expect(view.Decode(start.Add(tracker.SuspectFirst), "desk", 3900, nil)).To(HaveLen(2))
 }
 
 func TestPrefillStaysNearItsDecodeEngine(t *testing.T) {
