Refuse new streams before the time after which they may not be cut

New requests were refused at 3.0 to 3.25 s, long answers are excused only until 3 s. They are refused at 2.5 s now, whatever the settings say. A test replays it and fails with 3 s. Ruled out: a shorter setting alone, which others may raise.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -46,6 +46,9 @@
 	reloadEvery = 2 * time.Second
 	// exitMargin is how long before the end of the grace the process is gone.
 	exitMargin = 300 * time.Millisecond
+	// lastTaken is the time after SIGTERM until which the platform excuses a
+	// long answer that the end of the grace cuts off.
+	lastTaken = 3 * time.Second
 	// watchMargin is what is left of the contact time for a new call when a
 	// wait for the store got no answer.
 	watchMargin = time.Second
@@ -98,10 +101,14 @@
 	}
 	vm.enrol = enroller.NewShell(store, router.RosterKey(cfg.VM), entry, log)
 	vm.fleet.WatchOwn(router.RosterKey(cfg.VM), vm.enrol.Removed)
-	vm.drain = drainer.New(drainer.Settings{Notice: cfg.Drain.Notice, Limit: cfg.Drain.Limit - exitMargin})
+	vm.drain = drainer.New(drainer.Settings{Notice: Notice(cfg.Drain.Notice), Limit: cfg.Drain.Limit - exitMargin})
 	return vm, nil
 }
 
+// Notice returns how long a stopping VM takes requests: as set, but no longer
+// than what it takes last may be cut off, with the pace of the loop as a margin.
+func Notice(set time.Duration) time.Duration { return min(set, lastTaken-2*wakeEvery) }
+
 // assumedVMs is the fleet's size until it is known; the largest stated fleet
 // has fewer, so that the allowance is never overspent.
 const assumedVMs = 400
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/figtrack/figtrack/drainer"
 	"github.com/figtrack/figtrack/launcher"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/recorder"
@@ -55,6 +56,27 @@
 	})
 }
 
+// TestStoppingVMTakesNothingThatItMayHaveToCut replays a stream that came
+// 3.12 s after SIGTERM and was cut at the end of the grace.
+func TestStoppingVMTakesNothingThatItMayHaveToCut(t *testing.T) {
+	g := NewWithT(t)
+	for _, set := range []time.Duration{time.Second, 3 * time.Second, time.Minute} {
+		core := drainer.New(drainer.Settings{Notice: launcher.Notice(set), Limit: 8 * time.Second})
+		start := time.Now()
+		core.Step(start, drainer.Signalled{})
+		var refusedAt time.Duration
+		for at := 250 * time.Millisecond; at < 8*time.Second && refusedAt == 0; at += 250 * time.Millisecond {
+			for _, o := range core.Step(start.Add(at), drainer.Wake{}) {
+				if _, ok := o.(drainer.RefuseNew); ok {
+					refusedAt = at
+				}
+			}
+		}
+		g.Expect(refusedAt).To(BeNumerically(">", 0))
+		g.Expect(refusedAt).To(BeNumerically("<", 3*time.Second))
+	}
+}
+
 // standing is a reader of the log that stands still.
 type standing struct{ released chan struct{} }
 
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -1,9 +1,11 @@
 package parser_test
 
 import (
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
@@ -68,3 +70,25 @@
 		}
 	})
 }
+
+func TestPlatformSettingsNeedNoKeysButTheirOwnFields(t *testing.T) {
+	g := NewWithT(t)
+	s, err := parser.Load("../examples/platform/router.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Platform.Contact).To(Equal(3 * time.Second))
+	text, err := os.ReadFile("../examples/platform/router.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	for from, want := range map[string]string{
+		`Ready: "10.1.0.38:8141"`: "Ready is missing",
+		"Contact: 3000ms":         "Contact: 1ms is not allowed",
+		"RetryRatio: 0.2":         "RetryRatio: 7 is not allowed",
+		"MemoryMB: 134":           "MemoryMB: 0 is not allowed",
+	} {
+		bad := map[string]string{"Contact": "Contact: 1ms", "RetryRatio": "RetryRatio: 7", "MemoryMB": "MemoryMB: 0", "Ready": "Ready: \"\""}
+		name, _, _ := strings.Cut(from, ":")
+		_, err := parser.Parse([]byte(strings.Replace(string(text), from, bad[name], 1)))
+		g.Expect(err).To(MatchError(ContainSubstring(want)), from)
+	}
+	_, err = parser.Parse([]byte(strings.Split(string(text), "Platform:")[0]))
+	g.Expect(err).To(MatchError(ContainSubstring("Keys is missing")))
+}
