Count engines that stay away as gone in the proportion of roles

Cause: the number of prefill engines followed the most engines that a pool ever had, so that after losses for good too many read prompts for too few that decode. The most of the last 15 s counts now; a script covers it. Ruled out: to count at once, as crashed engines are back within seconds.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -33,6 +33,9 @@
 	// TakeOverWait is the pause before the first order after another holder's:
 	// the platform states 3 s, the rest is for clocks that run apart.
 	TakeOverWait = 4 * time.Second
+	// AwayFor is how long an engine may be away until it counts as gone for good:
+	// crashed ones are back within some seconds.
+	AwayFor = 15 * time.Second
 	// OrderAgainAfter is when an order without effect is given again.
 	OrderAgainAfter = 20 * time.Second
 	// Pace is the shortest time between two orders.
@@ -137,6 +140,12 @@
 	start identifier.Incarnation
 }
 
+// peak is a number of engines and when it was last there.
+type peak struct {
+	n  int
+	at time.Time
+}
+
 // Core is the state of one VM. It is advanced only by Step.
 type Core struct {
 	began time.Time
@@ -148,9 +157,9 @@
 	notBefore time.Time
 	// since holds when each pool's present need began.
 	since map[identifier.Pool]time.Time
-	// most holds the most engines that each pool had, so that one that is away
-	// for a moment changes no proportion.
-	most map[identifier.Pool]int
+	// most holds the most engines that each pool had lately, so that one that
+	// is away for a moment changes no proportion.
+	most map[identifier.Pool]peak
 	// ordered holds the orders by engine.
 	ordered map[engineKey]time.Time
 }
@@ -160,7 +169,7 @@
 	return &Core{
 		began:   now,
 		since:   map[identifier.Pool]time.Time{},
-		most:    map[identifier.Pool]int{},
+		most:    map[identifier.Pool]peak{},
 		ordered: map[engineKey]time.Time{},
 	}
 }
@@ -241,8 +250,11 @@
 			by[e.Role] = append(by[e.Role], e)
 		}
 	}
-	c.most[p.ID] = max(c.most[p.ID], len(by[identifier.RolePrefill])+len(by[identifier.RoleDecode]))
-	want := Prefills(c.most[p.ID], p)
+	n := len(by[identifier.RolePrefill]) + len(by[identifier.RoleDecode])
+	if most := c.most[p.ID]; n >= most.n || now.Sub(most.at) > AwayFor {
+		c.most[p.ID] = peak{n, now}
+	}
+	want := Prefills(c.most[p.ID].n, p)
 	if len(by[identifier.RolePrefill]) <= want || want == 0 {
 		return Engine{}, "", false
 	}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -83,6 +83,7 @@
 		{"a claim that fails is tried again", []step{{0, surplus}, {6 * tick, surplus}, {6*tick + 1, stager.Failed{}}, {8 * tick, surplus}}},
 		{"later a need has to last longer", []step{{40 * tick, surplus}, {50 * tick, surplus}, {60 * tick, surplus}}},
 		{"engines that are away change no proportion", []step{{0, stager.Looked{View: view(pool(3, 6))}}, {tick, away}, {60 * tick, away}}},
+		{"engines that are gone for good change it", []step{{0, stager.Looked{View: view(pool(3, 6))}}, {tick, away}, {61 * tick, away}, {82 * tick, away}}},
 	}
 	var w strings.Builder
 	for _, s := range scripts {
