Free what a call has kept for a caller that left meanwhile

Cause: a reservation or a prefill that was answered just as its caller left was forgotten, and lay on the engine until its lease or handle ended. Ruled out: to let the core see the answer first, which would start the next call.

--- a/router/passage.go
+++ b/router/passage.go
@@ -45,6 +45,8 @@
 	// run is the run that gave it, load what it puts on its runner.
 	run  attempter.Run
 	load tracker.Load
+	// reservedAt and prefilledAt are the engines of the last such calls.
+	reservedAt, prefilledAt tracker.Runner
 	// sent is when the run was sent.
 	sent time.Time
 	// begun says that the caller has the head of an answer.
@@ -70,6 +72,7 @@
 		if e == nil || ctx.Err() == nil {
 			continue
 		}
+		p.giveBack(e)
 		e = attempter.Expired{Begun: p.begun}
 		if parent.Err() != nil {
 			e = attempter.Abandoned{}
@@ -79,6 +82,17 @@
 	}
 }
 
+// giveBack frees what a call has kept for a request whose time is up or whose
+// caller has left, as the core won't hear of it.
+func (p *passage) giveBack(e attempter.Event) {
+	switch e := e.(type) {
+	case attempter.Reserved:
+		p.release(attempter.Release{To: p.reservedAt, Hold: e.Hold})
+	case attempter.Prefilled:
+		p.discard(attempter.Discard{Source: attempter.Source{Runner: p.prefilledAt, Handle: e.Handle}})
+	}
+}
+
 // advance performs outcomes and returns the event that the last one gave; nil
 // at the end of the request.
 func (p *passage) advance(ctx context.Context, outcomes []attempter.Outcome) attempter.Event {
@@ -126,6 +140,7 @@
 }
 
 func (p *passage) reserve(ctx context.Context, o attempter.Reserve) attempter.Event {
+	p.reservedAt = o.To
 	ctx, cancel := context.WithTimeout(ctx, reserveLimit)
 	defer cancel()
 	began := time.Now()
@@ -161,6 +176,7 @@
 const reserveLimit = 250 * time.Millisecond
 
 func (p *passage) prefill(ctx context.Context, o attempter.Prefill) attempter.Event {
+	p.prefilledAt = o.To
 	ctx, cancel := context.WithTimeout(ctx, o.Limit)
 	defer cancel()
 	load := tracker.Load{Reading: p.job.Input}
