--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -29,6 +29,9 @@
 	// request: those that run there still grow, and one that finds no room is
 	// preempted and read again. It decides between engines, not on refusals.
 	Slack identifier.Tokens = 3000
+	// SlackTries is how many engines are asked for that much: with more, the
+	// search itself takes a part of the target.
+	SlackTries = 6
 	// RestFor is the pause between two tries to reserve memory.
 	RestFor = 25 * time.Millisecond
 	// WaitShare is the part of the target after which a request without
@@ -118,6 +121,8 @@
 	without tracker.Without
 	// unread holds the prefill engines that are not to be tried again.
 	unread tracker.Without
+	// reserves counts the tries to reserve memory for the present run.
+	reserves int
 	// slack is the room beyond its need that a request looks for first; zero
 	// once no engine had as much. isShrunk says that it was given back.
 	slack    identifier.Tokens
@@ -292,7 +297,7 @@
 		c.giveUp(now, ReasonAttempts)
 	default:
 		c.waitUntil = now.Add(c.job.Target / WaitShare)
-		c.prefills, c.isShrunk = min(c.prefills, 1), false
+		c.prefills, c.reserves, c.isShrunk = min(c.prefills, 1), 0, false
 		c.place(now)
 	}
 }
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -138,6 +138,14 @@
 	{"without memory a stream is refused at once after its wait", stream(false), fleet{empty: true}, []step{
 		{0, attempter.Begin{}}, {ms(25), attempter.Rested{}}, {ms(125), attempter.Rested{}},
 	}},
+	{"in a large full pool a stream is refused after its wait", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}},
+		{ms(30), full},
+		{ms(60), full},
+		{ms(90), full},
+		{ms(124), full},
+		{ms(126), full},
+	}},
 	{"a prefill that fails is tried elsewhere, then the decode engine reads", stream(false), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), lost}, {ms(200), lost}, {ms(400), ok},
 	}},
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -32,8 +32,17 @@
 	return r, ok
 }
 
-// reserve asks the next decode engine that may have room.
+// reserve asks the next decode engine that may have room. A large pool has
+// always one that was not asked lately, so that time alone ends the search.
 func (c *Core) reserve(now time.Time) {
+	if c.reserves > 0 && !now.Before(c.waitUntil) {
+		c.giveUp(now, ReasonNoMemory)
+		return
+	}
+	if c.reserves >= SlackTries {
+		c.slack = 0
+	}
+	c.reserves++
 	for {
 		candidates := c.fleet.Decode(now, c.job.Pool, c.need()+c.slack, c.without)
 		if len(candidates) > 0 {
@@ -46,10 +55,6 @@
 		}
 		c.slack = 0
 	}
-	if !now.Before(c.waitUntil) {
-		c.giveUp(now, ReasonNoMemory)
-		return
-	}
 	c.phase = phaseResting
 	c.emit(Rest{min(RestFor, c.waitUntil.Sub(now))})
 }
