--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -27,11 +27,9 @@
 	HoldFor = 2 * time.Second
 	// Slack is the free memory, in tokens, that an engine should have beyond a
 	// request: those that run there still grow, and one that finds no room is
-	// preempted and read again. It decides between engines, not on refusals.
+	// preempted and read again. It decides between engines, not on refusals, and
+	// is looked for in the first half of the wait.
 	Slack identifier.Tokens = 3000
-	// SlackTries is how many engines are asked for that much: with more, the
-	// search itself takes a part of the target.
-	SlackTries = 6
 	// RestFor is the pause between two tries to reserve memory.
 	RestFor = 25 * time.Millisecond
 	// WaitShare is the part of the target after which a request without
