Wait longer for memory where the caller has a part of the stream

Cause, found by reading: a resumable stream whose runner died was broken off where no engine had room within 125 ms, though late is better than lost; it waits up to 2 s now. The age of the view was taken by the time of day, which may jump; it is taken by the steady clock. Ruled out: a wait to the deadline, as callers leave after a pause of 4 s.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -30,6 +30,10 @@
 	// preempted and read again. It decides between engines, not on refusals, and
 	// is looked for in the first half of the wait.
 	Slack identifier.Tokens = 3000
+	// ResumeWait is how long a stream that the caller has a part of waits for
+	// memory: late is better than broken, and callers bear a pause of four
+	// seconds.
+	ResumeWait = 2 * time.Second
 	// RestFor is the pause between two tries to reserve memory.
 	RestFor = 25 * time.Millisecond
 	// WaitShare is the part of the target after which a request without
@@ -97,7 +101,7 @@
 	phase phase
 	// runs counts the sends that may have run; at most job.MaxAttempts.
 	runs int
-	// sends counts all sends of the request, arrivals those that a runner saw.
+	// sends counts all sends of the request, with those that were refused.
 	sends int
 	// prefills counts the prefill calls.
 	prefills int
@@ -295,6 +299,9 @@
 		c.giveUp(now, ReasonAttempts)
 	default:
 		c.waitUntil = now.Add(c.job.Target / WaitShare)
+		if c.begun {
+			c.waitUntil = now.Add(ResumeWait)
+		}
 		c.prefills, c.reserves, c.isShrunk = min(c.prefills, 1), 0, false
 		c.place(now)
 	}
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -128,6 +128,17 @@
 		{ms(2110), ok},
 		{ms(3000), attempter.Broken{LastEvent: "9", Begun: true}},
 	}},
+	{"a stream that the caller has a part of waits longer for memory", stream(true), fleet{}, []step{
+		{0, attempter.Begin{}},
+		{ms(1), attempter.Reserved{Hold: "h"}},
+		{ms(2), attempter.Reserved{Hold: "i"}},
+		{ms(100), attempter.Prefilled{Handle: "k"}},
+		{ms(110), ok},
+		{ms(2000), attempter.Broken{LastEvent: "7", Begun: true}},
+		{ms(2500), full},
+		{ms(3900), full},
+		{ms(4000), full},
+	}},
 	{"a stream that breaks before its first event has an unknown outcome", stream(false), fleet{}, []step{
 		{0, attempter.Begin{}},
 		{ms(1), attempter.Reserved{Hold: "h"}},
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -37,7 +37,7 @@
 	Kind driver.Kind
 	// Status is the runner's answer where Ran is known; zero without one.
 	Status int
-	// Timely says that the call was given up because it took too long.
+	// Silent says that the call was given up because it took too long.
 	Silent bool
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -36,8 +36,9 @@
 	metrics *Metrics
 	// configuration is nil until the first one is known.
 	configuration atomic.Pointer[Configuration]
-	// lostSince is when the store was lost in Unix ns; zero while it answers.
-	lostSince atomic.Int64
+	// lostSince is when the store was lost; nil while it answers. It keeps the
+	// steady clock's reading, as the time of day may jump meanwhile.
+	lostSince atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	view   *tracker.Tracker
@@ -69,10 +70,10 @@
 // ViewAge returns for how long the store has not answered; zero while it does.
 func (f *Fleet) ViewAge(now time.Time) time.Duration {
 	since := f.lostSince.Load()
-	if since == 0 {
+	if since == nil {
 		return 0
 	}
-	return now.Sub(time.Unix(0, since))
+	return now.Sub(*since)
 }
 
 // TakeAll implements follower.Taker.
@@ -150,14 +151,14 @@
 
 // StoreLost implements follower.Taker.
 func (f *Fleet) StoreLost(o follower.StoreLost) {
-	f.lostSince.Store(o.Since.UnixNano())
+	f.lostSince.Store(&o.Since)
 	f.metrics.storeUp.Set(0)
 	f.log.Warn().Time("Since", o.Since).AnErr("Error", o.Err).Msg("StoreLost")
 }
 
 // StoreFound implements follower.Taker.
 func (f *Fleet) StoreFound(o follower.StoreFound) {
-	f.lostSince.Store(0)
+	f.lostSince.Store(nil)
 	f.metrics.storeUp.Set(1)
 	f.log.Info().Dur("Away", o.Away).Msg("StoreFound")
 	f.step(tracker.StoreBack{})
--- a/router/orders.go
+++ b/router/orders.go
@@ -81,7 +81,7 @@
 		v.Members = append(v.Members, vm)
 	}
 	c := f.configuration.Load()
-	v.IsFresh = c != nil && f.listed && f.lostSince.Load() == 0 && f.roster.members[self] == start
+	v.IsFresh = c != nil && f.listed && f.lostSince.Load() == nil && f.roster.members[self] == start
 	if !v.IsFresh {
 		return v
 	}
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -36,8 +36,7 @@
 // Without is a set of runners that a choice leaves out.
 type Without map[identifier.Upstream]bool
 
-// Plain chooses a runner for a call to a plain service. The reason is empty
-// where one was found.
+// Plain chooses a runner for a call to a plain service; false without any.
 func (t *Tracker) Plain(now time.Time, pool identifier.Pool, without Without) (Runner, bool) {
 	return t.best(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RolePlain {
