--- a/explainer/story.go
+++ b/explainer/story.go
@@ -134,7 +134,7 @@
 	case "Unknown", "Broken":
 		return fmt.Sprintf("ended as %s after %.0f ms: %s.", strings.ToLower(e.Message), e.Took, e.Reason)
 	case "Abandoned":
-		return fmt.Sprintf("the caller left after %.0f ms.", e.Took)
+		return fmt.Sprintf("the caller left after %.0f ms and event %q, longest pause %.0f ms.", e.Took, e.LastEvent, e.LongestGap)
 	default:
 		return fmt.Sprintf("%s %s %s.", e.Message, e.Upstream, e.Reason)
 	}
--- a/launcher/log.go
+++ b/launcher/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
@@ -39,11 +40,20 @@
 	began  time.Time
 	// written and left count the lines of the present second by kind.
 	written, left map[string]int
+	lost          prometheus.Counter
 }
 
+// Describe implements prometheus.Collector.
+func (l *Limiter) Describe(ch chan<- *prometheus.Desc) { l.lost.Describe(ch) }
+
+// Collect implements prometheus.Collector.
+func (l *Limiter) Collect(ch chan<- prometheus.Metric) { l.lost.Collect(ch) }
+
 // NewLimiter returns a limiter that has left nothing out.
 func NewLimiter() *Limiter {
-	return &Limiter{began: time.Now(), written: map[string]int{}, left: map[string]int{}}
+	return &Limiter{began: time.Now(), written: map[string]int{}, left: map[string]int{}, lost: prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "figtrack", Name: "log_lines_left_out_total", Help: "Lines that the bound of the log left out.",
+	})}
 }
 
 // Run implements zerolog.Hook.
@@ -56,6 +66,7 @@
 	}
 	if l.written[kind] >= linesPerSecond {
 		l.left[kind]++
+		l.lost.Inc()
 		e.Discard()
 		return
 	}
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -41,6 +41,7 @@
 		Dur("Took", took)
 	if errors.Is(err, errCallerGone) {
 		line.AnErr("Error", err).Msg("Abandoned")
+		p.metrics.requests.WithLabelValues(string(p.route.Kind), "Abandoned").Inc()
 		return attempter.Abandoned{}
 	}
 	if err != nil {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/attempter"
@@ -60,6 +62,32 @@
 	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster(), sizes: map[identifier.Pool]*sizes{}}
 }
 
+// Gauges returns the age of the view and what is left of the retry budget.
+func (f *Fleet) Gauges() []prometheus.Collector {
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "view_age_seconds", Help: "Time for which the store has not answered; 0 while it does.",
+		}, func() float64 { return f.ViewAge(time.Now()).Seconds() }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "retry_budget_left", Help: "Extra sends that this VM may make now, in the pool that has least.",
+		}, f.budgetLeft),
+	}
+}
+
+func (f *Fleet) budgetLeft() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.configuration.Load()
+	if c == nil {
+		return 0
+	}
+	least := math.Inf(1)
+	for pool := range c.Pools {
+		least = min(least, f.budget.Left(time.Now(), pool))
+	}
+	return least
+}
+
 // IsReady says that a configuration and the upstreams are known.
 func (f *Fleet) IsReady() bool {
 	f.mu.Lock()
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -14,6 +14,7 @@
 // Metrics are those of the router. All labels are bounded.
 type Metrics struct {
 	requests   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
 	inFlight   prometheus.Gauge
 	firstByte  *prometheus.HistogramVec
 	whole      *prometheus.HistogramVec
@@ -33,6 +34,7 @@
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		requests:   counters("routed_requests_total", "Routed requests by kind of route and by what became of them.", "kind", "outcome"),
+		refusals:   counters("routed_refusals_total", "Routed requests that were refused as not run, by reason.", "reason"),
 		inFlight:   gauge("routed_requests_in_flight", "Routed requests without a final answer."),
 		firstByte:  histograms("routed_first_byte_seconds", "Time from arrival to the first byte of a runner's answer.", "kind"),
 		whole:      histograms("routed_answer_seconds", "Time from arrival to the end of a runner's answer.", "kind"),
@@ -47,7 +49,7 @@
 		storeUp:    gauge("store_up", "1 while the store answers this VM, else 0."),
 		vms:        gauge("roster_vms", "VMs that live, or left a moment ago, by the store's word."),
 	}
-	registry.MustRegister(m.requests, m.inFlight, m.firstByte, m.whole, m.calls, m.callTimes, m.retries,
+	registry.MustRegister(m.requests, m.refusals, m.inFlight, m.firstByte, m.whole, m.calls, m.callTimes, m.retries,
 		m.waits, m.revision, m.upstreams, m.suspicions, m.badEntries, m.storeUp, m.vms)
 	return m
 }
--- a/router/passage.go
+++ b/router/passage.go
@@ -75,13 +75,26 @@
 		p.giveBack(e)
 		e = attempter.Expired{Begun: p.begun}
 		if parent.Err() != nil {
+			p.abandoned(e)
 			e = attempter.Abandoned{}
-			p.log.Info().Str("Request", string(p.q.ID)).Dur("Took", time.Since(p.q.Arrived)).Msg("Abandoned")
-			p.metrics.requests.WithLabelValues(string(p.route.Kind), "Abandoned").Inc()
 		}
 	}
 }
 
+// abandoned logs that the caller has left, unless the relay has done so.
+func (p *passage) abandoned(e attempter.Event) {
+	if _, isLogged := e.(attempter.Abandoned); isLogged {
+		return
+	}
+	p.log.Info().
+		Str("Request", string(p.q.ID)).
+		Dur("Took", time.Since(p.q.Arrived)).
+		Str("LastEvent", p.events.last).
+		Dur("LongestGap", p.gap).
+		Msg("Abandoned")
+	p.metrics.requests.WithLabelValues(string(p.route.Kind), "Abandoned").Inc()
+}
+
 // giveBack frees what a call has kept for a request whose time is up or whose
 // caller has left, as the core won't hear of it.
 func (p *passage) giveBack(e attempter.Event) {
--- a/router/router.go
+++ b/router/router.go
@@ -156,6 +156,7 @@
 	switch reply := reply.(type) {
 	case NotRun:
 		outcome = "NotRun"
+		r.metrics.refusals.WithLabelValues(string(reply.Reason)).Inc()
 		line = line.Str("Reason", string(reply.Reason)).Dur("ComeBack", reply.After)
 	case Unknown:
 		outcome = "Unknown"
