--- a/attempter/event.go
+++ b/attempter/event.go
@@ -33,13 +33,7 @@
 type Prefilled struct{ Handle Handle }
 
 // Failed says that the last call was not answered as hoped for.
-type Failed struct {
-	Kind driver.Kind
-	// Status is the runner's answer where Ran is known; zero without one.
-	Status int
-	// Silent says that the call was given up because it took too long.
-	Silent bool
-}
+type Failed struct{ Kind driver.Kind }
 
 // Answered says that a runner's whole answer, or its first byte, is there.
 type Answered struct{ Status int }
--- a/router/passage.go
+++ b/router/passage.go
@@ -73,11 +73,12 @@
 			continue
 		}
 		p.giveBack(e)
-		e = attempter.Expired{Begun: p.begun}
-		if parent.Err() != nil {
-			p.abandoned(e)
-			e = attempter.Abandoned{}
+		if parent.Err() == nil {
+			e = attempter.Expired{Begun: p.begun}
+			continue
 		}
+		p.abandoned(e)
+		e = attempter.Abandoned{}
 	}
 }
 
@@ -209,10 +210,12 @@
 	p.run, p.sent = o, time.Now()
 	p.load = tracker.Load{Holding: p.job.Input + p.job.Output}
 	ctx, cancel := context.WithCancel(ctx)
-	silent := timer(o.Limit, cancel)
+	silence := timer(o.Limit, cancel)
 	p.begin(o.To, p.load)
-	answer, err := p.runners.Run(ctx, p.q, RunOptions{Run: o, Left: p.left(), Priority: p.route.Priority})
-	isSilent := silent != nil && !silent.Stop()
+	answer, err := p.runners.Run(ctx, p.q, RunOptions{Run: o, Left: p.left()})
+	if silence != nil {
+		silence.Stop()
+	}
 	p.called(callRun, o.To, p.sent, err)
 	if err != nil {
 		cancel()
@@ -223,9 +226,7 @@
 				return nil
 			})
 		}
-		e := failed(err)
-		e.Silent = isSilent
-		return e
+		return failed(err)
 	}
 	answer.Body = &ender{ReadCloser: answer.Body, end: func() {
 		cancel()
@@ -233,7 +234,7 @@
 	}}
 	if p.begun && answer.Status != http.StatusOK {
 		drain(answer)
-		return attempter.Failed{Kind: driver.KindUnknown, Status: answer.Status}
+		return attempter.Failed{Kind: driver.KindUnknown}
 	}
 	p.answer = answer
 	return attempter.Answered{Status: answer.Status}
--- a/router/request.go
+++ b/router/request.go
@@ -108,8 +108,6 @@
 	attempter.Run
 	// Left is how long the caller still waits.
 	Left time.Duration
-	// Priority ranks the request at the runner; 0 is the most urgent.
-	Priority int
 }
 
 // Runners makes the calls to upstreams. Errors are of type *driver.Error. All
