--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -11,7 +11,6 @@
 	"os"
 	"runtime/debug"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -73,7 +72,6 @@
 	drain    *drainer.Core
 	// isLeaving makes the readiness check fail.
 	isLeaving atomic.Bool
-	wg        sync.WaitGroup
 }
 
 // New joins the duties of a VM whose settings were read from path.
@@ -130,9 +128,9 @@
 	if err := vm.serveControl(ctx); err != nil {
 		return 0, err
 	}
-	vm.goes(func() { vm.shell.Run(ctx) })
-	vm.goes(func() { vm.enrol.Run(ctx) })
-	vm.goes(func() { vm.orders.Run(ctx) })
+	go vm.shell.Run(ctx)
+	go vm.enrol.Run(ctx)
+	go vm.orders.Run(ctx)
 	go vm.callers.Serve(platform.Listener{Listener: callers}) // Ends with the process.
 	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
 	cut = vm.loop(signals)
@@ -140,14 +138,6 @@
 	return cut, nil
 }
 
-func (vm *VM) goes(f func()) {
-	vm.wg.Add(1)
-	go func() {
-		defer vm.wg.Done()
-		f()
-	}()
-}
-
 // serveControl opens the readiness check and the metrics.
 func (vm *VM) serveControl(ctx context.Context) error {
 	ready := echo.New()
