Call what stands already, and log a listener that fails

Found by reading the whole change: the pause of a request was a copy of looper.Sleep, the comparison of ids one of cmp.Compare, the cut of a query one of strings.Cut; two fields of a passage lived for one call; the end of a listener was swallowed. Behaviour stays but for that log line. Ruled out for now: a list of decode engines that isn't sorted whole, as its tests assert on the list.

--- a/explainer/story.go
+++ b/explainer/story.go
@@ -89,7 +89,7 @@
 	last := map[string]int64{}
 	at := make([]time.Time, len(all))
 	for i, e := range all {
-		if began, ok := start[e.VM]; !ok || e.UptimeUs < last[e.VM] && e.Message == "Started" || began.IsZero() {
+		if _, ok := start[e.VM]; !ok || e.UptimeUs < last[e.VM] && e.Message == "Started" {
 			start[e.VM] = e.Time.Add(-time.Duration(e.UptimeUs) * time.Microsecond)
 		}
 		last[e.VM] = e.UptimeUs
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -131,7 +131,7 @@
 	go vm.shell.Run(ctx)
 	go vm.enrol.Run(ctx)
 	go vm.orders.Run(ctx)
-	go vm.callers.Serve(platform.Listener{Listener: callers}) // Ends with the process.
+	go vm.serve(vm.callers, platform.Listener{Listener: callers})
 	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
 	cut = vm.loop(signals)
 	vm.log.Info().Int("Cut", cut).Msg("Stopped")
@@ -164,11 +164,19 @@
 		return errors.Wrap(err, setting+" can't be used; is another program on this port?")
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: vm.cfg.Callers.HeaderTimeout}
-	go s.Serve(l) // Ends with the process.
+	go vm.serve(s, l)
 	context.AfterFunc(ctx, func() { s.Close() })
 	return nil
 }
 
+// serve serves until the process ends. A listener that fails sooner leaves the
+// VM without callers, or the balancer without answers, which takes it out.
+func (vm *VM) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		vm.log.Error().Str("Address", l.Addr().String()).AnErr("Error", err).Msg("ListenerFailed")
+	}
+}
+
 // loop handles signals and time until the VM is to exit.
 func (vm *VM) loop(signals <-chan os.Signal) (cut int) {
 	wake := time.NewTicker(wakeEvery)
--- a/router/passage.go
+++ b/router/passage.go
@@ -10,6 +10,7 @@
 
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/matcher"
 	"github.com/figtrack/figtrack/tracker"
 )
@@ -42,13 +43,10 @@
 	core   *attempter.Core
 	// answer is the runner's answer that is being passed on.
 	answer *Answer
-	// run is the run that gave it, load what it puts on its runner.
-	run  attempter.Run
-	load tracker.Load
+	// run is the run that gave it.
+	run attempter.Run
 	// reservedAt and prefilledAt are the engines of the last such calls.
 	reservedAt, prefilledAt tracker.Runner
-	// sent is when the run was sent.
-	sent time.Time
 	// begun says that the caller has the head of an answer.
 	begun  bool
 	events splitter
@@ -144,12 +142,7 @@
 }
 
 func (p *passage) rest(ctx context.Context, o attempter.Rest) attempter.Event {
-	timer := time.NewTimer(o.For)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	looper.Sleep(ctx, o.For)
 	return attempter.Rested{}
 }
 
@@ -207,19 +200,20 @@
 
 // send sends the request to its runner and waits for the head of the answer.
 func (p *passage) send(ctx context.Context, o attempter.Run) attempter.Event {
-	p.run, p.sent = o, time.Now()
-	p.load = tracker.Load{Holding: p.job.Input + p.job.Output}
+	p.run = o
+	sent := time.Now()
+	load := tracker.Load{Holding: p.job.Input + p.job.Output}
 	ctx, cancel := context.WithCancel(ctx)
 	silence := timer(o.Limit, cancel)
-	p.begin(o.To, p.load)
+	p.begin(o.To, load)
 	answer, err := p.runners.Run(ctx, p.q, RunOptions{Run: o, Left: p.left()})
 	if silence != nil {
 		silence.Stop()
 	}
-	p.called(callRun, o.To, p.sent, err)
+	p.called(callRun, o.To, sent, err)
 	if err != nil {
 		cancel()
-		p.end(o.To, p.load)
+		p.end(o.To, load)
 		if o.Source != nil && driver.KindOf(err) == driver.KindFull {
 			p.fleet.with(func(now time.Time, view *tracker.Tracker) []tracker.Change {
 				view.Lapsed(now, o.Source.Runner)
@@ -230,7 +224,7 @@
 	}
 	answer.Body = &ender{ReadCloser: answer.Body, end: func() {
 		cancel()
-		p.end(o.To, p.load)
+		p.end(o.To, load)
 	}}
 	if p.begun && answer.Status != http.StatusOK {
 		drain(answer)
--- a/router/router.go
+++ b/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -141,12 +142,8 @@
 
 // path returns a target without its query.
 func path(target string) string {
-	for i := range len(target) {
-		if target[i] == '?' {
-			return target[:i]
-		}
-	}
-	return target
+	p, _, _ := strings.Cut(target, "?")
+	return p
 }
 
 // reply sends a final answer of figtrack's own.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -211,30 +212,23 @@
 			all = append(all, u)
 		}
 	}
-	slices.SortFunc(all, func(a, b *upstream) int { return compareIDs(a.ID, b.ID) })
+	sortByID(all)
 	t.pools[pool] = all
 }
 
+func sortByID(all []*upstream) {
+	slices.SortFunc(all, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 func (t *Tracker) ordered() []*upstream {
 	all := make([]*upstream, 0, len(t.upstreams))
 	for _, u := range t.upstreams {
 		all = append(all, u)
 	}
-	slices.SortFunc(all, func(a, b *upstream) int { return compareIDs(a.ID, b.ID) })
+	sortByID(all)
 	return all
 }
 
-func compareIDs(a, b identifier.Upstream) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Runner returns a start of a runner that takes work.
 func (t *Tracker) Runner(id identifier.Upstream, start identifier.Incarnation) (Runner, bool) {
 	u := t.upstreams[id]
