Let the real program take free ports in its test, and log them

The test chose three ports, closed them, built the program for 5 s and then used them; a port that another test took meanwhile ends the program at once, which a run with a taken port shows (status 1). The output of the failed run was not kept, so that this is the one path found, not proved.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -125,48 +125,51 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := vm.serveControl(ctx); err != nil {
+	ready, metrics, err := vm.serveControl(ctx)
+	if err != nil {
 		return 0, err
 	}
 	go vm.shell.Run(ctx)
 	go vm.enrol.Run(ctx)
 	go vm.orders.Run(ctx)
 	go vm.serve(vm.callers, platform.Listener{Listener: callers})
-	vm.log.Info().Str("Callers", vm.cfg.Callers.Address).Str("Ready", vm.cfg.Platform.Ready).Msg("Started")
+	vm.log.Info().Str("Callers", callers.Addr().String()).Str("Ready", ready).Str("Metrics", metrics).Msg("Started")
 	cut = vm.loop(signals)
 	vm.log.Info().Int("Cut", cut).Msg("Stopped")
 	return cut, nil
 }
 
-// serveControl opens the readiness check and the metrics.
-func (vm *VM) serveControl(ctx context.Context) error {
-	ready := echo.New()
-	ready.GET(platform.PathReady, func(c *echo.Context) error {
+// serveControl opens the readiness check and the metrics, and returns their
+// addresses; that of the metrics is empty where they are closed.
+func (vm *VM) serveControl(ctx context.Context) (ready, metrics string, err error) {
+	check := echo.New()
+	check.GET(platform.PathReady, func(c *echo.Context) error {
 		if vm.isLeaving.Load() || !vm.fleet.IsReady() {
 			return c.String(http.StatusServiceUnavailable, "not ready\n")
 		}
 		return c.String(http.StatusOK, "ready\n")
 	})
-	if err := vm.listen(ctx, "Platform.Ready", vm.cfg.Platform.Ready, ready); err != nil {
-		return err
+	if ready, err = vm.listen(ctx, "Platform.Ready", vm.cfg.Platform.Ready, check); err != nil {
+		return "", "", err
 	}
 	if vm.cfg.Platform.Metrics == "" {
-		return nil
+		return ready, "", nil
 	}
-	metrics := echo.New()
-	metrics.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(vm.registry, promhttp.HandlerOpts{})))
-	return vm.listen(ctx, "Platform.Metrics", vm.cfg.Platform.Metrics, metrics)
+	page := echo.New()
+	page.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(vm.registry, promhttp.HandlerOpts{})))
+	metrics, err = vm.listen(ctx, "Platform.Metrics", vm.cfg.Platform.Metrics, page)
+	return ready, metrics, err
 }
 
-func (vm *VM) listen(ctx context.Context, setting, address string, h http.Handler) error {
+func (vm *VM) listen(ctx context.Context, setting, address string, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrap(err, setting+" can't be used; is another program on this port?")
+		return "", errors.Wrap(err, setting+" can't be used; is another program on this port?")
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: vm.cfg.Callers.HeaderTimeout}
 	go vm.serve(s, l)
 	context.AfterFunc(ctx, func() { s.Close() })
-	return nil
+	return l.Addr().String(), nil
 }
 
 // serve serves until the process ends. A listener that fails sooner leaves the
