Show what each VM believed at a moment and where two of them differed

It only listed the lines in order, so that a VM with an old configuration had to be found by eye.

Change: the explainer folds the lines of all VMs into beliefs (configuration, store, runners, roster), tells them with `timeline --at`, and with `--differences` each time that VMs differed on a subject for a second or longer. Lines are ordered by each VM's steady clock, the end of a suspicion is taken by the VM's own clock.

Test with a golden file: an outage of one VM's store, a suspicion, a clock that jumps, a restart.

--- a/explainer/story.go
+++ b/explainer/story.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,8 +23,10 @@
 	UptimeUs int64
 	Time     time.Time
 	Message  string `json:"message"`
-	// line is the place in the file, which orders equal times.
-	line int
+	// at is the time of day without jumps.
+	at time.Time
+	// Lives says whether a VM is in the roster.
+	Lives bool
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until                          string
@@ -42,7 +44,7 @@
 		if !found {
 			continue
 		}
-		one := entry{line: len(all)}
+		var one entry
 		if json.Unmarshal(append([]byte("{"), text...), &one) != nil || one.Message == "" {
 			continue // The log of another program may be mixed in.
 		}
@@ -51,6 +53,18 @@
 	return all, errors.Wrap(s.Err(), "read a log")
 }
 
+// readAll reads logs and orders their lines by cause.
+func readAll(logs []io.Reader) ([]entry, error) {
+	var all []entry
+	var err error
+	for _, r := range logs {
+		if all, err = read(r, all); err != nil {
+			return nil, err
+		}
+	}
+	return ordered(all), nil
+}
+
 // Story tells what happened to a request by the logs of all VMs.
 func Story(request string, logs ...io.Reader) ([]string, error) {
 	return tell(logs, func(e entry) bool { return e.Request == request }, func(e entry) string { return e.step() })
@@ -65,14 +79,10 @@
 // tell orders the chosen lines, each VM's by its steady clock, and puts them
 // into words.
 func tell(logs []io.Reader, isWanted func(entry) bool, words func(entry) string) ([]string, error) {
-	var all []entry
-	var err error
-	for _, r := range logs {
-		if all, err = read(r, all); err != nil {
-			return nil, err
-		}
+	all, err := readAll(logs)
+	if err != nil {
+		return nil, err
 	}
-	all = ordered(all)
 	var out []string
 	for _, e := range all {
 		if text := words(e); isWanted(e) && text != "" {
@@ -87,24 +97,15 @@
 func ordered(all []entry) []entry {
 	start := map[string]time.Time{}
 	last := map[string]int64{}
-	at := make([]time.Time, len(all))
 	for i, e := range all {
 		if _, ok := start[e.VM]; !ok || e.UptimeUs < last[e.VM] && e.Message == "Started" {
 			start[e.VM] = e.Time.Add(-time.Duration(e.UptimeUs) * time.Microsecond)
 		}
 		last[e.VM] = e.UptimeUs
-		at[i] = start[e.VM].Add(time.Duration(e.UptimeUs) * time.Microsecond)
-	}
-	index := make([]int, len(all))
-	for i := range index {
-		index[i] = i
+		all[i].at = start[e.VM].Add(time.Duration(e.UptimeUs) * time.Microsecond)
 	}
-	sort.SliceStable(index, func(i, j int) bool { return at[index[i]].Before(at[index[j]]) })
-	out := make([]entry, len(all))
-	for i, from := range index {
-		out[i] = all[from]
-	}
-	return out
+	slices.SortStableFunc(all, func(a, b entry) int { return a.at.Compare(b.at) })
+	return all
 }
 
 // step tells a line about a request.
@@ -160,6 +161,12 @@
 			text += ": " + e.Reason
 		}
 		return text + "."
+	case "RosterChanged":
+		_, vm, _ := strings.Cut(e.Key, "/vms/")
+		if !e.Lives {
+			return fmt.Sprintf("VM %s left the roster, %d VMs.", vm, e.VMs)
+		}
+		return fmt.Sprintf("VM %s is in the roster, %d VMs.", vm, e.VMs)
 	case "StoreLost":
 		return "the store doesn't answer: " + e.Error + "."
 	case "StoreFound":
--- a/explainer/story_test.go
+++ b/explainer/story_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
@@ -24,3 +25,24 @@
 	text := "Story\n" + strings.Join(story, "\n") + "\n\nTimeline\n" + strings.Join(timeline, "\n") + "\n"
 	goldie.New(t).Assert(t, "story", []byte(text))
 }
+
+// TestBeliefsAtAMomentAndDifferences reads the logs of three VMs: one misses a
+// runner's leaving while the store is away, one suspects a runner for a while,
+// and one starts again.
+func TestBeliefsAtAMomentAndDifferences(t *testing.T) {
+	g := NewWithT(t)
+	logs, err := os.ReadFile("testdata/differing.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	var text strings.Builder
+	for _, moment := range []string{"08:00:03", "08:00:07.500", "2026-12-04T08:00:12Z", "08:00:30"} {
+		lines, err := explainer.At(moment, strings.NewReader(string(logs)))
+		g.Expect(err).NotTo(HaveOccurred())
+		text.WriteString("At " + moment + "\n" + strings.Join(lines, "\n") + "\n\n")
+	}
+	lines, err := explainer.Differences(time.Second, strings.NewReader(string(logs)))
+	g.Expect(err).NotTo(HaveOccurred())
+	text.WriteString("Differences\n" + strings.Join(lines, "\n") + "\n")
+	goldie.New(t).Assert(t, "differing", []byte(text.String()))
+	_, err = explainer.At("noon", strings.NewReader(string(logs)))
+	g.Expect(err).To(MatchError(ContainSubstring("15:04:05.000")))
+}
--- a/timeline.go
+++ b/timeline.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/figtrack/figtrack/explainer"
 )
@@ -15,15 +16,24 @@
 }
 
 type timelineOptions struct {
-	Log []string `long:"log" required:"yes" value-name:"FILE" description:"log of a VM; may be given several times"`
+	Log         []string      `long:"log" required:"yes" value-name:"FILE" description:"log of a VM; may be given several times"`
+	At          string        `long:"at" value-name:"TIME" description:"what each VM believed at a moment, as in 15:04:05.000, and where they differed"`
+	Differences bool          `long:"differences" description:"each time that VMs differed on the configuration, the store or a runner"`
+	Longer      time.Duration `long:"longer" default:"1s" description:"shortest difference that is told"`
 }
 
 func runTimeline(args []string, stdout, stderr io.Writer) int {
 	var o timelineOptions
-	if status, done := parse("timeline", "--log FILE...", &o, args, stdout, stderr); done {
+	if status, done := parse("timeline", "[--at TIME | --differences] --log FILE...", &o, args, stdout, stderr); done {
 		return status
 	}
 	return fromLogs("timeline", o.Log, stdout, stderr, func(logs []io.Reader) ([]string, error) {
+		switch {
+		case o.At != "":
+			return explainer.At(o.At, logs...)
+		case o.Differences:
+			return explainer.Differences(o.Longer, logs...)
+		}
 		return explainer.Timeline(logs...)
 	})
 }
