--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools.mod
 
-.PHONY: build demo test lint format generate install ci
+.PHONY: build demo test soak lint format generate install ci
 
 build:
 	$(GO) build -o figtrack .
@@ -12,6 +12,14 @@
 test:
 	$(GO) test ./...
 
+SEEDS ?= 50
+FIRST ?= 1
+FOR ?= 10s
+JOBS ?= 4
+
+soak:
+	$(GO) test ./platform -count=1 -run TestSoak -v -timeout 4h -parallel $(JOBS) -soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.for $(FOR)
+
 lint:
 	$(GO) vet ./...
 	$(TOOL) revive -config revive.toml -set_exit_status ./...
