--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -48,6 +48,18 @@
 	MinSilence = 100 * time.Millisecond
 )
 
+// Settings are the choices between which replays compare.
+type Settings struct {
+	// WaitShare is the part of the target after which a request without memory
+	// is refused.
+	WaitShare int
+	// Slack is the free memory that an engine should have beyond a request.
+	Slack identifier.Tokens
+}
+
+// DefaultSettings returns what VMs run with.
+func DefaultSettings() Settings { return Settings{WaitShare: WaitShare, Slack: Slack} }
+
 // Job is what is known of a request when it arrives.
 type Job struct {
 	Request identifier.Request
@@ -96,6 +108,7 @@
 
 // Core is the state of one request. It is advanced only by Step.
 type Core struct {
+	cfg   Settings
 	job   Job
 	fleet Fleet
 	phase phase
@@ -138,17 +151,21 @@
 }
 
 // New returns the core of a request that has just arrived.
-func New(job Job, fleet Fleet) *Core {
+func New(cfg Settings, job Job, fleet Fleet) *Core {
 	return &Core{
+		cfg:       cfg,
 		job:       job,
 		fleet:     fleet,
 		without:   tracker.Without{},
 		unread:    tracker.Without{},
-		slack:     Slack,
-		waitUntil: job.Arrived.Add(job.Target / WaitShare),
+		slack:     cfg.Slack,
+		waitUntil: job.Arrived.Add(job.Target / time.Duration(cfg.WaitShare)),
 	}
 }
 
+// wait is how long a request without memory waits.
+func (c *Core) wait() time.Duration { return c.job.Target / time.Duration(c.cfg.WaitShare) }
+
 // Runs returns how many sends may have run.
 func (c *Core) Runs() int { return c.runs }
 
@@ -300,7 +317,7 @@
 	case c.runs >= c.job.MaxAttempts:
 		c.giveUp(now, ReasonAttempts)
 	default:
-		c.waitUntil = now.Add(c.job.Target / WaitShare)
+		c.waitUntil = now.Add(c.wait())
 		if c.begun {
 			c.waitUntil = now.Add(ResumeWait)
 		}
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -39,7 +39,7 @@
 		c.giveUp(now, ReasonNoMemory)
 		return
 	}
-	if c.waitUntil.Sub(now) < c.job.Target/WaitShare/2 {
+	if c.waitUntil.Sub(now) < c.wait()/2 {
 		c.slack = 0
 	}
 	c.reserves++
--- a/explainer/belief.go
+++ b/explainer/belief.go
@@ -47,7 +47,7 @@
 type fleetBelief map[string]*belief
 
 // take brings the beliefs up to date with one line.
-func (f fleetBelief) take(e entry) {
+func (f fleetBelief) take(e Entry) {
 	if e.VM == "" {
 		return
 	}
@@ -81,9 +81,9 @@
 	case "RunnerSuspected":
 		until, err := time.Parse(time.RFC3339Nano, e.Until)
 		if err != nil {
-			until = e.at // A line without a readable end counts for its moment.
+			until = e.At // A line without a readable end counts for its moment.
 		}
-		b.runners[e.Upstream] = runnerBelief{stateSuspected, e.at.Add(until.Sub(e.Time))}
+		b.runners[e.Upstream] = runnerBelief{stateSuspected, e.At.Add(until.Sub(e.Time))}
 	}
 }
 
@@ -192,17 +192,17 @@
 // At tells what each VM believed at a moment and where two of them differed.
 // The moment is a time of day of the logs' first day, or RFC 3339.
 func At(moment string, logs ...io.Reader) ([]string, error) {
-	all, err := readAll(logs)
+	all, err := ReadLogs(logs)
 	if err != nil || len(all) == 0 {
 		return nil, err
 	}
-	at, err := momentOf(moment, all[0].at)
+	at, err := Moment(moment, all[0].At)
 	if err != nil {
 		return nil, err
 	}
 	f := fleetBelief{}
 	for _, e := range all {
-		if e.at.After(at) {
+		if e.At.After(at) {
 			break
 		}
 		f.take(e)
@@ -222,7 +222,8 @@
 	return out, nil
 }
 
-func momentOf(text string, first time.Time) (time.Time, error) {
+// Moment reads a time of day on the day of a first line, or RFC 3339.
+func Moment(text string, first time.Time) (time.Time, error) {
 	if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
 		return at, nil
 	}
@@ -237,7 +238,7 @@
 // Differences tells each time that VMs differed on a subject for longer than
 // least, in the order of their ends.
 func Differences(least time.Duration, logs ...io.Reader) ([]string, error) {
-	all, err := readAll(logs)
+	all, err := ReadLogs(logs)
 	if err != nil {
 		return nil, err
 	}
@@ -253,21 +254,21 @@
 	}
 	for _, e := range all {
 		f.take(e)
-		now := f.splits(e.at)
+		now := f.splits(e.At)
 		for _, subject := range slices.Sorted(maps.Keys(open)) {
 			if now[subject] == nil {
-				end(subject, e.at)
+				end(subject, e.At)
 			}
 		}
 		for subject, s := range now {
 			if _, ok := open[subject]; !ok {
-				open[subject] = since{at: e.at}
+				open[subject] = since{at: e.At}
 			}
 			open[subject] = since{open[subject].at, s.words()}
 		}
 	}
 	for _, subject := range slices.Sorted(maps.Keys(open)) {
-		end(subject, all[len(all)-1].at)
+		end(subject, all[len(all)-1].At)
 	}
 	return out, nil
 }
--- a/replay.go
+++ b/replay.go
@@ -23,9 +23,13 @@
 type replayOptions struct {
 	Settings string   `long:"settings" description:"settings file whose Prefer holds; else that of the trace"`
 	Policy   string   `long:"policy" description:"policy that decides, figtrack if it is not given"`
-	Compare  []string `long:"compare" description:"further policy to replay beside it, all for each baseline, or the JSON file of an earlier replay"`
+	Compare  []string `long:"compare" description:"further policy to replay beside it, all for each baseline, routings for the VMs of the users' platform, or the JSON file of an earlier replay"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the policy and the engines"`
 	Header   string   `long:"header" description:"trace whose Header line stands for that of a log without one"`
+	Log      []string `long:"log" value-name:"FILE" description:"log of a VM on the users' platform in place of TRACE; may be given several times"`
+	From     string   `long:"from" value-name:"TIME" description:"first moment of the logs to replay, as in 15:04:05.000"`
+	To       string   `long:"to" value-name:"TIME" description:"end of the part of the logs to replay"`
+	Save     string   `long:"save" value-name:"FILE" description:"write the trace that --log makes"`
 	JSON     bool     `long:"json" description:"print the measures as JSON"`
 	Plot     string   `long:"plot" description:"file for a plot over time, as in out.png"`
 	All      bool     `long:"all" description:"replay every policy, or that of --policy, on the recorded traces of both sites"`
@@ -55,14 +59,19 @@
 	if options.All {
 		return replayAll(options, rest, stdout)
 	}
-	if len(rest) != 1 {
-		return errors.New("give one TRACE; figtrack record makes one")
+	if (len(rest) == 1) == (len(options.Log) > 0) {
+		return errors.New("give one TRACE, as figtrack record makes one, or the logs of VMs with --log")
 	}
 	makers, err := chosen(options)
 	if err != nil {
 		return err
 	}
-	trace, err := readTrace(rest[0], options.Header)
+	var trace *tracer.Trace
+	if len(options.Log) > 0 {
+		trace, err = traceOfLogs(options, stderr)
+	} else {
+		trace, err = readTrace(rest[0], options.Header)
+	}
 	if err != nil {
 		return err
 	}
@@ -104,6 +113,34 @@
 	return tracer.ReadFile(path, header)
 }
 
+// traceOfLogs reads a part of the logs of VMs on the users' platform.
+func traceOfLogs(options replayOptions, stderr io.Writer) (*tracer.Trace, error) {
+	var logs []io.Reader
+	for _, path := range options.Log {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "give the path of a VM's log")
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	trace, played, err := tracer.FromLogs(tracer.Cut{From: options.From, To: options.To}, logs...)
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(stderr, "in the logs: %d requests, %d answered, %d of them with the first byte in time, %d refused, %d other\n",
+		played.Requests, played.Answered, played.InTarget, played.Refused, played.Other)
+	if options.Save == "" {
+		return trace, nil
+	}
+	f, err := os.Create(options.Save)
+	if err != nil {
+		return nil, errors.Wrap(err, "--save can't be written")
+	}
+	defer f.Close()
+	return trace, tracer.Write(f, trace)
+}
+
 // chosen returns the policies that the options name.
 func chosen(options replayOptions) ([]replayer.Maker, error) {
 	if options.Policy == "" {
@@ -120,9 +157,13 @@
 	}
 	makers := []replayer.Maker{first}
 	for _, name := range options.Compare {
-		if name == "all" {
+		switch name {
+		case "all":
 			makers = append(makers, replayer.Baselines()...)
 			continue
+		case "routings":
+			makers = append(makers, replayer.Routings()...)
+			continue
 		}
 		if isFile(name) {
 			continue
--- a/replayer/figtrack.go
+++ b/replayer/figtrack.go
@@ -41,7 +41,7 @@
 		Figtrack(admitter.PreferWastedPrefill),
 		Figtrack(admitter.PreferGoodput),
 	}
-	return append(makers, Baselines()...)
+	return append(append(makers, Routings()...), Baselines()...)
 }
 
 // Find returns the policy with a name.
--- a/replayer/policy.go
+++ b/replayer/policy.go
@@ -24,4 +24,15 @@
 	// decides for the whole site.
 	PerVM bool
 	New   func(header tracer.Header, seed uint64) Policy
+	// Fleet, if set, stands for New: it begins one replay, whose policies share
+	// what the engines keep.
+	Fleet func(header tracer.Header) func(seed uint64) Policy
+}
+
+// begin returns the maker of the policies of one replay.
+func (m Maker) begin(header tracer.Header) func(seed uint64) Policy {
+	if m.Fleet != nil {
+		return m.Fleet(header)
+	}
+	return func(seed uint64) Policy { return m.New(header, seed) }
 }
--- a/replayer/run.go
+++ b/replayer/run.go
@@ -102,10 +102,11 @@
 func (r *run) addNodes(maker Maker) {
 	header := r.trace.Header
 	owner := ownerOf(header)
+	policy := maker.begin(header)
 	for i, v := range header.VMs {
 		r.vms[v.ID] = &vm{VM: v}
 		if maker.PerVM || v.ID == owner {
-			n := &node{run: r, vm: r.vms[v.ID], policy: maker.New(header, r.seed+uint64(i))}
+			n := &node{run: r, vm: r.vms[v.ID], policy: policy(r.seed + uint64(i))}
 			r.nodes = append(r.nodes, n)
 		}
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -211,6 +213,11 @@
 	f.configuration.Store(c)
 	f.metrics.revision.Set(float64(c.Revision))
 	f.log.Info().Uint64("Revision", uint64(c.Revision)).Int("Routes", c.Count).Int("Pools", len(c.Pools)).Msg("ConfigurationInForce")
+	for _, id := range slices.Sorted(maps.Keys(c.Pools)) {
+		if pool := c.Pools[id]; pool.HasEngines && (now == nil || now.Pools[id] != pool) {
+			f.log.Info().Str("Pool", string(id)).Int("Memory", int(pool.Memory)).Int("Slots", pool.Slots).Dur("Switch", pool.Switch).Msg("PoolInForce")
+		}
+	}
 }
 
 func (f *Fleet) step(e tracker.Event) {
--- a/router/passage.go
+++ b/router/passage.go
@@ -57,7 +57,7 @@
 }
 
 func newPassage(r *Router, q *Request, caller Caller, route matcher.Route, job attempter.Job) *passage {
-	return &passage{Router: r, q: q, caller: caller, route: route, job: job, core: attempter.New(job, r.fleet)}
+	return &passage{Router: r, q: q, caller: caller, route: route, job: job, core: attempter.New(attempter.DefaultSettings(), job, r.fleet)}
 }
 
 // serve takes the request to its end.
--- a/router/router.go
+++ b/router/router.go
@@ -84,6 +84,9 @@
 		Int("Output", int(q.Prompt.Output)).
 		Int("Expected", int(q.Prompt.Expected)).
 		Dur("Left", job.Deadline.Sub(q.Arrived)).
+		Str("Kind", string(route.Kind)).
+		Dur("Target", route.Target).
+		Dur("Gap", route.Gap).
 		Msg("Arrived")
 	r.fleet.arrived(q.Arrived, job)
 	newPassage(r, q, caller, route, job).serve(ctx)
