Keep first callers until a starting VM knows its runners

Cause: a VM opens its port 45 ms before the store's first answer.

Ruled out: reading faster (44 ms for the list and the configuration at 4 ms a call and two zones), opening the port later (callers would be reset, and a VM that says it is ready must take connections).

Change: connections wait at the open port until the first view is there, for 300 ms at most; after that the VM answers 503 as before. The retry budget counts its ticks from its first use, as the time of day may jump.

Test: the real program before a store that takes 40 ms an answer served the first caller 503 before, 200 now; without a store it still refuses soon.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -33,6 +33,8 @@
 type Budget struct {
 	cfg   Settings
 	pools map[identifier.Pool]*window
+	// began is the first use. Ticks count from it, as the time of day may jump.
+	began time.Time
 	// vms is the number of VMs that share the allowance; at least 1.
 	vms int
 }
@@ -89,7 +91,10 @@
 }
 
 func (b *Budget) window(now time.Time, pool identifier.Pool) *window {
-	tick := now.UnixNano() / max(int64(b.cfg.Window)/(buckets-1), 1)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	tick := int64(now.Sub(b.began)) / max(int64(b.cfg.Window)/(buckets-1), 1)
 	w := b.pools[pool]
 	if w == nil {
 		w = &window{tick: tick}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -27,6 +27,7 @@
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/platform"
 	"github.com/figtrack/figtrack/router"
@@ -51,7 +52,13 @@
 	// watchMargin is what is left of the contact time for a new call when a
 	// wait for the store got no answer.
 	watchMargin = time.Second
-	megabyte    = 1 << 20
+	// firstViewLimit is how long first callers wait at a VM that knows nothing
+	// yet: a third of the least time that callers have, after which they go away.
+	firstViewLimit = 300 * time.Millisecond
+	// firstViewStep is the pace at which the first view is looked for; the store
+	// answers in 4 ms.
+	firstViewStep = 5 * time.Millisecond
+	megabyte      = 1 << 20
 )
 
 // VM is one process.
@@ -132,7 +139,7 @@
 	go vm.shell.Run(ctx)
 	go vm.enrol.Run(ctx)
 	go vm.orders.Run(ctx)
-	go vm.serve(vm.callers, platform.Listener{Listener: callers})
+	go vm.serveCallers(ctx, platform.Listener{Listener: callers})
 	vm.log.Info().Str("Callers", callers.Addr().String()).Str("Ready", ready).Str("Metrics", metrics).Msg("Started")
 	cut = vm.loop(signals)
 	vm.log.Info().Int("Cut", cut).Msg("Stopped")
@@ -174,6 +181,15 @@
 
 // serve serves until the process ends. A listener that fails sooner leaves the
 // VM without callers, or the balancer without answers, which takes it out.
+// serveCallers takes the connections that wait at an open port once the first
+// view is there, as their requests would be refused before.
+func (vm *VM) serveCallers(ctx context.Context, l net.Listener) {
+	for until := time.Now().Add(firstViewLimit); !vm.fleet.IsReady() && time.Now().Before(until); {
+		looper.Sleep(ctx, firstViewStep)
+	}
+	vm.serve(vm.callers, l)
+}
+
 func (vm *VM) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		vm.log.Error().Str("Address", l.Addr().String()).AnErr("Error", err).Msg("ListenerFailed")
