Don't blame a runner for a caller that leaves between two events

The caller had left while the VM read the runner's stream, and the read that was cancelled counted as a failed answer of the runner, which makes it up to a second dearer in each choice; a wave of callers that leave pushes work away from the engines that serve most.

Ruled out: streams that break (25 resets, 2 deadlines are left); the run's own time limit, which is stopped with the head of the answer.

Change: a read that ends with the request's context is left to serve, which tells a caller that left from a time that is up. Nothing is learned of the runner.

--- a/router/deliver.go
+++ b/router/deliver.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -44,6 +45,11 @@
 		p.metrics.requests.WithLabelValues(string(p.route.Kind), "Abandoned").Inc()
 		return attempter.Abandoned{}
 	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		// The caller has left or its time is up, which is not the runner's fault;
+		// serve tells the two apart.
+		return attempter.Broken{LastEvent: p.events.last, Begun: p.begun}
+	}
 	if err != nil {
 		line.AnErr("Error", err).Msg("AnswerBroken")
 		p.fleet.with(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
