--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -74,12 +74,12 @@
 
 // Routings are the routing VMs with the settings that are compared.
 func Routings() []Maker {
-	patient, near, plain := attempter.DefaultSettings(), attempter.DefaultSettings(), attempter.DefaultSettings()
-	patient.WaitShare, near.WaitShare, plain.Slack = 2, 32, 0
+	patient, hasty, plain := attempter.DefaultSettings(), attempter.DefaultSettings(), attempter.DefaultSettings()
+	patient.WaitShare, hasty.WaitShare, plain.Slack = 2, 32, 0
 	return []Maker{
 		Routing("routing", attempter.DefaultSettings()),
 		Routing("routing-patient", patient),
-		Routing("routing-hasty", near),
+		Routing("routing-hasty", hasty),
 		Routing("routing-no-slack", plain),
 	}
 }
@@ -136,13 +136,9 @@
 
 func (r *routing) begin(ask admitter.Ask) {
 	class := r.classes[ask.Class]
-	output := ask.MaxOutput
-	if mean := r.expected(ask); mean > 0 {
-		output = min(output, mean)
-	}
 	job := attempter.Job{
 		Request: ask.Request, Pool: routingPool, IsStream: true, NeedsEngine: true,
-		Input: ask.Prompt, Output: output, MaxAttempts: 1, Target: class.FirstToken,
+		Input: ask.Prompt, Output: ask.MaxOutput, MaxAttempts: 1, Target: class.FirstToken,
 		Arrived: ask.Arrived, Deadline: ask.Arrived.Add(routingDeadline),
 	}
 	p := &passage{ask: ask}
@@ -158,10 +154,6 @@
 	routingReturn = 300 * time.Millisecond
 )
 
-// expected is the caller's estimate of its answer. Traces have none beside the
-// limit.
-func (r *routing) expected(admitter.Ask) identifier.Tokens { return 0 }
-
 // step takes a request on until it waits for something.
 func (r *routing) step(p *passage, event attempter.Event) {
 	for event != nil {
