Make the differences between VMs readable and quick on a large fleet

The names of 60 VMs on a line tell nothing.

The golden file changes in the order of the subjects, configuration and store come first.

--- a/explainer/belief.go
+++ b/explainer/belief.go
@@ -46,18 +46,44 @@
 // fleetBelief holds what each VM believes.
 type fleetBelief map[string]*belief
 
-// take brings the beliefs up to date with one line.
-func (f fleetBelief) take(e Entry) {
+// The subjects on which VMs may differ, beside each runner.
+const (
+	subjectConfiguration = "configuration"
+	subjectStore         = "store"
+	subjectRunner        = "runner "
+)
+
+// take brings the beliefs up to date with one line. It returns the subjects
+// that the line may have changed.
+func (f fleetBelief) take(e Entry) []string {
 	if e.VM == "" {
-		return
+		return nil
 	}
 	b := f[e.VM]
-	if b == nil || e.Message == "Started" {
+	isNew := b == nil || e.Message == "Started"
+	if isNew {
 		// A VM that starts again knows nothing of before.
 		b = &belief{runners: map[string]runnerBelief{}, vms: map[string]bool{}}
 		f[e.VM] = b
 	}
 	b.isUp = e.Message != "Stopped"
+	b.learn(e)
+	switch {
+	case isNew || !b.isUp:
+		return f.subjects()
+	case e.Message == "ConfigurationInForce":
+		return []string{subjectConfiguration}
+	case e.Message == "StoreLost" || e.Message == "StoreFound":
+		return []string{subjectStore}
+	case strings.HasPrefix(e.Message, "Runner"):
+		return []string{subjectRunner + e.Upstream}
+	default:
+		return nil
+	}
+}
+
+// learn takes in what a line says of the fleet.
+func (b *belief) learn(e Entry) {
 	switch e.Message {
 	case "ConfigurationInForce":
 		b.revision = e.Revision
@@ -149,44 +175,59 @@
 // split is a subject on which VMs differ: each opinion with those who hold it.
 type split map[string][]string
 
+// maxNamed is how many VMs of one opinion are named; more of them are no news.
+const maxNamed = 5
+
 func (s split) words() string {
 	var parts []string
 	for _, opinion := range slices.Sorted(maps.Keys(s)) {
-		parts = append(parts, opinion+" by "+strings.Join(s[opinion], ", "))
+		who := strings.Join(s[opinion], ", ")
+		if n := len(s[opinion]); n > maxNamed {
+			who = fmt.Sprintf("%d VMs", n)
+		}
+		parts = append(parts, opinion+" by "+who)
 	}
 	return strings.Join(parts, "; ")
 }
 
-// splits returns the subjects on which the VMs that run differ. A runner that
-// is gone for one VM and unknown to another is no difference.
-func (f fleetBelief) splits(now time.Time) map[string]split {
-	all := map[string]split{}
-	up := f.up()
-	note := func(subject string, opinion func(vm string) string) {
-		s := split{}
-		for _, vm := range up {
-			s[opinion(vm)] = append(s[opinion(vm)], vm)
-		}
-		if len(s) > 1 {
-			all[subject] = s
-		}
+// subjects returns all on which the VMs that run may differ.
+func (f fleetBelief) subjects() []string {
+	all := []string{subjectConfiguration, subjectStore}
+	for _, r := range f.runners() {
+		all = append(all, subjectRunner+r)
 	}
-	note("configuration", func(vm string) string { return fmt.Sprint("revision ", f[vm].revision) })
-	note("store", func(vm string) string {
-		if f[vm].storeLost {
+	return all
+}
+
+// opinion is what a VM believes of a subject. A runner that is gone for one VM
+// and unknown to another is no difference.
+func (b *belief) opinion(subject string, now time.Time) string {
+	switch subject {
+	case subjectConfiguration:
+		return fmt.Sprint("revision ", b.revision)
+	case subjectStore:
+		if b.storeLost {
 			return "silent"
 		}
 		return "answers"
-	})
-	for _, r := range f.runners() {
-		note("runner "+r, func(vm string) string {
-			if state := f[vm].state(r, now); state != stateUnknown {
-				return state
-			}
-			return stateGone
-		})
 	}
-	return all
+	if state := b.state(strings.TrimPrefix(subject, subjectRunner), now); state != stateUnknown {
+		return state
+	}
+	return stateGone
+}
+
+// splitOn returns the opinions on a subject, nil where the VMs agree.
+func (f fleetBelief) splitOn(subject string, now time.Time) split {
+	s := split{}
+	for _, vm := range f.up() {
+		o := f[vm].opinion(subject, now)
+		s[o] = append(s[o], vm)
+	}
+	if len(s) < 2 {
+		return nil
+	}
+	return s
 }
 
 // At tells what each VM believed at a moment and where two of them differed.
@@ -215,9 +256,10 @@
 		}
 		out = append(out, vm+": "+f[vm].words(at))
 	}
-	splits := f.splits(at)
-	for _, subject := range slices.Sorted(maps.Keys(splits)) {
-		out = append(out, fmt.Sprintf("They differ on %s: %s.", subject, splits[subject].words()))
+	for _, subject := range f.subjects() {
+		if s := f.splitOn(subject, at); s != nil {
+			out = append(out, fmt.Sprintf("They differ on %s: %s.", subject, s.words()))
+		}
 	}
 	return out, nil
 }
@@ -253,18 +295,22 @@
 		}
 	}
 	for _, e := range all {
-		f.take(e)
-		now := f.splits(e.At)
-		for _, subject := range slices.Sorted(maps.Keys(open)) {
-			if now[subject] == nil {
-				end(subject, e.At)
-			}
+		touched := f.take(e)
+		if len(touched) == 0 {
+			continue
 		}
-		for subject, s := range now {
-			if _, ok := open[subject]; !ok {
-				open[subject] = since{at: e.At}
+		// What is open may have ended by time alone, as a suspicion does.
+		for _, subject := range append(touched, slices.Sorted(maps.Keys(open))...) {
+			s := f.splitOn(subject, e.At)
+			from, isOpen := open[subject]
+			switch {
+			case s == nil && isOpen:
+				end(subject, e.At)
+			case s != nil && isOpen:
+				open[subject] = since{from.at, s.words()}
+			case s != nil:
+				open[subject] = since{e.At, s.words()}
 			}
-			open[subject] = since{open[subject].at, s.words()}
 		}
 	}
 	for _, subject := range slices.Sorted(maps.Keys(open)) {
