--- a/replay.go
+++ b/replay.go
@@ -60,7 +60,7 @@
 		return replayAll(options, rest, stdout)
 	}
 	if (len(rest) == 1) == (len(options.Log) > 0) {
-		return errors.New("give one TRACE, as figtrack record makes one, or the logs of VMs with --log")
+		return errors.New("give one TRACE; figtrack record makes one, or give the logs of VMs with --log")
 	}
 	makers, err := chosen(options)
 	if err != nil {
