Lead a suspicion back to what was believed before it

Cause: read as a newcomer would, `timeline --at` took a runner that leaves for ready once a suspicion of it had ended. Test: the log of the golden file has a suspicion after a leaving; ready by vm-3 before, leaving now.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -152,15 +152,16 @@
 
 // New returns the core of a request that has just arrived.
 func New(cfg Settings, job Job, fleet Fleet) *Core {
-	return &Core{
-		cfg:       cfg,
-		job:       job,
-		fleet:     fleet,
-		without:   tracker.Without{},
-		unread:    tracker.Without{},
-		slack:     cfg.Slack,
-		waitUntil: job.Arrived.Add(job.Target / time.Duration(cfg.WaitShare)),
+	c := &Core{
+		cfg:     cfg,
+		job:     job,
+		fleet:   fleet,
+		without: tracker.Without{},
+		unread:  tracker.Without{},
+		slack:   cfg.Slack,
 	}
+	c.waitUntil = job.Arrived.Add(c.wait())
+	return c
 }
 
 // wait is how long a request without memory waits.
--- a/explainer/belief.go
+++ b/explainer/belief.go
@@ -39,8 +39,10 @@
 
 type runnerBelief struct {
 	state string
-	// until ends a suspicion by itself; zero in other states.
-	until time.Time
+	// before is the state to which a suspicion leads back, until when it ends by
+	// itself.
+	before string
+	until  time.Time
 }
 
 // fleetBelief holds what each VM believes.
@@ -96,8 +98,12 @@
 		if b.vms[vm] = true; !e.Lives {
 			delete(b.vms, vm)
 		}
-	case "RunnerJoined", "RunnerTrusted":
+	case "RunnerJoined":
 		b.runners[e.Upstream] = runnerBelief{state: stateReady}
+	case "RunnerTrusted":
+		if r := b.runners[e.Upstream]; r.state == stateSuspected {
+			b.runners[e.Upstream] = runnerBelief{state: r.before}
+		}
 	case "RunnerLeaving":
 		b.runners[e.Upstream] = runnerBelief{state: stateLeaving}
 	case "RunnerMissing":
@@ -109,7 +115,16 @@
 		if err != nil {
 			until = e.At // A line without a readable end counts for its moment.
 		}
-		b.runners[e.Upstream] = runnerBelief{stateSuspected, e.At.Add(until.Sub(e.Time))}
+		r := b.runners[e.Upstream]
+		switch r.state {
+		case "":
+			r.before = stateReady // The log begins after the runner joined.
+		case stateSuspected:
+		default:
+			r.before = r.state
+		}
+		r.state, r.until = stateSuspected, e.At.Add(until.Sub(e.Time))
+		b.runners[e.Upstream] = r
 	}
 }
 
@@ -120,13 +135,13 @@
 	case !ok:
 		return stateUnknown
 	case r.state == stateSuspected && now.After(r.until):
-		return stateReady
+		return r.before
 	default:
 		return r.state
 	}
 }
 
-// vms returns the VMs that run, in order.
+// up returns the VMs that run, in order.
 func (f fleetBelief) up() []string {
 	var up []string
 	for _, vm := range slices.Sorted(maps.Keys(f)) {
