Let one piece of code serve where the change had two

Behaviour stays as it is.

- The logs of VMs are opened by one function for timeline, explain and replay.
- The replay's routing leaves a prefill engine in one place.
`forget` called a function that looked the request up after it had been deleted, and a failed transfer told the view of an engine that was always empty by then; both did nothing and are gone.
Placing a prompt is told to the view in one place.
- A story puts only the lines into words that it tells; before, all lines of all logs were.
The VM of a roster line is read by one method.

--- a/explainer/belief.go
+++ b/explainer/belief.go
@@ -94,9 +94,10 @@
 	case "LinesLeftOut":
 		b.leftOut = true
 	case "RosterChanged":
-		_, vm, _ := strings.Cut(e.Key, "/vms/")
-		if b.vms[vm] = true; !e.Lives {
-			delete(b.vms, vm)
+		if e.Lives {
+			b.vms[e.rosterVM()] = true
+		} else {
+			delete(b.vms, e.rosterVM())
 		}
 	case "RunnerJoined":
 		b.runners[e.Upstream] = runnerBelief{state: stateReady}
--- a/explainer/story.go
+++ b/explainer/story.go
@@ -88,7 +88,10 @@
 	}
 	var out []string
 	for _, e := range all {
-		if text := words(e); isWanted(e) && text != "" {
+		if !isWanted(e) {
+			continue
+		}
+		if text := words(e); text != "" {
 			out = append(out, fmt.Sprintf("%s %10.3f s  %s: %s", e.Time.UTC().Format("15:04:05.000"), time.Duration(e.UptimeUs*1000).Seconds(), e.VM, text))
 		}
 	}
@@ -144,6 +147,12 @@
 	}
 }
 
+// rosterVM returns the VM that a line about the roster names by its key.
+func (e Entry) rosterVM() string {
+	_, vm, _ := strings.Cut(e.Key, "/vms/")
+	return vm
+}
+
 // belief tells a line about the fleet; empty for one that is of no interest.
 func (e Entry) belief() string {
 	switch e.Message {
@@ -165,11 +174,10 @@
 		}
 		return text + "."
 	case "RosterChanged":
-		_, vm, _ := strings.Cut(e.Key, "/vms/")
 		if !e.Lives {
-			return fmt.Sprintf("VM %s left the roster, %d VMs.", vm, e.VMs)
+			return fmt.Sprintf("VM %s left the roster, %d VMs.", e.rosterVM(), e.VMs)
 		}
-		return fmt.Sprintf("VM %s is in the roster, %d VMs.", vm, e.VMs)
+		return fmt.Sprintf("VM %s is in the roster, %d VMs.", e.rosterVM(), e.VMs)
 	case "StoreLost":
 		return "the store doesn't answer: " + e.Error + "."
 	case "StoreFound":
--- a/replay.go
+++ b/replay.go
@@ -115,14 +115,10 @@
 
 // traceOfLogs reads a part of the logs of VMs on the users' platform.
 func traceOfLogs(options replayOptions, stderr io.Writer) (*tracer.Trace, error) {
-	var logs []io.Reader
-	for _, path := range options.Log {
-		f, err := os.Open(path)
-		if err != nil {
-			return nil, errors.Wrap(err, "give the path of a VM's log")
-		}
-		defer f.Close()
-		logs = append(logs, f)
+	logs, closeLogs, err := openLogs(options.Log)
+	defer closeLogs()
+	if err != nil {
+		return nil, errors.Wrap(err, "give the path of a VM's log")
 	}
 	trace, played, err := tracer.FromLogs(tracer.Cut{From: options.From, To: options.To}, logs...)
 	if err != nil {
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -175,9 +175,7 @@
 		r.release(p)
 		return r.reserve(p, o.Reserve)
 	case attempter.Prefill:
-		p.reading = o.To
-		r.view.Began(o.To, tracker.Load{Reading: p.ask.Prompt})
-		r.place(p)
+		r.place(p, o.To)
 	case attempter.Run:
 		if p.reading.ID == "" {
 			r.readElsewhere(p)
@@ -226,12 +224,12 @@
 		r.out = append(r.out, admitter.Refuse{Key: p.ask.Key, To: p.ask.From, Reason: admitter.ReasonNoUpstream, RetryAfter: routingReturn})
 		return
 	}
-	p.reading = to
-	r.view.Began(to, tracker.Load{Reading: p.ask.Prompt})
-	r.place(p)
+	r.place(p, to)
 }
 
-func (r *routing) place(p *passage) {
+func (r *routing) place(p *passage, reading tracker.Runner) {
+	p.reading = reading
+	r.view.Began(reading, tracker.Load{Reading: p.ask.Prompt})
 	r.view.Began(p.placed, tracker.Load{Holding: p.ask.Prompt + p.ask.MaxOutput})
 	r.out = append(r.out, admitter.Place{
 		Key: p.ask.Key, To: p.ask.From, Prefill: p.reading.ID, Decode: p.placed.ID, Pieces: p.pieces,
@@ -243,8 +241,14 @@
 const routingTransfer = 2 * time.Second
 
 func (r *routing) prefillEnded(key admitter.Key) {
-	p := r.flights[key]
-	if p == nil || p.reading.ID == "" {
+	if p := r.flights[key]; p != nil {
+		r.leavePrefill(p)
+	}
+}
+
+// leavePrefill takes a prompt off the engine that reads it, if one does.
+func (r *routing) leavePrefill(p *passage) {
+	if p.reading.ID == "" {
 		return
 	}
 	r.view.Ended(p.reading, tracker.Load{Reading: p.ask.Prompt})
@@ -256,7 +260,6 @@
 	if p == nil {
 		return
 	}
-	r.view.Lapsed(r.now, p.reading)
 	r.forget(key)
 	r.out = append(r.out, admitter.Abandon{Key: key, To: p.ask.From, Reason: admitter.ReasonNoUpstream})
 }
@@ -267,10 +270,7 @@
 		return
 	}
 	delete(r.flights, key)
-	r.prefillEnded(key)
-	if p.reading.ID != "" {
-		r.view.Ended(p.reading, tracker.Load{Reading: p.ask.Prompt})
-	}
+	r.leavePrefill(p)
 	if p.placed.ID != "" && p.held != "" {
 		r.view.Ended(p.placed, tracker.Load{Holding: p.ask.Prompt + p.ask.MaxOutput})
 		r.view.Freed(p.placed)
--- a/timeline.go
+++ b/timeline.go
@@ -40,15 +40,11 @@
 
 // fromLogs prints what a function tells of the logs in files.
 func fromLogs(name string, files []string, stdout, stderr io.Writer, words func(logs []io.Reader) ([]string, error)) int {
-	var logs []io.Reader
-	for _, file := range files {
-		f, err := os.Open(file)
-		if err != nil {
-			fmt.Fprintf(stderr, "figtrack %s: %v; give the path of a VM's log\n", name, err)
-			return exitUsage
-		}
-		defer f.Close()
-		logs = append(logs, f)
+	logs, closeLogs, err := openLogs(files)
+	defer closeLogs()
+	if err != nil {
+		fmt.Fprintf(stderr, "figtrack %s: %v; give the path of a VM's log\n", name, err)
+		return exitUsage
 	}
 	lines, err := words(logs)
 	for _, one := range lines {
@@ -64,3 +60,22 @@
 	}
 	return exitOK
 }
+
+// openLogs opens the logs of VMs. The caller closes what was opened, also after
+// an error.
+func openLogs(files []string) (logs []io.Reader, closeLogs func(), err error) {
+	var opened []*os.File
+	closeLogs = func() {
+		for _, f := range opened {
+			f.Close()
+		}
+	}
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, closeLogs, err
+		}
+		opened, logs = append(opened, f), append(logs, f)
+	}
+	return logs, closeLogs, nil
+}
