Name the VMs that did not answer explain or status

Cause: inquire dropped the error of each call, so that a VM that was slow or cut off looked like one without any lines; explain answered "no VM remembers". Change: the error is logged with VM and duration, explain adds a line for each such VM, and without any lines its error names them.

--- a/explainer/words.go
+++ b/explainer/words.go
@@ -76,6 +76,8 @@
 		return fmt.Sprintf("sent the call to %s of %s: %s.", l.Upstream, l.Pool, l.Result)
 	case "Ended":
 		return l.describeEnd()
+	case "InquiryUnanswered":
+		return fmt.Sprintf("did not answer, so that its decisions are missing here: %s.", l.Reason)
 	default:
 		return fmt.Sprintf("%s %s %s.", l.Message, l.Upstream, l.Reason)
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -39,7 +39,7 @@
 	// Statuses collects the status of all VMs of the deployment.
 	Statuses(ctx context.Context) []Status
 	// Explain collects the log lines of a request from all VMs that answer.
-	Explain(ctx context.Context, r identifier.Request) []json.RawMessage
+	Explain(ctx context.Context, r identifier.Request) Explanation
 	// Drain starts the graceful shutdown of this VM.
 	Drain()
 }
@@ -107,11 +107,11 @@
 func (l *Listener) explain(c *echo.Context) error {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), requestTimeout)
 	defer cancel()
-	lines := l.fleet.Explain(ctx, identifier.Request(c.Param("Request")))
-	if len(lines) == 0 {
-		return c.JSON(http.StatusNotFound, Problem{Message: "no VM remembers a decision for this request; the log of the VMs may"})
+	explanation := l.fleet.Explain(ctx, identifier.Request(c.Param("Request")))
+	if len(explanation.Lines) == 0 {
+		return c.JSON(http.StatusNotFound, Problem{Message: explanation.problem()})
 	}
-	return c.JSON(http.StatusOK, lines)
+	return c.JSON(http.StatusOK, explanation.all())
 }
 
 func (l *Listener) drain(c *echo.Context) error {
--- a/server/operators.go
+++ b/server/operators.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	dto "github.com/prometheus/client_model/go"
 
 	"github.com/figtrack/figtrack/configurer"
@@ -39,8 +40,10 @@
 	others := s.peerIDs()
 	answers := s.inquire(ctx, others, &wire.Inquiry{Body: &wire.Inquiry_Status{Status: &wire.InquiryStatus{}}})
 	for i, vm := range others {
-		status := operator.Status{VM: vm, Problem: "no answer"}
-		if answers[i] != nil && json.Unmarshal(answers[i], &status) != nil {
+		status := operator.Status{VM: vm}
+		if answers[i].err != nil {
+			status.Problem = "no answer: " + answers[i].err.Error()
+		} else if json.Unmarshal(answers[i].text, &status) != nil {
 			status.Problem = "an answer that could not be read"
 		}
 		out = append(out, status)
@@ -49,16 +52,22 @@
 }
 
 // Explain implements operator.Fleet.
-func (s *Server) Explain(ctx context.Context, r identifier.Request) []json.RawMessage {
-	lines := s.Memory.Lines(r)
+func (s *Server) Explain(ctx context.Context, r identifier.Request) operator.Explanation {
+	out := operator.Explanation{Lines: s.Memory.Lines(r)}
 	question := &wire.Inquiry{Body: &wire.Inquiry_Explain{Explain: &wire.InquiryExplain{Request: string(r)}}}
-	for _, answer := range s.inquire(ctx, s.peerIDs(), question) {
+	others := s.peerIDs()
+	for i, answer := range s.inquire(ctx, others, question) {
 		var more []json.RawMessage
-		if answer != nil && json.Unmarshal(answer, &more) == nil {
-			lines = append(lines, more...)
+		err := answer.err
+		if err == nil {
+			err = errors.Wrap(json.Unmarshal(answer.text, &more), "read the answer")
+		}
+		if err != nil {
+			out.Unanswered = append(out.Unanswered, operator.Unanswered{VM: others[i], Reason: err.Error()})
 		}
+		out.Lines = append(out.Lines, more...)
 	}
-	return lines
+	return out
 }
 
 func (s *Server) peerIDs() []identifier.VM {
@@ -70,19 +79,26 @@
 	return out
 }
 
-// inquire sends a question to VMs in parallel. The answer of a VM that didn't
-// respond is nil.
-func (s *Server) inquire(ctx context.Context, vms []identifier.VM, question *wire.Inquiry) [][]byte {
+// inquiryAnswer is the answer of one VM, or the reason why there is none.
+type inquiryAnswer struct {
+	text []byte
+	err  error
+}
+
+// inquire sends a question to VMs in parallel and logs which ones did not answer.
+func (s *Server) inquire(ctx context.Context, vms []identifier.VM, question *wire.Inquiry) []inquiryAnswer {
 	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 	defer cancel()
-	answers := make([][]byte, len(vms))
+	answers := make([]inquiryAnswer, len(vms))
 	var wg sync.WaitGroup
 	for i, vm := range vms {
 		wg.Go(func() {
+			began := time.Now()
 			e, err := s.messenger.Call(ctx, vm, &wire.Envelope{Body: &wire.Envelope_Inquiry{Inquiry: question}})
-			if err == nil {
-				answers[i] = e.GetInquiry().GetReport().GetJson()
+			if err != nil {
+				s.Log.Warn().Str("Peer", string(vm)).Dur("Took", time.Since(began)).AnErr("Error", err).Msg("InquiryUnanswered")
 			}
+			answers[i] = inquiryAnswer{e.GetInquiry().GetReport().GetJson(), err}
 		})
 	}
 	wg.Wait()
