--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -20,6 +20,10 @@
 	RenewInterval = 4 * time.Second
 	// RetryInterval is the pause after a failed call.
 	RetryInterval = 500 * time.Millisecond
+	// MaxEraDelay bounds the delay before a VM enrols again after the store came
+	// back from a copy. The VMs of a fleet spread their calls over it. It is a
+	// small part of the time for which a missing VM still counts as a member.
+	MaxEraDelay = 2 * time.Second
 )
 
 // Event is an input of Core.Step. Only this package implements it.
@@ -28,27 +32,41 @@
 // Wake starts the core and ends a Rest.
 type Wake struct{}
 
-// Granted carries the lease that Grant requested.
-type Granted struct{ Lease keeper.Lease }
+// Granted carries the lease that Grant requested. The lease is valid in Era only.
+type Granted struct {
+	Lease keeper.Lease
+	Era   keeper.Era
+}
 
 // Written reports that the entry was written.
-type Written struct{ Version keeper.Version }
+type Written struct {
+	Version keeper.Version
+	Era     keeper.Era
+}
 
 // Conflicted reports that the entry has another version than expected. It was
 // written by an earlier start of the VM or by a call whose answer was lost.
-type Conflicted struct{ Version keeper.Version }
+type Conflicted struct {
+	Version keeper.Version
+	Era     keeper.Era
+}
 
 // Renewed reports that the lease was renewed.
-type Renewed struct{}
+type Renewed struct{ Era keeper.Era }
 
 // Lapsed reports that the lease has expired.
-type Lapsed struct{}
+type Lapsed struct{ Era keeper.Era }
 
 // Removed reports that the entry is missing although its lease may be valid.
 type Removed struct{}
 
-// Failed reports that the last call got no usable answer.
-type Failed struct{}
+// Failed reports that the last call got no usable answer. Era is zero if it got
+// none at all.
+type Failed struct{ Era keeper.Era }
+
+// EraChanged reports that the store has come back from a copy, as found by
+// another duty of this VM.
+type EraChanged struct{ Era keeper.Era }
 
 func (Wake) event()       {}
 func (Granted) event()    {}
@@ -58,6 +76,7 @@
 func (Lapsed) event()     {}
 func (Removed) event()    {}
 func (Failed) event()     {}
+func (EraChanged) event() {}
 
 // Outcome is an action for the shell to perform. Only this package implements
 // it.
@@ -92,33 +111,83 @@
 	version keeper.Version
 	// isWritten is true once the entry was written under the current lease.
 	isWritten bool
+	// era is the latest era that an answer stated. lease and version belong to
+	// it.
+	era keeper.Era
+	// eraDelay is the delay of this VM before it enrols again in a new era.
+	eraDelay time.Duration
+	// quietUntil is the end of that delay.
+	quietUntil time.Time
 }
 
-// New returns a core without a lease.
-func New() *Core { return &Core{} }
+// New returns a core without a lease. spread, from 0 to 1, is the place of this
+// VM among those of the fleet, over which calls that all have to make are
+// spread.
+func New(spread float64) *Core {
+	return &Core{eraDelay: time.Duration(spread * float64(MaxEraDelay))}
+}
 
 // Step handles one event and returns the next action.
-func (c *Core) Step(e Event) Outcome {
+func (c *Core) Step(now time.Time, e Event) Outcome {
+	era := eraOf(e)
+	switch {
+	case era > c.era:
+		c.era = era
+		if c.lease != 0 || c.version != 0 {
+			// The store may have issued the number of the lease to another VM.
+			c.lease, c.version, c.isWritten = 0, 0, false
+			c.quietUntil = now.Add(c.eraDelay)
+			return c.nextCall(now)
+		}
+	case era != 0 && era < c.era:
+		return Rest{RetryInterval} // An answer that was sent before the copy.
+	}
+	return c.handle(now, e)
+}
+
+// eraOf returns the era that an event states, or zero.
+func eraOf(e Event) keeper.Era {
+	switch e := e.(type) {
+	case Granted:
+		return e.Era
+	case Written:
+		return e.Era
+	case Conflicted:
+		return e.Era
+	case Renewed:
+		return e.Era
+	case Lapsed:
+		return e.Era
+	case Failed:
+		return e.Era
+	case EraChanged:
+		return e.Era
+	}
+	return 0
+}
+
+// handle handles an event of the current era, or one without an era.
+func (c *Core) handle(now time.Time, e Event) Outcome {
 	switch e := e.(type) {
-	case Wake:
-		return c.nextCall()
+	case Wake, EraChanged:
+		return c.nextCall(now)
 	case Granted:
 		c.lease, c.isWritten = e.Lease, false
-		return c.nextCall()
+		return c.nextCall(now)
 	case Written:
 		c.version, c.isWritten = e.Version, true
 		return Rest{RenewInterval}
 	case Conflicted:
 		c.version = e.Version
-		return c.nextCall()
+		return c.nextCall(now)
 	case Renewed:
 		return Rest{RenewInterval}
 	case Lapsed:
 		c.lease, c.version, c.isWritten = 0, 0, false
-		return c.nextCall()
+		return c.nextCall(now)
 	case Removed:
 		c.version, c.isWritten = 0, false
-		return c.nextCall()
+		return c.nextCall(now)
 	case Failed:
 		return Rest{RetryInterval}
 	default:
@@ -126,8 +195,10 @@
 	}
 }
 
-func (c *Core) nextCall() Outcome {
+func (c *Core) nextCall(now time.Time) Outcome {
 	switch {
+	case now.Before(c.quietUntil):
+		return Rest{c.quietUntil.Sub(now)}
 	case c.lease == 0:
 		return Grant{EntryTTL}
 	case !c.isWritten:
--- a/enroller/shell.go
+++ b/enroller/shell.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -12,8 +13,8 @@
 
 // Leaser grants leases in the store and writes entries bound to them.
 type Leaser interface {
-	Grant(ctx context.Context, purpose keeper.Purpose, ttl time.Duration) (keeper.Lease, error)
-	KeepAlive(ctx context.Context, purpose keeper.Purpose, lease keeper.Lease) error
+	Grant(ctx context.Context, purpose keeper.Purpose, ttl time.Duration) (keeper.Lease, keeper.Era, error)
+	KeepAlive(ctx context.Context, purpose keeper.Purpose, lease keeper.Lease) (keeper.Era, error)
 	SwapLeased(ctx context.Context, purpose keeper.Purpose, key string, expected keeper.Version, value []byte, lease keeper.Lease) (keeper.Entry, bool, error)
 }
 
@@ -24,53 +25,58 @@
 	key   string
 	value []byte
 	log   zerolog.Logger
-	// removed signals that the entry was found to be missing.
-	removed chan struct{}
+	// notices holds what other duties of this VM have found. It is bounded; a
+	// notice that finds it full is dropped, as the next renewal finds the same.
+	notices chan Event
 }
 
-// NewShell returns a shell that keeps an entry with value under key.
+// maxNotices bounds the notices that wait for the end of a call.
+const maxNotices = 4
+
+// NewShell returns a shell that keeps an entry with value under key. The hash of
+// key spreads the calls of VMs.
 func NewShell(store Leaser, key string, value []byte, log zerolog.Logger) *Shell {
-	return &Shell{core: New(), store: store, key: key, value: value, log: log, removed: make(chan struct{}, 1)}
+	return &Shell{core: New(float64(xxhash.Sum64String(key)>>11) / (1 << 53)), store: store, key: key, value: value, log: log, notices: make(chan Event, maxNotices)}
 }
 
 // Run maintains the entry until ctx is canceled.
 func (s *Shell) Run(ctx context.Context) {
 	var e Event = Wake{}
 	for ctx.Err() == nil {
-		e = s.perform(ctx, s.core.Step(e))
+		e = s.perform(ctx, s.core.Step(time.Now(), e))
 	}
 }
 
 func (s *Shell) perform(ctx context.Context, o Outcome) Event {
 	switch o := o.(type) {
 	case Grant:
-		lease, err := s.store.Grant(ctx, keeper.PurposeMembership, o.TTL)
+		lease, era, err := s.store.Grant(ctx, keeper.PurposeMembership, o.TTL)
 		if err != nil {
 			return s.logFailure("Grant", err)
 		}
-		s.log.Info().Int64("Lease", int64(lease)).Msg("LeaseHad")
-		return Granted{lease}
+		s.log.Info().Int64("Lease", int64(lease)).Int64("Era", int64(era)).Msg("LeaseHad")
+		return Granted{lease, era}
 	case Write:
 		entry, done, err := s.store.SwapLeased(ctx, keeper.PurposeMembership, s.key, o.Expected, s.value, o.Lease)
 		switch {
 		case errors.Is(err, keeper.ErrLeaseExpired):
-			return Lapsed{}
+			return Lapsed{keeper.EraOf(err)}
 		case err != nil:
 			return s.logFailure("Write", err)
 		case !done:
-			return Conflicted{entry.Version}
+			return Conflicted{entry.Version, entry.Era}
 		}
-		return Written{entry.Version}
+		return Written{entry.Version, entry.Era}
 	case Renew:
-		err := s.store.KeepAlive(ctx, keeper.PurposeMembership, o.Lease)
+		era, err := s.store.KeepAlive(ctx, keeper.PurposeMembership, o.Lease)
 		if errors.Is(err, keeper.ErrLeaseExpired) {
 			s.log.Warn().Int64("Lease", int64(o.Lease)).Msg("LeaseLost")
-			return Lapsed{}
+			return Lapsed{keeper.EraOf(err)}
 		}
 		if err != nil {
 			return s.logFailure("Renew", err)
 		}
-		return Renewed{}
+		return Renewed{era}
 	case Rest:
 		return s.wait(ctx, o.For)
 	}
@@ -83,23 +89,31 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-s.removed:
-		s.log.Warn().Str("Key", s.key).Msg("EnrolmentRemoved")
-		return Removed{}
+	case e := <-s.notices:
+		if _, ok := e.(Removed); ok {
+			s.log.Warn().Str("Key", s.key).Msg("EnrolmentRemoved")
+		}
+		return e
 	}
 	return Wake{}
 }
 
 // NotifyRemoved notifies the shell that the entry was found to be missing. It
 // never blocks.
-func (s *Shell) NotifyRemoved() {
+func (s *Shell) NotifyRemoved() { s.notify(Removed{}) }
+
+// NotifyEra notifies the shell that the store came back from a copy. It never
+// blocks.
+func (s *Shell) NotifyEra(era keeper.Era) { s.notify(EraChanged{era}) }
+
+func (s *Shell) notify(e Event) {
 	select {
-	case s.removed <- struct{}{}:
-	default: // A notification is pending already.
+	case s.notices <- e:
+	default:
 	}
 }
 
 func (s *Shell) logFailure(call string, err error) Event {
 	s.log.Info().Str("Call", call).AnErr("Error", err).Msg("EnrolmentFailed")
-	return Failed{}
+	return Failed{keeper.EraOf(err)}
 }
--- a/explainer/story.go
+++ b/explainer/story.go
@@ -33,7 +33,7 @@
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until                          string
 	Kind                                                         string
-	Revision, Version                                            int64
+	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
 	Memory, Slots                                                int
 	Took, Left, ViewAge, ComeBack, First, LongestGap, Away       float64
@@ -182,6 +182,8 @@
 			return fmt.Sprintf("VM %s left the roster, %d VMs.", e.rosterVM(), e.VMs)
 		}
 		return fmt.Sprintf("VM %s is in the roster, %d VMs.", e.rosterVM(), e.VMs)
+	case "StoreRestored":
+		return fmt.Sprintf("the store came back from a copy of its data (era %d).", e.Era)
 	case "StoreLost":
 		return "the store doesn't answer: " + e.Error + "."
 	case "StoreFound":
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -2,7 +2,8 @@
 // lists the keys once and then long-polls for changes.
 //
 // After a failed poll it continues from the last change that it has seen. It
-// lists the keys again only if the store has dropped that part of its history.
+// lists the keys again only if the store has dropped that part of its history or
+// has come back from a copy.
 // The core does no I/O; Shell makes the calls.
 package follower
 
@@ -10,6 +11,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figtrack/figtrack/keeper"
 )
 
@@ -58,6 +61,8 @@
 	// IsCompacted is true if the store has dropped the history that was asked
 	// for.
 	IsCompacted bool
+	// Era is the era that the answer stated; zero without an answer.
+	Era keeper.Era
 }
 
 // Rested reports that the delay of a Rest has passed.
@@ -75,18 +80,33 @@
 // List asks for all keys.
 type List struct{}
 
-// Await asks for the changes after a version, waiting for the first one.
-type Await struct{ After keeper.Version }
+// Await asks for the changes after a version. The call waits for the first one,
+// unless it IsProbe: after a failure it shows at once whether the store answers,
+// and in which era.
+type Await struct {
+	After   keeper.Version
+	IsProbe bool
+}
 
 // Rest asks for a delay before the next call.
 type Rest struct{ For time.Duration }
 
-// TakeAll passes all entries to the Receiver, in place of those passed before.
-type TakeAll struct{ Entries []keeper.Entry }
+// TakeAll passes all entries of an era to the Receiver, in place of those passed
+// before.
+type TakeAll struct {
+	Entries []keeper.Entry
+	Era     keeper.Era
+}
 
 // Take passes one change to the Receiver; a deletion has a nil Value.
 type Take struct{ Entry keeper.Entry }
 
+// EraChanged reports that the store has come back from a copy that lacks some of
+// the writes passed on before. The entries of the copy follow in a TakeAll; until
+// then, and for keys that are missing there, the earlier entries remain the
+// latest that are known.
+type EraChanged struct{ From, To keeper.Era }
+
 // StoreLost reports that the store has been unavailable since Since. Err is the
 // latest failure.
 type StoreLost struct {
@@ -102,6 +122,7 @@
 func (Rest) outcome()       {}
 func (TakeAll) outcome()    {}
 func (Take) outcome()       {}
+func (EraChanged) outcome() {}
 func (StoreLost) outcome()  {}
 func (StoreFound) outcome() {}
 
@@ -110,6 +131,9 @@
 	// version is the version up to which all changes are known; zero before the
 	// first list.
 	version keeper.Version
+	// era is the latest era that an answer stated. version and versions belong
+	// to it.
+	era keeper.Era
 	// versions holds the version of each known key. Pages of a list may be newer
 	// than version, so that some of the following changes are already known.
 	versions map[string]keeper.Version
@@ -140,11 +164,24 @@
 	case Rested:
 		c.emitCall()
 	case Listed:
+		if c.isEnded(e.Era) {
+			c.handleEnded(now, e.Era)
+			break
+		}
 		c.resetFailures(now)
+		c.updateEra(e.Era)
 		c.handleListed(e)
 		c.emitCall()
 	case Changed:
+		if c.isEnded(e.Era) {
+			c.handleEnded(now, e.Era)
+			break
+		}
 		c.resetFailures(now)
+		if c.updateEra(e.Era) {
+			c.emitCall()
+			break
+		}
 		c.handleChanged(e)
 		if len(e.Entries) > 0 {
 			c.emit(Rest{c.batchDelay(now)})
@@ -152,6 +189,11 @@
 		}
 		c.emitCall()
 	case Failed:
+		if c.isEnded(e.Era) {
+			c.handleEnded(now, e.Era)
+			break
+		}
+		c.updateEra(e.Era)
 		c.handleFailed(now, e)
 	default:
 		panic(fmt.Sprintf("follower: unexpected event of type %T", e))
@@ -176,7 +218,7 @@
 		c.emit(List{})
 		return
 	}
-	c.emit(Await{After: c.version})
+	c.emit(Await{After: c.version, IsProbe: !c.failingSince.IsZero()})
 }
 
 // resetFailures handles an answer of the store: it clears the state of failures and
@@ -188,6 +230,33 @@
 	c.failingSince, c.isUnavailable, c.retryDelay = time.Time{}, false, 0
 }
 
+// isEnded reports whether an answer was sent before the store was replaced by a
+// copy. Zero states no era.
+func (c *Core) isEnded(era keeper.Era) bool { return era != 0 && era < c.era }
+
+// handleEnded treats an answer of an ended era like a failure, with the same delay
+// before the next call.
+func (c *Core) handleEnded(now time.Time, era keeper.Era) {
+	c.handleFailed(now, Failed{Err: errors.Errorf("the store's answer is of era %d, expected %d or later", era, c.era)})
+}
+
+// updateEra handles the era of an answer and reports whether a new one has begun.
+// The known versions are void then, and the next call lists all keys.
+func (c *Core) updateEra(era keeper.Era) bool {
+	if era <= c.era {
+		return false
+	}
+	from := c.era
+	c.era = era
+	if from == 0 && c.version == 0 {
+		return false // The first answer of all.
+	}
+	c.version = 0
+	clear(c.versions)
+	c.emit(EraChanged{From: from, To: era})
+	return true
+}
+
 // handleListed replaces the known versions by those of a list.
 func (c *Core) handleListed(e Listed) {
 	c.version = e.At
@@ -195,7 +264,7 @@
 	for _, entry := range e.Entries {
 		c.versions[entry.Key] = entry.Version
 	}
-	c.emit(TakeAll{e.Entries})
+	c.emit(TakeAll{e.Entries, e.Era})
 }
 
 // handleChanged passes on the changes that are newer than the known versions.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -24,6 +24,12 @@
 		return follower.Changed{Changes: keeper.Changes{At: at, Entries: all}}
 	}
 	failed := follower.Failed{}
+	listedIn := func(era keeper.Era, at keeper.Version, all ...keeper.Entry) follower.Listed {
+		return follower.Listed{Snapshot: keeper.Snapshot{At: at, Entries: all, Era: era}}
+	}
+	changesIn := func(era keeper.Era, at keeper.Version, all ...keeper.Entry) follower.Changed {
+		return follower.Changed{Changes: keeper.Changes{At: at, Entries: all, Era: era}}
+	}
 	type step struct {
 		at time.Duration
 		e  follower.Event
@@ -62,6 +68,29 @@
 			{follower.StartupPeriod + 1200*time.Millisecond, changes(15, entry("c", 15, 'c'))},
 			{follower.StartupPeriod + 1600*time.Millisecond, follower.Rested{}},
 		}},
+		{"a copy of the store is listed, with versions that are issued again", []step{
+			{0, follower.Begin{}},
+			{1, listedIn(1, 10, entry("a", 7, 'x'))},
+			{time.Second, changesIn(2, 12, entry("b", 12, 'y'))},
+			{time.Second, listedIn(2, 6, entry("a", 3, 'w'))},
+			{2 * time.Second, changesIn(2, 7, entry("a", 7, 'z'))},
+		}},
+		{"a copy without the version that was asked for is listed", []step{
+			{0, follower.Begin{}}, {1, listedIn(1, 10)}, {time.Second, follower.Failed{IsCompacted: true, Era: 2}}, {time.Second, listedIn(2, 6)},
+		}},
+		{"a refusal already tells of the copy", []step{
+			{0, follower.Begin{}}, {1, listedIn(1, 10)}, {time.Second, follower.Failed{Era: 2}}, {1100 * time.Millisecond, follower.Rested{}}, {1200 * time.Millisecond, listedIn(2, 6)},
+		}},
+		{"two copies within one call, and a late answer of the first", []step{
+			{0, follower.Begin{}},
+			{1, listedIn(1, 10)},
+			{time.Second, failed},
+			{1100 * time.Millisecond, follower.Rested{}},
+			{1200 * time.Millisecond, changesIn(3, 10)},
+			{1300 * time.Millisecond, listedIn(2, 9, entry("a", 8, 'x'))},
+			{1400 * time.Millisecond, listedIn(3, 5)},
+			{2 * time.Second, changesIn(2, 9, entry("a", 9, 'y'))},
+		}},
 		{"dropped history is listed again", []step{
 			{0, follower.Begin{}}, {1, listed}, {time.Second, follower.Failed{IsCompacted: true}}, {time.Second, listed},
 		}},
--- a/follower/shell.go
+++ b/follower/shell.go
@@ -13,8 +13,9 @@
 // Receiver receives the entries of the store, their changes and the store's
 // outages. Its methods are called one at a time.
 type Receiver interface {
-	TakeAll(entries []keeper.Entry)
+	TakeAll(o TakeAll)
 	Take(entry keeper.Entry)
+	EraChanged(o EraChanged)
 	StoreLost(o StoreLost)
 	StoreFound(o StoreFound)
 }
@@ -59,22 +60,28 @@
 	case List:
 		found, err := s.feed.Snapshot(ctx, s.purpose, s.prefix)
 		if err != nil {
-			return Failed{Err: err}
+			return Failed{Err: err, Era: keeper.EraOf(err)}
 		}
 		return Listed{found}
 	case Await:
-		found, err := s.feed.Changes(ctx, s.purpose, s.prefix, o.After, s.wait)
+		wait := s.wait
+		if o.IsProbe {
+			wait = 0
+		}
+		found, err := s.feed.Changes(ctx, s.purpose, s.prefix, o.After, wait)
 		if err != nil {
-			return Failed{Err: err, IsCompacted: errors.Is(err, keeper.ErrCompacted)}
+			return Failed{Err: err, IsCompacted: errors.Is(err, keeper.ErrCompacted), Era: keeper.EraOf(err)}
 		}
 		return Changed{found}
 	case Rest:
 		looper.Sleep(ctx, o.For)
 		return Rested{}
 	case TakeAll:
-		s.receiver.TakeAll(o.Entries)
+		s.receiver.TakeAll(o)
 	case Take:
 		s.receiver.Take(o.Entry)
+	case EraChanged:
+		s.receiver.EraChanged(o)
 	case StoreLost:
 		s.receiver.StoreLost(o)
 	case StoreFound:
--- a/keeper/feed.go
+++ b/keeper/feed.go
@@ -20,6 +20,8 @@
 	// At is the version after which changes have to be read. Entries may already
 	// hold some of these changes.
 	At Version
+	// Era is the era of all entries and of At.
+	Era Era
 }
 
 // Changes holds the writes and deletions of keys that start with a prefix, in
@@ -28,6 +30,8 @@
 	Entries []Entry
 	// At is the version after which the next changes have to be read.
 	At Version
+	// Era is the era of all entries and of At.
+	Era Era
 }
 
 // Feed reads a store by polling: changes are asked for one call at a time, so
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -32,8 +32,14 @@
 	Key     string
 	Value   []byte
 	Version Version
+	// Era is the era of the answer that held the entry. The value may have been
+	// written in an earlier one.
+	Era Era
 }
 
+// Age returns the age of the entry.
+func (e Entry) Age() Age { return Age{e.Era, e.Version} }
+
 // Lease is the ID of a lease. Values that were written with a lease are deleted
 // when it expires; zero stands for no lease.
 type Lease int64
@@ -80,7 +86,9 @@
 // Error is the error of a failed call.
 type Error struct {
 	Kind Kind
-	Err  error
+	// Era is the era that the answer stated; zero without an answer.
+	Era Era
+	Err error
 }
 
 // Error implements error.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -114,7 +114,7 @@
 		return nil, errors.Wrap(err, "encode the roster entry")
 	}
 	vm.enroller = enroller.NewShell(store, router.RosterKey(cfg.VM), entry, log)
-	vm.fleet.OnOwnEntryRemoved(router.RosterKey(cfg.VM), vm.enroller.NotifyRemoved)
+	vm.fleet.SetEnrolment(router.RosterKey(cfg.VM), vm.enroller)
 	vm.drainer = drainer.New(drainer.Settings{Notice: NoticePeriod(cfg.Drain.Notice), Limit: cfg.Drain.Limit - exitMargin})
 	return vm, nil
 }
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -7,6 +7,7 @@
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/tracer"
 	"github.com/figtrack/figtrack/tracker"
 )
@@ -123,7 +124,7 @@
 func (r *routingPolicy) changeUpstream(u admitter.Upstream) {
 	if u.State == admitter.UpstreamDown {
 		if known, ok := r.view.Find(u.ID); ok {
-			r.view.Step(r.now, tracker.Removed{ID: u.ID, Version: known.Version + 1})
+			r.view.Step(r.now, tracker.Removed{ID: u.ID, Age: keeper.Age{Version: known.Age.Version + 1}})
 		}
 		return
 	}
@@ -131,7 +132,7 @@
 		ID: u.ID, Pool: routingPool, Role: u.Role, DataCentre: "", Slots: max(u.Streams, 1),
 		// A new Start makes the tracker treat an engine that came back as a
 		// restarted one.
-		Start: identifier.Incarnation(r.now.UnixNano()), Version: r.now.UnixNano(),
+		Start: identifier.Incarnation(r.now.UnixNano()), Age: keeper.Age{Version: keeper.Version(r.now.UnixNano())},
 	}})
 }
 
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/matcher"
 	"github.com/figtrack/figtrack/tracker"
 )
@@ -54,8 +55,8 @@
 
 // Deregistered reports that an upstream's entry was removed.
 type Deregistered struct {
-	ID      identifier.Upstream
-	Version int64
+	ID  identifier.Upstream
+	Age keeper.Age
 }
 
 // Foreign is an entry that the router doesn't use.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/budgeter"
+	"github.com/figtrack/figtrack/enroller"
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
@@ -44,19 +45,25 @@
 	// keeps the monotonic clock reading, as the wall clock may jump during the
 	// outage.
 	storeLostSince atomic.Pointer[time.Time]
+	// uncertainUntil is when the operator has had the time to write a
+	// configuration again that the store lost; nil if it never lost any.
+	uncertainUntil atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	view   *tracker.Tracker
 	budget *budgeter.Budget
 	roster roster
-	// orderHolder is the VM that gave the last order.
+	// era is the latest era of the store. isRelisting is true from its begin
+	// until its entries were read.
+	era         keeper.Era
+	isRelisting bool
+	// orderHolder is the VM that gave the last order of this era.
 	orderHolder stager.Holder
 	// tokenMeans holds the mean lengths of requests by pool.
 	tokenMeans map[identifier.Pool]*tokenMeans
-	// ownKey is this VM's key in the roster; onOwnRemoved is called whenever
-	// that entry is removed.
-	ownKey       string
-	onOwnRemoved func()
+	// ownKey is this VM's key in the roster; enrolment keeps that entry.
+	ownKey    string
+	enrolment Enrolment
 	// isListed is true once the entries of the store were read for the first
 	// time.
 	isListed bool
@@ -111,11 +118,42 @@
 	return now.Sub(*since)
 }
 
+// IsCertain reports whether the configuration in force is the newest one: the
+// store answers and has not come back from a copy a moment ago.
+func (f *Fleet) IsCertain(now time.Time) bool {
+	until := f.uncertainUntil.Load()
+	return f.ViewAge(now) <= maxViewAge && (until == nil || !now.Before(*until))
+}
+
+// EraChanged implements follower.Receiver. What is known stays in force, but no
+// order is given on it.
+func (f *Fleet) EraChanged(o follower.EraChanged) {
+	until := time.Now().Add(tracker.EraGrace)
+	f.uncertainUntil.Store(&until)
+	f.mu.Lock()
+	f.era, f.isRelisting = o.To, true
+	if f.enrolment != nil {
+		f.enrolment.NotifyEra(o.To)
+	}
+	f.mu.Unlock()
+	f.metrics.storeRestores.Inc()
+	f.log.Warn().Int64("From", int64(o.From)).Int64("Era", int64(o.To)).Time("Until", until).Msg("StoreRestored")
+	f.stepView(tracker.EraChanged{})
+}
+
 // TakeAll implements follower.Receiver with the entries of a complete listing.
-func (f *Fleet) TakeAll(entries []keeper.Entry) {
+func (f *Fleet) TakeAll(o follower.TakeAll) {
 	var runners []tracker.Runner
 	vms := map[identifier.VM]bool{}
-	for _, entry := range entries {
+	f.mu.Lock()
+	absentSince := time.Now()
+	if f.isRelisting {
+		// A VM whose entry the copy lacks still has its share of the budget.
+		absentSince = absentSince.Add(enroller.EntryTTL)
+		f.orderHolder = stager.Holder{}
+	}
+	f.mu.Unlock()
+	for _, entry := range o.Entries {
 		if f.handleOwnEntry(entry) {
 			vms[identifier.VM(strings.TrimPrefix(entry.Key, rosterPrefix))] = true
 			continue
@@ -129,17 +167,24 @@
 	}
 	f.stepView(tracker.Listed{Runners: runners})
 	f.mu.Lock()
-	f.roster.retain(time.Now(), vms)
-	f.isListed = true
+	f.roster.retain(absentSince, vms)
+	f.era, f.isListed, f.isRelisting = o.Era, true, false
 	f.mu.Unlock()
 }
 
-// OnOwnEntryRemoved registers a function that is called whenever this VM's
-// entry is removed from the roster. It is called with the fleet's lock held.
-func (f *Fleet) OnOwnEntryRemoved(key string, onRemoved func()) {
+// Enrolment keeps this VM's entry in the roster. Its methods never block.
+type Enrolment interface {
+	// NotifyRemoved is called whenever the entry is removed from the store.
+	NotifyRemoved()
+	// NotifyEra is called whenever the store came back from a copy.
+	NotifyEra(era keeper.Era)
+}
+
+// SetEnrolment sets what keeps this VM's entry under key.
+func (f *Fleet) SetEnrolment(key string, e Enrolment) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ownKey, f.onOwnRemoved = key, onRemoved
+	f.ownKey, f.enrolment = key, e
 }
 
 // handleOwnEntry handles the keys that figtrack itself writes and reports
@@ -158,7 +203,7 @@
 	n := f.roster.count(now)
 	f.budget.SetVMs(n)
 	if entry.Key == f.ownKey && entry.Value == nil {
-		f.onOwnRemoved()
+		f.enrolment.NotifyRemoved()
 	}
 	f.mu.Unlock()
 	f.metrics.vms.Set(float64(n))
@@ -182,7 +227,7 @@
 	case Registered:
 		f.stepView(tracker.EntryWritten{Runner: d.Runner})
 	case Deregistered:
-		f.stepView(tracker.Removed{ID: d.ID, Version: d.Version})
+		f.stepView(tracker.Removed{ID: d.ID, Age: d.Age})
 	}
 }
 
@@ -227,6 +272,13 @@
 	}
 }
 
+// VMs returns the number of VMs that share the retry budget.
+func (f *Fleet) VMs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.count(time.Now())
+}
+
 func (f *Fleet) stepView(e tracker.Event) {
 	f.mu.Lock()
 	changes := f.view.Step(time.Now(), e)
@@ -279,7 +331,8 @@
 	return f.log.Info().
 		Str("Upstream", string(r.ID)).
 		Str("Pool", string(r.Pool)).
-		Int64("Version", r.Version)
+		Int64("Era", int64(r.Age.Era)).
+		Int64("Version", int64(r.Age.Version))
 }
 
 // ChoosePlain implements attempter.Fleet.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,6 +28,7 @@
 	suspicions        prometheus.Counter
 	unreadableEntries prometheus.Counter
 	storeUp           prometheus.Gauge
+	storeRestores     prometheus.Counter
 	vms               prometheus.Gauge
 }
 
@@ -48,10 +49,11 @@
 		suspicions:        newCounter("upstream_suspicions_total", "Times that an upstream was passed over because a call got no answer."),
 		unreadableEntries: newCounter("unreadable_entries_total", "Entries of the store that could not be read."),
 		storeUp:           newGauge("store_up", "1 while the store answers this VM, else 0."),
+		storeRestores:     newCounter("store_restores_total", "Times that the store came back from a copy that lacks acknowledged writes."),
 		vms:               newGauge("roster_vms", "VMs that live, or left a moment ago, by the store's word."),
 	}
 	registry.MustRegister(m.requests, m.refusals, m.inFlight, m.firstByteTimes, m.answerTimes, m.calls, m.callTimes, m.retries,
-		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.vms)
+		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms)
 	return m
 }
 
--- a/router/orders.go
+++ b/router/orders.go
@@ -18,10 +18,6 @@
 const (
 	// checkInterval is the time between two checks for a needed order.
 	checkInterval = 250 * time.Millisecond
-	// claimPropagationDelay is the time between a claim and its order, in
-	// which the other VMs learn of the claim and stop sending requests to the
-	// engine.
-	claimPropagationDelay = 200 * time.Millisecond
 	// orderTimeout bounds the call that gives an order to an engine.
 	orderTimeout = time.Second
 	// stallThreshold is the time between two checks above which the VM counts
@@ -55,7 +51,8 @@
 }
 
 // handleOrder handles the record of the last order. The engine is not chosen
-// for requests until the time that a change of its role takes has passed.
+// for requests until the time that a change of its role takes has passed. The
+// record in a copy of the store is older than the last one that was known.
 func (f *Fleet) handleOrder(entry keeper.Entry) {
 	var e wire.RoleOrder
 	if err := proto.Unmarshal(entry.Value, &e); err != nil {
@@ -64,12 +61,13 @@
 		return
 	}
 	f.mu.Lock()
-	f.orderHolder = stager.Holder{VM: identifier.VM(e.VM), Start: identifier.Incarnation(e.Incarnation), Version: int64(entry.Version)}
+	f.orderHolder = stager.Holder{VM: identifier.VM(e.VM), Start: identifier.Incarnation(e.Incarnation), Version: entry.Version}
+	isOld := f.isRelisting
 	pool, known := f.view.PoolOf(identifier.Upstream(e.Upstream))
 	f.mu.Unlock()
-	f.log.Info().Str("Holder", e.VM).Str("Upstream", e.Upstream).Str("Role", e.Role).Int64("Version", int64(entry.Version)).Msg("OrderSeen")
+	f.log.Info().Str("Holder", e.VM).Str("Upstream", e.Upstream).Str("Role", e.Role).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderSeen")
 	configuration := f.configuration.Load()
-	if known && configuration != nil {
+	if known && configuration != nil && !isOld {
 		until := time.Now().Add(configuration.Pools[pool].Switch)
 		f.stepView(tracker.RoleOrdered{ID: identifier.Upstream(e.Upstream), Until: until})
 	}
@@ -79,12 +77,12 @@
 func (f *Fleet) stagerView(self identifier.VM, start identifier.Incarnation) stager.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := stager.View{Self: self, Start: start, Holder: f.orderHolder}
+	v := stager.View{Self: self, Start: start, Holder: f.orderHolder, Era: f.era}
 	for vm := range f.roster.members {
 		v.Members = append(v.Members, vm)
 	}
 	c := f.configuration.Load()
-	v.IsFresh = c != nil && f.isListed && f.storeLostSince.Load() == nil && f.roster.members[self] == start
+	v.IsFresh = c != nil && f.isListed && !f.isRelisting && f.storeLostSince.Load() == nil && f.roster.members[self] == start
 	if !v.IsFresh {
 		return v
 	}
@@ -152,8 +150,10 @@
 	switch c := outcome.(type) {
 	case stager.Claim:
 		return o.claim(ctx, c)
+	case stager.Propagate:
+		looper.Sleep(ctx, stager.ClaimPropagationDelay)
+		return stager.Propagated{Era: o.fleet.latestEra()}
 	case stager.Order:
-		looper.Sleep(ctx, claimPropagationDelay)
 		o.order(ctx, c)
 		return stager.Ordered{}
 	}
@@ -166,13 +166,13 @@
 		o.log.Error().AnErr("Error", err).Msg("OrderNotClaimed")
 		return stager.Failed{}
 	}
-	entry, done, err := o.store.Swap(ctx, keeper.PurposeFence, ordersKey, keeper.Version(c.Expected), value)
+	entry, done, err := o.store.Swap(ctx, keeper.PurposeFence, ordersKey, c.Expected, value)
 	if err != nil || !done {
-		o.log.Info().Int64("Expected", c.Expected).AnErr("Error", err).Msg("OrderNotClaimed")
+		o.log.Info().Int64("Expected", int64(c.Expected)).AnErr("Error", err).Msg("OrderNotClaimed")
 		return stager.Failed{}
 	}
-	o.log.Info().Str("Upstream", string(c.Engine.ID)).Str("Role", string(c.Role)).Int64("Fence", int64(entry.Version)).Msg("OrderClaimed")
-	return stager.Claimed{Version: int64(entry.Version)}
+	o.log.Info().Str("Upstream", string(c.Engine.ID)).Str("Role", string(c.Role)).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderClaimed")
+	return stager.Claimed{Version: entry.Version, Era: entry.Era}
 }
 
 func (o *Orders) order(ctx context.Context, c stager.Order) {
@@ -187,6 +187,13 @@
 	o.log.Info().Str("Upstream", string(r.ID)).Str("Role", string(c.Role)).Uint64("Fence", uint64(c.Fence)).AnErr("Error", err).Msg("Ordered")
 }
 
+// latestEra returns the latest era of the store that this VM knows.
+func (f *Fleet) latestEra() keeper.Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // findRunner returns the runner with an id if it is still the same incarnation
 // and accepts work.
 func (f *Fleet) findRunner(id identifier.Upstream, start identifier.Incarnation) (tracker.Runner, bool) {
--- a/router/roster.go
+++ b/router/roster.go
@@ -34,7 +34,8 @@
 type roster struct {
 	// members holds the incarnation of each VM in the roster.
 	members map[identifier.VM]identifier.Incarnation
-	// departed holds when each VM left that still counts.
+	// departed holds when each VM left that still counts. The time is in the
+	// future for a VM that has a valid lease although its entry is missing.
 	departed map[identifier.VM]time.Time
 }
 
@@ -58,18 +59,18 @@
 	return nil
 }
 
-// retain removes the VMs that are missing in a listing of all entries.
-func (r *roster) retain(now time.Time, listed map[identifier.VM]bool) {
+// retain removes the VMs that are missing in a listing of all entries, as of at.
+func (r *roster) retain(at time.Time, listed map[identifier.VM]bool) {
 	for vm := range r.members {
 		if !listed[vm] {
-			r.remove(now, vm)
+			r.remove(at, vm)
 		}
 	}
 }
 
-func (r *roster) remove(now time.Time, vm identifier.VM) {
+func (r *roster) remove(at time.Time, vm identifier.VM) {
 	if _, ok := r.members[vm]; ok {
-		r.departed[vm] = now
+		r.departed[vm] = at
 	}
 	delete(r.members, vm)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -104,8 +104,9 @@
 // replyNoRoute answers a request that matches no route. Only a fresh view
 // proves that there is none.
 func (r *Router) replyNoRoute(q *Request, caller Caller, c *Configuration) {
-	age := r.fleet.ViewAge(time.Now())
-	if age > maxViewAge {
+	now := time.Now()
+	age := r.fleet.ViewAge(now)
+	if !r.fleet.IsCertain(now) {
 		r.reply(q, caller, "", NotRun{Reason: reasonOldView, After: notReadyRetryAfter})
 		return
 	}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -7,9 +7,11 @@
 // memory left. One more decode engine serves some of these requests.
 //
 // One VM gives all orders: the one whose name sorts first in the roster. Before
-// each order it writes a record in the store; the version of the record is the
-// fencing token of the order. A VM that takes over from another one first waits
-// until no order of the other one can still be in flight.
+// each order it writes a record in the store; the era and version of the record
+// make the fencing token of the order. A VM that takes over from another one first
+// waits until no order of the other one can still be in flight. The same holds
+// after the store came back from a copy: a VM that took over since may have been
+// forgotten.
 package stager
 
 import (
@@ -19,6 +21,7 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 )
 
 const (
@@ -45,6 +48,9 @@
 	// MinOrderInterval is the shortest time from the end of an order or a
 	// failed claim to the next claim.
 	MinOrderInterval = 250 * time.Millisecond
+	// ClaimPropagationDelay is the time between a claim and its order, in which
+	// the other VMs learn of the claim and stop sending requests to the engine.
+	ClaimPropagationDelay = 200 * time.Millisecond
 
 	// prefillTimePerToken is the time of a prefill engine for one prompt token,
 	// decodeStepTime the time of a decode engine to generate one token for each
@@ -55,6 +61,11 @@
 	// demand: prompts queue for prefill, and a first-token target of one second
 	// leaves little time for that.
 	prefillHeadroom = 1.4
+	// versionBits is the number of bits of a fencing token that hold the version;
+	// the era is above. Tokens are JSON numbers, which are exact up to 53 bits.
+	versionBits = 40
+	// noEra is lower than any era of a store.
+	noEra keeper.Era = -1
 	// minPrefill and minDecode are the least numbers of engines of each role, so
 	// that a pool can lose one of either.
 	minPrefill, minDecode = 2, 2
@@ -88,7 +99,7 @@
 	VM    identifier.VM
 	Start identifier.Incarnation
 	// Version is the store's version of the record; zero if there is none.
-	Version int64
+	Version keeper.Version
 }
 
 // View is the state on which the core decides. Self and Start identify this VM.
@@ -98,6 +109,8 @@
 	// Members are the VMs of the roster.
 	Members []identifier.VM
 	Holder  Holder
+	// Era is the era of the store that Holder and Members were read in.
+	Era keeper.Era
 	// IsFresh is true if the store answers and the roster has this VM's entry.
 	IsFresh bool
 	Pools   []Pool
@@ -110,7 +123,14 @@
 type Looked struct{ View View }
 
 // Claimed reports that the record was written, and its new version.
-type Claimed struct{ Version int64 }
+type Claimed struct {
+	Version keeper.Version
+	Era     keeper.Era
+}
+
+// Propagated reports that the ClaimPropagationDelay has passed. Era is the latest
+// one that this VM knows.
+type Propagated struct{ Era keeper.Era }
 
 // Failed reports that a claim failed or that its result is unknown.
 type Failed struct{}
@@ -118,10 +138,11 @@
 // Ordered reports that an order has ended, with or without an answer.
 type Ordered struct{}
 
-func (Looked) event()  {}
-func (Claimed) event() {}
-func (Failed) event()  {}
-func (Ordered) event() {}
+func (Looked) event()     {}
+func (Claimed) event()    {}
+func (Propagated) event() {}
+func (Failed) event()     {}
+func (Ordered) event()    {}
 
 // Outcome tells the shell what to do. Only this package defines outcomes.
 type Outcome interface{ outcome() }
@@ -129,20 +150,25 @@
 // Claim asks to write the record if its version is Expected. Engine has no ID if
 // this VM takes over from another one; no order follows then.
 type Claim struct {
-	Expected int64
+	Expected keeper.Version
 	Engine   Engine
 	Role     identifier.Role
 }
 
-// Order asks to change the role of an engine. Fence is the version of the record.
+// Propagate asks for Propagated after ClaimPropagationDelay.
+type Propagate struct{}
+
+// Order asks to change the role of an engine. Fence is higher than that of any
+// earlier record.
 type Order struct {
 	Engine Engine
 	Role   identifier.Role
 	Fence  identifier.Fence
 }
 
-func (Claim) outcome() {}
-func (Order) outcome() {}
+func (Claim) outcome()     {}
+func (Propagate) outcome() {}
+func (Order) outcome()     {}
 
 type engineKey struct {
 	id    identifier.Upstream
@@ -162,6 +188,11 @@
 	isBusy bool
 	// claim is the claim in flight, or the last one.
 	claim Claim
+	// claimedAs is the age of the record that the last claim has written. This VM
+	// holds the record only in that era.
+	claimedAs keeper.Age
+	// era is the latest era of the store that was seen.
+	era keeper.Era
 	// earliestClaim is the earliest time of the next claim for an order.
 	earliestClaim time.Time
 	// surplusSince holds when the current surplus of each pool began.
@@ -177,6 +208,7 @@
 func New(now time.Time) *Core {
 	return &Core{
 		startedAt:    now,
+		era:          noEra,
 		surplusSince: map[identifier.Pool]time.Time{},
 		peaks:        map[identifier.Pool]recentPeak{},
 		lastOrders:   map[engineKey]time.Time{},
@@ -190,20 +222,45 @@
 		return c.handleLooked(now, e.View)
 	case Claimed:
 		return c.handleClaimed(now, e)
+	case Propagated:
+		c.updateEra(now, e.Era)
+		return c.handlePropagated(now)
 	case Failed, Ordered:
-		c.isBusy = false
-		c.earliestClaim = latest(c.earliestClaim, now.Add(MinOrderInterval))
+		c.end(now)
 	default:
 		panic(fmt.Sprintf("stager: unexpected event of type %T", e))
 	}
 	return nil
 }
 
+// end ends a claim or an order.
+func (c *Core) end(now time.Time) {
+	c.isBusy = false
+	c.earliestClaim = latest(c.earliestClaim, now.Add(MinOrderInterval))
+}
+
+// updateEra delays the next claim if a new era has begun: the roster is incomplete
+// until all VMs have enrolled again, and another VM may have held the record that
+// the copy lacks.
+func (c *Core) updateEra(now time.Time, era keeper.Era) {
+	if era <= c.era {
+		return
+	}
+	isFirst := c.era == noEra
+	c.era = era
+	if !isFirst {
+		c.earliestClaim = latest(c.earliestClaim, now.Add(TakeoverDelay))
+	}
+}
+
 // handleLooked claims the record if this VM gives the orders and a pool has had a
 // surplus for long enough. A stale view or an empty roster resets the start of
 // each surplus.
 func (c *Core) handleLooked(now time.Time, v View) Outcome {
-	if c.isBusy || !v.IsFresh || len(v.Members) == 0 || slices.Min(v.Members) != v.Self {
+	if v.IsFresh {
+		c.updateEra(now, v.Era)
+	}
+	if c.isBusy || !v.IsFresh || v.Era != c.era || len(v.Members) == 0 || slices.Min(v.Members) != v.Self {
 		if !v.IsFresh || len(v.Members) == 0 {
 			clear(c.surplusSince)
 		}
@@ -234,28 +291,52 @@
 	return MinSurplusDuration
 }
 
-// claimFor claims the record for an order or, if another VM wrote it last, to take
-// over.
+// claimFor claims the record for an order or, if another VM wrote it last or may
+// have done so in an earlier era, to take over.
 func (c *Core) claimFor(v View, engine Engine, role identifier.Role) Outcome {
 	c.isBusy = true
 	c.claim = Claim{Expected: v.Holder.Version, Engine: engine, Role: role}
-	isOwn := v.Holder.VM == v.Self && v.Holder.Start == v.Start
-	if v.Holder.Version != 0 && !isOwn {
+	isOwn := v.Holder.VM == v.Self && v.Holder.Start == v.Start && c.claimedAs.Era == c.era
+	if !isOwn && (v.Holder.Version != 0 || c.era > 0) {
 		c.claim = Claim{Expected: v.Holder.Version}
 	}
 	return c.claim
 }
 
-// handleClaimed gives the order whose claim was written. After a takeover it starts
-// the delay instead.
+// handleClaimed waits until the other VMs know of a claim that was written. After a
+// takeover it starts the longer delay instead. A claim that was written in another
+// era than it was asked for met a reissued version by chance and counts as failed.
 func (c *Core) handleClaimed(now time.Time, e Claimed) Outcome {
+	asked := c.era
+	c.updateEra(now, e.Era)
+	if e.Era != asked {
+		c.end(now)
+		return nil
+	}
+	c.claimedAs = keeper.Age{Era: e.Era, Version: e.Version}
 	if c.claim.Engine.ID == "" {
 		c.isBusy = false
-		c.earliestClaim = now.Add(TakeoverDelay)
+		c.earliestClaim = latest(c.earliestClaim, now.Add(TakeoverDelay))
+		return nil
+	}
+	return Propagate{}
+}
+
+// handlePropagated gives the order of the last claim, unless the era of the claim
+// has ended.
+func (c *Core) handlePropagated(now time.Time) Outcome {
+	if c.claimedAs.Era != c.era {
+		c.end(now)
 		return nil
 	}
 	c.lastOrders[engineKey{c.claim.Engine.ID, c.claim.Engine.Start}] = now
-	return Order{Engine: c.claim.Engine, Role: c.claim.Role, Fence: identifier.Fence(e.Version)}
+	return Order{Engine: c.claim.Engine, Role: c.claim.Role, Fence: fence(c.claimedAs)}
+}
+
+// fence returns the fencing token of a record. It rises with the age of the record,
+// also across eras, in which the store issues versions again.
+func fence(a keeper.Age) identifier.Fence {
+	return identifier.Fence(a.Era)<<versionBits | identifier.Fence(a.Version)
 }
 
 // selectEngine returns an engine whose role should change and its new role. The
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -10,6 +10,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/stager"
 )
 
@@ -55,6 +56,14 @@
 	second.Members = []identifier.VM{"vm-0", "vm-1"}
 	stale := view(pool(4, 5))
 	stale.IsFresh = false
+	inEra := func(era keeper.Era, holder stager.Holder) stager.Looked {
+		v := view(pool(4, 5))
+		v.Era, v.Holder = era, holder
+		return stager.Looked{View: v}
+	}
+	own := func(version keeper.Version) stager.Holder {
+		return stager.Holder{VM: "vm-1", Start: 7, Version: version}
+	}
 	away := stager.Looked{View: view(pool(3, 3))}
 	scripts := []struct {
 		name  string
@@ -65,6 +74,7 @@
 			{tick, surplus},
 			{6 * tick, surplus},
 			{6*tick + 1, stager.Claimed{Version: 12}},
+			{7*tick - 1, stager.Propagated{}},
 			{7 * tick, surplus},
 			{7*tick + 1, stager.Ordered{}},
 			{8 * tick, surplus},
@@ -78,6 +88,36 @@
 			{20 * tick, surplus},
 			{23 * tick, surplus},
 		}},
+		{"a claim of an era that ended is not ordered, the next one has a higher fence", []step{
+			{0, inEra(1, stager.Holder{})},
+			{6 * tick, inEra(1, stager.Holder{})},
+			{6*tick + 1, stager.Claimed{Version: 11, Era: 1}},
+			{23 * tick, inEra(1, own(11))},
+			{23*tick + 1, stager.Claimed{Version: 12, Era: 1}},
+			{23*tick + 2, stager.Propagated{Era: 2}},
+			{25 * tick, inEra(1, own(12))},
+			{36 * tick, inEra(2, own(4))},
+			{42 * tick, inEra(2, own(4))},
+			{42*tick + 1, stager.Claimed{Version: 5, Era: 2}},
+			{50 * tick, inEra(2, own(5))},
+			{59 * tick, inEra(2, own(5))},
+			{59*tick + 1, stager.Claimed{Version: 6, Era: 2}},
+			{59*tick + 2, stager.Propagated{Era: 2}},
+		}},
+		{"a claim that met a reissued version is void", []step{
+			{0, inEra(1, own(12))},
+			{6 * tick, inEra(1, own(12))},
+			{6*tick + 1, stager.Claimed{Version: 13, Era: 2}},
+			{8 * tick, inEra(2, own(13))},
+			{23 * tick, inEra(2, own(13))},
+		}},
+		{"without a record, an unknown holder's orders are waited out: a copy may lack it", []step{
+			{0, inEra(2, stager.Holder{})},
+			{6 * tick, inEra(2, stager.Holder{})},
+			{6*tick + 1, stager.Claimed{Version: 3, Era: 2}},
+			{20 * tick, inEra(2, own(3))},
+			{23 * tick, inEra(2, own(3))},
+		}},
 		{"only the first VM of the roster orders", []step{{0, stager.Looked{View: second}}, {9 * tick, stager.Looked{View: second}}}},
 		{"an old view orders nothing", []step{{0, surplus}, {2 * tick, stager.Looked{View: stale}}, {6 * tick, surplus}}},
 		{"a claim that fails is tried again", []step{{0, surplus}, {6 * tick, surplus}, {6*tick + 1, stager.Failed{}}, {8 * tick, surplus}}},
@@ -91,7 +131,7 @@
 		core := stager.New(start)
 		for _, step := range s.steps {
 			o := core.Step(start.Add(step.at), step.e)
-			fmt.Fprintf(&w, "  %7s %-8s %s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "stager."), describe(o))
+			fmt.Fprintf(&w, "  %7s %-10s %s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "stager."), describe(o))
 		}
 		fmt.Fprintln(&w)
 	}
@@ -102,8 +142,10 @@
 	switch o := o.(type) {
 	case stager.Claim:
 		return fmt.Sprintf("-> Claim over %d for %q %s", o.Expected, o.Engine.ID, o.Role)
+	case stager.Propagate:
+		return "-> Propagate"
 	case stager.Order:
-		return fmt.Sprintf("-> Order %s %s fence %d", o.Engine.ID, o.Role, o.Fence)
+		return fmt.Sprintf("-> Order %s %s fence %d:%d", o.Engine.ID, o.Role, o.Fence>>40, o.Fence&(1<<40-1))
 	default:
 		return ""
 	}
--- a/tracker/growth_test.go
+++ b/tracker/growth_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -18,7 +19,7 @@
 func runnerOf(i int) tracker.Runner {
 	return tracker.Runner{
 		ID: identifier.Upstream(fmt.Sprintf("i-%04d", i*7919%manyRunners)), Pool: "desk", Role: identifier.RoleDecode,
-		Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Slots: 6, Version: int64(i + 1), Sequence: 1,
+		Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Slots: 6, Age: keeper.Age{Version: keeper.Version(i + 1)}, Sequence: 1,
 	}
 }
 
@@ -51,7 +52,7 @@
 	g.Expect(repeating/manyRunners).To(BeNumerically("<", 1<<10), "bytes per runner that writes the same entry again")
 	leaving := allocatedBytes(func() {
 		for i := range manyRunners {
-			view.Step(now, tracker.Removed{ID: runnerOf(i).ID, Version: manyRunners + 1})
+			view.Step(now, tracker.Removed{ID: runnerOf(i).ID, Age: keeper.Age{Version: manyRunners + 1}})
 		}
 	})
 	g.Expect(leaving/manyRunners).To(BeNumerically("<", 2<<10), "bytes per runner that is removed")
@@ -69,10 +70,10 @@
 		view.Step(now, tracker.EntryWritten{Runner: runnerOf(i)})
 	}
 	for i := range 50 {
-		view.Step(now, tracker.Removed{ID: runnerOf(2 * i).ID, Version: manyRunners})
+		view.Step(now, tracker.Removed{ID: runnerOf(2 * i).ID, Age: keeper.Age{Version: manyRunners}})
 	}
 	moved := runnerOf(1)
-	moved.Pool, moved.Start, moved.Version, moved.Sequence = "other", 2, manyRunners, 2
+	moved.Pool, moved.Start, moved.Age.Version, moved.Sequence = "other", 2, manyRunners, 2
 	view.Step(now, tracker.EntryWritten{Runner: moved})
 	all := view.Pool("desk")
 	g.Expect(all).To(HaveLen(49))
--- a/tracker/runner.go
+++ b/tracker/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 )
 
 // Runner describes one start of an upstream as it registered itself.
@@ -28,8 +29,8 @@
 	Slots int
 	// Leaving is true if the runner takes no new work.
 	Leaving bool
-	// Version is the store's version of the entry.
-	Version int64
+	// Age is the age of the entry in the store.
+	Age keeper.Age
 	// Sequence numbers the entries that one start of the runner writes.
 	Sequence identifier.Sequence
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -8,11 +8,18 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 )
 
 // MissingGrace is how long entries that expired in an outage of the store may be
-// absent after its return. The store's operators state two seconds.
-const MissingGrace = 2 * time.Second
+// absent after its return. The store's operators state two seconds; the rest is
+// the time until a change is seen.
+const MissingGrace = 2500 * time.Millisecond
+
+// EraGrace is how long entries may be absent, or older than those known, after
+// the store came back from a copy: runners write theirs about every 1.2 s and
+// count as gone after three times that.
+const EraGrace = 5 * time.Second
 
 // MaxDeparted is the maximum number of removed runners that are remembered. The
 // specified fleets replace fewer in a day.
@@ -27,10 +34,10 @@
 // EntryWritten carries one entry that was written to the store.
 type EntryWritten struct{ Runner Runner }
 
-// Removed reports that an entry was removed at a version of the store.
+// Removed reports that an entry was removed, and the age of the removal.
 type Removed struct {
-	ID      identifier.Upstream
-	Version int64
+	ID  identifier.Upstream
+	Age keeper.Age
 }
 
 // RoleOrdered reports that an engine was ordered to change its role. It can't be
@@ -43,6 +50,10 @@
 // StoreBack reports that the store answers again after an outage.
 type StoreBack struct{}
 
+// EraChanged reports that the store came back from a copy that lacks some of the
+// entries or has older ones. A Listed with the entries of the copy follows.
+type EraChanged struct{}
+
 // Wake has the view act on what has become due.
 type Wake struct{}
 
@@ -51,6 +62,7 @@
 func (Removed) event()      {}
 func (RoleOrdered) event()  {}
 func (StoreBack) event()    {}
+func (EraChanged) event()   {}
 func (Wake) event()         {}
 
 // Tracker is one VM's view of the upstreams. It is not safe for concurrent use.
@@ -66,6 +78,9 @@
 	missing int
 	// graceUntil is when entries that are missing since an outage count as gone.
 	graceUntil time.Time
+	// copyUntil is when entries from a copy of the store no longer have to be
+	// expected: until then an earlier start of a runner is not believed.
+	copyUntil time.Time
 	// departed holds removed runners, so that a late write of one of them doesn't
 	// add it again. It is cleared at MaxDeparted.
 	departed map[identifier.Upstream]Runner
@@ -105,13 +120,16 @@
 	case Listed:
 		t.applyListing(now, e)
 	case EntryWritten:
-		t.applyEntry(e.Runner)
+		t.applyEntry(now, e.Runner)
 	case Removed:
-		if u := t.upstreams[e.ID]; u != nil && e.Version > u.Version {
+		if u := t.upstreams[e.ID]; u != nil && e.Age.Compare(u.Age) > 0 {
 			t.handleAbsentEntry(now, u)
 		}
 	case StoreBack:
-		t.graceUntil = now.Add(MissingGrace)
+		t.extendGrace(now.Add(MissingGrace))
+	case EraChanged:
+		t.copyUntil = now.Add(EraGrace)
+		t.extendGrace(t.copyUntil)
 	case RoleOrdered:
 		if u := t.upstreams[e.ID]; u != nil {
 			u.roleChangeUntil = e.Until
@@ -124,12 +142,26 @@
 	return t.out
 }
 
+// extendGrace lets entries be absent until a time, if that is later than before.
+// Entries that are missing already get the longer time too.
+func (t *Tracker) extendGrace(until time.Time) {
+	if !until.After(t.graceUntil) {
+		return
+	}
+	t.graceUntil = until
+	for _, u := range t.upstreams {
+		if !u.missingUntil.IsZero() {
+			u.missingUntil = until
+		}
+	}
+}
+
 // applyListing applies all entries and handles those that are absent.
 func (t *Tracker) applyListing(now time.Time, e Listed) {
 	listed := make(map[identifier.Upstream]bool, len(e.Runners))
 	for _, r := range e.Runners {
 		listed[r.ID] = true
-		t.applyEntry(r)
+		t.applyEntry(now, r)
 	}
 	for _, u := range t.sortedUpstreams() {
 		if !listed[u.ID] {
@@ -141,9 +173,13 @@
 // applyEntry adds or updates the upstream of an entry, unless a later version is
 // known. An entry with another start, address or pool replaces the upstream and
 // what was learned of it.
-func (t *Tracker) applyEntry(r Runner) {
+func (t *Tracker) applyEntry(now time.Time, r Runner) {
 	u := t.upstreams[r.ID]
-	if u != nil && r.Version < u.Version || t.isStale(r) {
+	if u != nil && r.Age.Compare(u.Age) < 0 || t.isStale(now, r) {
+		return
+	}
+	if u != nil && now.Before(t.copyUntil) && r.Start < u.Start {
+		t.confirmEntry(u, r.Age)
 		return
 	}
 	if u != nil && u.Start == r.Start && u.Address == r.Address && u.Pool == r.Pool {
@@ -165,6 +201,7 @@
 // takes work again only after a new start.
 func (t *Tracker) updateRunner(u *upstream, r Runner) {
 	if r.Sequence < u.Sequence {
+		t.confirmEntry(u, r.Age)
 		return
 	}
 	left := r.Leaving && !u.Leaving
@@ -176,11 +213,25 @@
 	}
 }
 
+// confirmEntry handles an entry that is newer in the store but was written by the
+// runner before the one that is known, as in a copy of the store or in a late
+// write. What it says is not used.
+func (t *Tracker) confirmEntry(u *upstream, age keeper.Age) {
+	if age.Era > u.Age.Era {
+		t.setMissing(u, time.Time{})
+	}
+	u.Age = age
+}
+
 // isStale reports whether an entry is no newer than the last known entry of the
-// same start, which was removed.
-func (t *Tracker) isStale(r Runner) bool {
+// same start, which was removed. From a copy of the store, entries of earlier
+// starts are stale too.
+func (t *Tracker) isStale(now time.Time, r Runner) bool {
 	d, ok := t.departed[r.ID]
-	return ok && t.upstreams[r.ID] == nil && d.Start == r.Start && r.Sequence <= d.Sequence
+	if !ok || t.upstreams[r.ID] != nil {
+		return false
+	}
+	return d.Start == r.Start && r.Sequence <= d.Sequence || now.Before(t.copyUntil) && r.Start < d.Start
 }
 
 // handleAbsentEntry marks an upstream whose entry is no longer in the store as
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -10,17 +10,18 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/tracker"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 func runner(id string, role identifier.Role, in identifier.DataCentre) tracker.Runner {
-	return tracker.Runner{ID: identifier.Upstream(id), Start: 1, Pool: "desk", Role: role, DataCentre: in, Address: id, Slots: 6, Version: 1, Sequence: 1}
+	return tracker.Runner{ID: identifier.Upstream(id), Start: 1, Pool: "desk", Role: role, DataCentre: in, Address: id, Slots: 6, Age: keeper.Age{Version: 1}, Sequence: 1}
 }
 
 func changed(r tracker.Runner, change func(r *tracker.Runner)) tracker.Runner {
-	r.Version++
+	r.Age.Version++
 	r.Sequence++
 	change(&r)
 	return r
@@ -39,30 +40,90 @@
 		{1 * time.Second, tracker.EntryWritten{Runner: leaving}},
 		{2 * time.Second, tracker.EntryWritten{Runner: again}},
 		{3 * time.Second, tracker.EntryWritten{Runner: restarted}},
-		{4 * time.Second, tracker.Removed{ID: "s1", Version: 2}},
-		{5 * time.Second, tracker.Removed{ID: "s1", Version: 9}},
+		{4 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 2}}},
+		{5 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 9}}},
 		{6 * time.Second, tracker.EntryWritten{Runner: restarted}},
 		{10 * time.Second, tracker.StoreBack{}},
 		{10 * time.Second, tracker.Listed{}},
 		{11 * time.Second, tracker.Wake{}},
-		{12 * time.Second, tracker.Wake{}},
+		{12400 * time.Millisecond, tracker.Wake{}},
+		{12500 * time.Millisecond, tracker.Wake{}},
 		{20 * time.Second, tracker.StoreBack{}},
-		{20 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Version = 20 })}},
-		{20 * time.Second, tracker.Removed{ID: "s1", Version: 21}},
-		{21 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Version, r.Sequence = 22, 9 })}},
+		{20 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Age.Version = 20 })}},
+		{20 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 21}}},
+		{21 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Age.Version, r.Sequence = 22, 9 })}},
 		{30 * time.Second, tracker.Wake{}},
 	}
 	var w strings.Builder
 	view := tracker.New("east", 1)
 	for _, s := range steps {
-		fmt.Fprintf(&w, "%3s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
+		fmt.Fprintf(&w, "%5s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
 		for _, c := range view.Step(start.Add(s.at), s.e) {
-			fmt.Fprintf(&w, "    -> %s\n", describe(c))
+			fmt.Fprintf(&w, "      -> %s\n", describe(c))
 		}
 	}
 	goldie.New(t).Assert(t, "entries", []byte(w.String()))
 }
 
+// TestViewAfterTheStoreCameBackFromACopy checks that what is missing or older in a
+// copy doesn't undo what is known, until runners had the time to register again.
+func TestViewAfterTheStoreCameBackFromACopy(t *testing.T) {
+	const plain = identifier.RolePlain
+	inEra := func(r tracker.Runner, version keeper.Version, change func(r *tracker.Runner)) tracker.Runner {
+		r.Age = keeper.Age{Era: 2, Version: version}
+		change(&r)
+		return r
+	}
+	same := func(*tracker.Runner) {}
+	old, moved, leaving, gone, late := runner("old", plain, "east"), runner("moved", plain, "east"), runner("leaving", plain, "east"), runner("gone", plain, "east"), runner("late", plain, "east")
+	for _, r := range []*tracker.Runner{&old, &moved, &leaving, &gone, &late} {
+		r.Age, r.Start, r.Sequence = keeper.Age{Era: 1, Version: 20}, 5, 4
+	}
+	left := leaving
+	left.Leaving, left.Sequence, left.Age.Version = true, 5, 21
+	steps := []struct {
+		at time.Duration
+		e  tracker.Event
+	}{
+		{0, tracker.Listed{Runners: []tracker.Runner{old, moved, leaving, gone, late}}},
+		{1 * time.Second, tracker.EntryWritten{Runner: left}},
+		{1 * time.Second, tracker.Removed{ID: "gone", Age: keeper.Age{Era: 1, Version: 22}}},
+		{2 * time.Second, tracker.EraChanged{}},
+		{2 * time.Second, tracker.StoreBack{}},
+		{2 * time.Second, tracker.Listed{Runners: []tracker.Runner{
+			inEra(leaving, 3, func(r *tracker.Runner) { r.Sequence = 2 }), // Before it said that it leaves.
+			inEra(gone, 4, func(r *tracker.Runner) { r.Sequence = 3 }),    // Before it was removed.
+			inEra(moved, 5, func(r *tracker.Runner) { r.Start, r.Address = 1, "elsewhere" }),
+			inEra(old, 6, func(r *tracker.Runner) { r.Sequence = 1 }),
+		}}},
+		{3 * time.Second, tracker.Removed{ID: "old", Age: keeper.Age{Era: 1, Version: 30}}}, // A change of the era before.
+		{5 * time.Second, tracker.EntryWritten{Runner: inEra(late, 9, same)}},
+		{5 * time.Second, tracker.EntryWritten{Runner: inEra(runner("new", plain, "east"), 10, same)}},
+		{8 * time.Second, tracker.Wake{}},
+		{9 * time.Second, tracker.Removed{ID: "old", Age: keeper.Age{Era: 2, Version: 11}}},
+		{10 * time.Second, tracker.EraChanged{}},
+		{10 * time.Second, tracker.Listed{}},
+		{11 * time.Second, tracker.EraChanged{}}, // A second copy before the runners were back.
+		{11 * time.Second, tracker.Listed{}},
+		{15500 * time.Millisecond, tracker.Wake{}},
+		{16 * time.Second, tracker.Wake{}},
+	}
+	var w strings.Builder
+	view := tracker.New("east", 1)
+	for _, s := range steps {
+		fmt.Fprintf(&w, "%5s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
+		for _, c := range view.Step(start.Add(s.at), s.e) {
+			fmt.Fprintf(&w, "      -> %s\n", describe(c))
+		}
+	}
+	for _, id := range []identifier.Upstream{"moved", "late", "leaving"} {
+		if r, ok := view.Find(id); ok {
+			fmt.Fprintf(&w, "%s: start %d at %s, leaving %t\n", r.ID, r.Start, r.Address, r.Leaving)
+		}
+	}
+	goldie.New(t).Assert(t, "eras", []byte(w.String()))
+}
+
 func describe(c tracker.Change) string {
 	name := strings.TrimPrefix(fmt.Sprintf("%T", c), "tracker.")
 	switch c := c.(type) {
