Order the surplus of a pool by a few claims in place of one each

Each claim and each engine's changed entry ended the watch of every VM, 2.5 calls a second and VM, and half of the decode engines came after the first burst. Change: a claim names up to 32 engines, whose orders are given at the same time under one fencing token. The record has a list of runners. Test: TestSurplusOfALargePoolIsOrderedAtOnce. The order tests compared fences of single orders; now one fence has one holder and goes to an engine once, and none follows a higher one.

--- a/explainer/story.go
+++ b/explainer/story.go
@@ -32,6 +32,7 @@
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until                          string
+	Upstreams                                                    []string
 	Kind                                                         string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
@@ -188,7 +189,9 @@
 		return "the store doesn't answer: " + e.Error + "."
 	case "StoreFound":
 		return fmt.Sprintf("the store answers again after %.0f ms.", e.Away)
-	case "OrderClaimed", "Ordered", "OrderSeen":
+	case "OrderClaimed", "OrderSeen":
+		return fmt.Sprintf("%s: %s to %s.", e.Message, strings.Join(e.Upstreams, ", "), e.Role)
+	case "Ordered":
 		return fmt.Sprintf("%s: %s to %s %s.", e.Message, e.Upstream, e.Role, e.Error)
 	case "LeaseLost", "EnrolmentRemoved", "StoodStill", "SettingsInForce", "SettingsNotRead", "EntryNotRead", "LinesLeftOut":
 		return fmt.Sprintf("%s %s %s.", e.Message, e.Key, e.Error)
--- a/router/orders.go
+++ b/router/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,8 +51,8 @@
 	return s
 }
 
-// handleOrder handles the record of the last order. The engine is not chosen
-// for requests until the time that a change of its role takes has passed. The
+// handleOrder handles the record of the last orders. The engines are not chosen
+// for requests until the time that a change of role takes has passed. The
 // record in a copy of the store is older than the last one that was known.
 func (f *Fleet) handleOrder(entry keeper.Entry) {
 	var e wire.RoleOrder
@@ -63,13 +64,20 @@
 	f.mu.Lock()
 	f.orderHolder = stager.Holder{VM: identifier.VM(e.VM), Start: identifier.Incarnation(e.Incarnation), Version: entry.Version}
 	isOld := f.isRelisting
-	pool, known := f.view.PoolOf(identifier.Upstream(e.Upstream))
 	f.mu.Unlock()
-	f.log.Info().Str("Holder", e.VM).Str("Upstream", e.Upstream).Str("Role", e.Role).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderSeen")
+	f.log.Info().Str("Holder", e.VM).Strs("Upstreams", e.Upstreams).Str("Role", e.Role).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderSeen")
 	configuration := f.configuration.Load()
-	if known && configuration != nil && !isOld {
-		until := time.Now().Add(configuration.Pools[pool].Switch)
-		f.stepView(tracker.RoleOrdered{ID: identifier.Upstream(e.Upstream), Until: until})
+	if configuration == nil || isOld {
+		return
+	}
+	for _, id := range e.Upstreams {
+		f.mu.Lock()
+		pool, known := f.view.PoolOf(identifier.Upstream(id))
+		f.mu.Unlock()
+		if known {
+			until := time.Now().Add(configuration.Pools[pool].Switch)
+			f.stepView(tracker.RoleOrdered{ID: identifier.Upstream(id), Until: until})
+		}
 	}
 }
 
@@ -154,14 +162,22 @@
 		looper.Sleep(ctx, stager.ClaimPropagationDelay)
 		return stager.Propagated{Era: o.fleet.latestEra()}
 	case stager.Order:
-		o.order(ctx, c)
+		var all sync.WaitGroup
+		for _, e := range c.Engines {
+			all.Go(func() { o.order(ctx, e, c.Role, c.Fence) })
+		}
+		all.Wait()
 		return stager.Ordered{}
 	}
 	return nil
 }
 
 func (o *Orders) claim(ctx context.Context, c stager.Claim) stager.Event {
-	value, err := proto.Marshal(&wire.RoleOrder{VM: string(o.self), Incarnation: uint64(o.start), Upstream: string(c.Engine.ID), Role: string(c.Role)})
+	record := &wire.RoleOrder{VM: string(o.self), Incarnation: uint64(o.start), Role: string(c.Role)}
+	for _, e := range c.Engines {
+		record.Upstreams = append(record.Upstreams, string(e.ID))
+	}
+	value, err := proto.Marshal(record)
 	if err != nil {
 		o.log.Error().AnErr("Error", err).Msg("OrderNotClaimed")
 		return stager.Failed{}
@@ -171,20 +187,20 @@
 		o.log.Info().Int64("Expected", int64(c.Expected)).AnErr("Error", err).Msg("OrderNotClaimed")
 		return stager.Failed{}
 	}
-	o.log.Info().Str("Upstream", string(c.Engine.ID)).Str("Role", string(c.Role)).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderClaimed")
+	o.log.Info().Strs("Upstreams", record.Upstreams).Str("Role", record.Role).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderClaimed")
 	return stager.Claimed{Version: entry.Version, Era: entry.Era}
 }
 
-func (o *Orders) order(ctx context.Context, c stager.Order) {
-	r, ok := o.fleet.findRunner(c.Engine.ID, c.Engine.Start)
+func (o *Orders) order(ctx context.Context, e stager.Engine, role identifier.Role, fence identifier.Fence) {
+	r, ok := o.fleet.findRunner(e.ID, e.Start)
 	if !ok {
-		o.log.Info().Str("Upstream", string(c.Engine.ID)).Msg("OrderDropped")
+		o.log.Info().Str("Upstream", string(e.ID)).Msg("OrderDropped")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := o.runners.Order(ctx, r, c.Role, o.self, c.Fence)
-	o.log.Info().Str("Upstream", string(r.ID)).Str("Role", string(c.Role)).Uint64("Fence", uint64(c.Fence)).AnErr("Error", err).Msg("Ordered")
+	err := o.runners.Order(ctx, r, role, o.self, fence)
+	o.log.Info().Str("Upstream", string(r.ID)).Str("Role", string(role)).Uint64("Fence", uint64(fence)).AnErr("Error", err).Msg("Ordered")
 }
 
 // latestEra returns the latest era of the store that this VM knows.
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -48,6 +48,10 @@
 	// MinOrderInterval is the shortest time from the end of an order or a
 	// failed claim to the next claim.
 	MinOrderInterval = 250 * time.Millisecond
+	// MaxClaimEngines is the highest number of engines whose orders share a claim.
+	// Each claim wakes all VMs of the fleet, and each engine is away while it
+	// changes its role.
+	MaxClaimEngines = 32
 	// ClaimPropagationDelay is the time between a claim and its order, in which
 	// the other VMs learn of the claim and stop sending requests to the engine.
 	ClaimPropagationDelay = 200 * time.Millisecond
@@ -147,23 +151,23 @@
 // Outcome tells the shell what to do. Only this package defines outcomes.
 type Outcome interface{ outcome() }
 
-// Claim asks to write the record if its version is Expected. Engine has no ID if
+// Claim asks to write the record if its version is Expected. It has no Engines if
 // this VM takes over from another one; no order follows then.
 type Claim struct {
 	Expected keeper.Version
-	Engine   Engine
+	Engines  []Engine
 	Role     identifier.Role
 }
 
 // Propagate asks for Propagated after ClaimPropagationDelay.
 type Propagate struct{}
 
-// Order asks to change the role of an engine. Fence is higher than that of any
-// earlier record.
+// Order asks to change the role of engines, all at once. Fence is higher than that
+// of any earlier record.
 type Order struct {
-	Engine Engine
-	Role   identifier.Role
-	Fence  identifier.Fence
+	Engines []Engine
+	Role    identifier.Role
+	Fence   identifier.Fence
 }
 
 func (Claim) outcome()     {}
@@ -267,8 +271,8 @@
 		return nil
 	}
 	for _, p := range v.Pools {
-		engine, role, isNeeded := c.selectEngine(now, p)
-		if !isNeeded {
+		engines, role := c.selectEngines(now, p)
+		if len(engines) == 0 {
 			delete(c.surplusSince, p.ID)
 			continue
 		}
@@ -278,7 +282,7 @@
 		if now.Sub(c.surplusSince[p.ID]) < c.minSurplusDuration(now) || now.Before(c.earliestClaim) {
 			continue
 		}
-		return c.claimFor(v, engine, role)
+		return c.claimFor(v, engines, role)
 	}
 	return nil
 }
@@ -293,9 +297,9 @@
 
 // claimFor claims the record for an order or, if another VM wrote it last or may
 // have done so in an earlier era, to take over.
-func (c *Core) claimFor(v View, engine Engine, role identifier.Role) Outcome {
+func (c *Core) claimFor(v View, engines []Engine, role identifier.Role) Outcome {
 	c.isBusy = true
-	c.claim = Claim{Expected: v.Holder.Version, Engine: engine, Role: role}
+	c.claim = Claim{Expected: v.Holder.Version, Engines: engines, Role: role}
 	isOwn := v.Holder.VM == v.Self && v.Holder.Start == v.Start && c.claimedAs.Era == c.era
 	if !isOwn && (v.Holder.Version != 0 || c.era > 0) {
 		c.claim = Claim{Expected: v.Holder.Version}
@@ -314,7 +318,7 @@
 		return nil
 	}
 	c.claimedAs = keeper.Age{Era: e.Era, Version: e.Version}
-	if c.claim.Engine.ID == "" {
+	if len(c.claim.Engines) == 0 {
 		c.isBusy = false
 		c.earliestClaim = latest(c.earliestClaim, now.Add(TakeoverDelay))
 		return nil
@@ -322,15 +326,17 @@
 	return Propagate{}
 }
 
-// handlePropagated gives the order of the last claim, unless the era of the claim
+// handlePropagated gives the orders of the last claim, unless the era of the claim
 // has ended.
 func (c *Core) handlePropagated(now time.Time) Outcome {
 	if c.claimedAs.Era != c.era {
 		c.end(now)
 		return nil
 	}
-	c.lastOrders[engineKey{c.claim.Engine.ID, c.claim.Engine.Start}] = now
-	return Order{Engine: c.claim.Engine, Role: c.claim.Role, Fence: fence(c.claimedAs)}
+	for _, e := range c.claim.Engines {
+		c.lastOrders[engineKey{e.ID, e.Start}] = now
+	}
+	return Order{Engines: c.claim.Engines, Role: c.claim.Role, Fence: fence(c.claimedAs)}
 }
 
 // fence returns the fencing token of a record. It rises with the age of the record,
@@ -339,9 +345,9 @@
 	return identifier.Fence(a.Era)<<versionBits | identifier.Fence(a.Version)
 }
 
-// selectEngine returns an engine whose role should change and its new role. The
-// boolean reports whether there is one.
-func (c *Core) selectEngine(now time.Time, p Pool) (Engine, identifier.Role, bool) {
+// selectEngines returns the engines whose role should change, at most
+// MaxClaimEngines, and their new role.
+func (c *Core) selectEngines(now time.Time, p Pool) ([]Engine, identifier.Role) {
 	byRole := map[identifier.Role][]Engine{}
 	for _, e := range p.Engines {
 		if !e.IsLeaving {
@@ -354,26 +360,37 @@
 	}
 	want := PrefillCount(c.peaks[p.ID].n, p)
 	if len(byRole[identifier.RolePrefill]) <= want || want == 0 {
-		return Engine{}, "", false
+		return nil, ""
 	}
 	candidates := slices.DeleteFunc(slices.Clone(byRole[identifier.RolePrefill]), func(e Engine) bool {
 		at, ok := c.lastOrders[engineKey{e.ID, e.Start}]
 		return ok && now.Sub(at) < OrderRetryInterval
 	})
-	if len(candidates) <= want {
-		return Engine{}, "", false // Earlier orders already remove the surplus.
-	}
-	return fromLargestDataCentre(candidates), identifier.RoleDecode, true
+	// None are left if earlier orders already remove the surplus.
+	surplus := min(max(len(candidates)-want, 0), MaxClaimEngines)
+	return fromLargestDataCentres(candidates, surplus), identifier.RoleDecode
 }
 
-// fromLargestDataCentre returns an engine of the data centre that has most of them,
-// so that no data centre loses its last one.
-func fromLargestDataCentre(engines []Engine) Engine {
+// fromLargestDataCentres returns n engines, each of the data centre that has most of
+// those left, so that no data centre loses its last one.
+func fromLargestDataCentres(engines []Engine, n int) []Engine {
 	count := map[identifier.DataCentre]int{}
 	for _, e := range engines {
 		count[e.DataCentre]++
 	}
-	return slices.MaxFunc(engines, func(a, b Engine) int { return count[a.DataCentre] - count[b.DataCentre] })
+	var chosen []Engine
+	for range n {
+		i := 0
+		for j, e := range engines {
+			if count[e.DataCentre] > count[engines[i].DataCentre] {
+				i = j
+			}
+		}
+		chosen = append(chosen, engines[i])
+		count[engines[i].DataCentre]--
+		engines = slices.Delete(engines, i, i+1)
+	}
+	return chosen
 }
 
 // PrefillCount returns how many of n engines of a pool should be prefill
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -138,14 +138,67 @@
 	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
 }
 
+func ids(engines []stager.Engine) string {
+	var all []string
+	for _, e := range engines {
+		all = append(all, string(e.ID))
+	}
+	return "[" + strings.Join(all, " ") + "]"
+}
+
+// TestSurplusOfALargePoolIsOrderedAtOnce checks that the surplus of a large fleet is
+// ordered within a few claims, as each claim wakes all its VMs, and that no data
+// centre loses its last prefill engine.
+func TestSurplusOfALargePoolIsOrderedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := pool(112, 208)
+	p.Memory, p.Slots = 28798, 12
+	for i := range p.Engines {
+		p.Engines[i].DataCentre = identifier.DataCentre(fmt.Sprint("room-", i%5))
+	}
+	want := stager.PrefillCount(320, p)
+	core := stager.New(start)
+	claims := 0
+	for tick := range 20 {
+		now := start.Add(time.Duration(tick) * 500 * time.Millisecond)
+		claim, ok := core.Step(now, stager.Looked{View: view(p)}).(stager.Claim)
+		if !ok {
+			continue
+		}
+		claims++
+		g.Expect(len(claim.Engines)).To(BeNumerically("<=", stager.MaxClaimEngines))
+		core.Step(now, stager.Claimed{Version: keeper.Version(claims)})
+		order := core.Step(now, stager.Propagated{}).(stager.Order)
+		for _, ordered := range order.Engines {
+			for i, e := range p.Engines {
+				if e.ID == ordered.ID {
+					p.Engines[i].Role = identifier.RoleDecode
+				}
+			}
+		}
+		core.Step(now, stager.Ordered{})
+	}
+	left := map[identifier.DataCentre]int{}
+	for _, e := range p.Engines {
+		if e.Role == identifier.RolePrefill {
+			left[e.DataCentre]++
+		}
+	}
+	g.Expect(claims).To(BeNumerically("<=", (112-want+stager.MaxClaimEngines-1)/stager.MaxClaimEngines))
+	g.Expect(left).To(HaveLen(5))
+	for _, n := range left {
+		g.Expect(n).To(BeNumerically("~", float64(want)/5, 1))
+	}
+}
+
 func describe(o stager.Outcome) string {
 	switch o := o.(type) {
 	case stager.Claim:
-		return fmt.Sprintf("-> Claim over %d for %q %s", o.Expected, o.Engine.ID, o.Role)
+		return fmt.Sprintf("-> Claim over %d for %s %s", o.Expected, ids(o.Engines), o.Role)
 	case stager.Propagate:
 		return "-> Propagate"
 	case stager.Order:
-		return fmt.Sprintf("-> Order %s %s fence %d:%d", o.Engine.ID, o.Role, o.Fence>>40, o.Fence&(1<<40-1))
+		return fmt.Sprintf("-> Order %s %s fence %d:%d", ids(o.Engines), o.Role, o.Fence>>40, o.Fence&(1<<40-1))
 	default:
 		return ""
 	}
