Read changes in batches by the time in which they have to be in force

Retries after failures double up to 1 s (watch, 0.4 s before the first view) and 2 s (roster entry). MissingGrace covers the longer batch (3 s).

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -18,8 +18,10 @@
 	// RenewInterval is the interval between renewals; it allows three within
 	// EntryTTL.
 	RenewInterval = 4 * time.Second
-	// RetryInterval is the pause after a failed call.
-	RetryInterval = 500 * time.Millisecond
+	// RetryInterval is the pause after the first failed call. It doubles with each
+	// further one up to MaxRetryInterval.
+	RetryInterval    = 500 * time.Millisecond
+	MaxRetryInterval = 2 * time.Second
 	// MaxEraDelay bounds the delay before a VM enrols again after the store came
 	// back from a copy. The VMs of a fleet spread their calls over it. It is a
 	// small part of the time for which a missing VM still counts as a member.
@@ -111,6 +113,9 @@
 	version keeper.Version
 	// isWritten is true once the entry was written under the current lease.
 	isWritten bool
+	// retryDelay is the pause after the last failure; zero if the last call was
+	// answered.
+	retryDelay time.Duration
 	// era is the latest era that an answer stated. lease and version belong to
 	// it.
 	era keeper.Era
@@ -140,7 +145,7 @@
 			return c.nextCall(now)
 		}
 	case era != 0 && era < c.era:
-		return Rest{RetryInterval} // An answer that was sent before the copy.
+		return c.retry() // An answer that was sent before the copy.
 	}
 	return c.handle(now, e)
 }
@@ -172,15 +177,16 @@
 	case Wake, EraChanged:
 		return c.nextCall(now)
 	case Granted:
-		c.lease, c.isWritten = e.Lease, false
+		c.lease, c.isWritten, c.retryDelay = e.Lease, false, 0
 		return c.nextCall(now)
 	case Written:
-		c.version, c.isWritten = e.Version, true
+		c.version, c.isWritten, c.retryDelay = e.Version, true, 0
 		return Rest{RenewInterval}
 	case Conflicted:
 		c.version = e.Version
 		return c.nextCall(now)
 	case Renewed:
+		c.retryDelay = 0
 		return Rest{RenewInterval}
 	case Lapsed:
 		c.lease, c.version, c.isWritten = 0, 0, false
@@ -189,12 +195,18 @@
 		c.version, c.isWritten = 0, false
 		return c.nextCall(now)
 	case Failed:
-		return Rest{RetryInterval}
+		return c.retry()
 	default:
 		panic(fmt.Sprintf("enroller: event %T", e))
 	}
 }
 
+// retry returns the pause after a failed call.
+func (c *Core) retry() Outcome {
+	c.retryDelay = min(max(2*c.retryDelay, RetryInterval), MaxRetryInterval)
+	return Rest{c.retryDelay}
+}
+
 func (c *Core) nextCall(now time.Time) Outcome {
 	switch {
 	case now.Before(c.quietUntil):
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -22,15 +22,13 @@
 	// each further one.
 	InitialRetryDelay = 50 * time.Millisecond
 	// MaxRetryDelay bounds the delay, so that the end of an outage is noticed
-	// soon.
-	MaxRetryDelay = 400 * time.Millisecond
-	// BatchDelay is the delay after a call that returned changes, so that one
-	// call returns all changes that are written shortly after each other. It is
-	// a small part of the three seconds within which a change has to be in
-	// force.
-	BatchDelay = 400 * time.Millisecond
+	// soon; refused calls are charged like others.
+	MaxRetryDelay = time.Second
+	// MaxFirstRetryDelay is the bound before the first list, without which a VM
+	// can't serve.
+	MaxFirstRetryDelay = 400 * time.Millisecond
 	// StartupPeriod is the time after the start in which the delay is
-	// StartupBatchDelay instead of BatchDelay: when a whole fleet starts, its
+	// StartupBatchDelay instead of that of a batch: when a whole fleet starts, its
 	// VMs and runners register one after another, and each would otherwise end
 	// a call of every VM.
 	StartupPeriod = 10 * time.Second
@@ -43,6 +41,15 @@
 	UnavailableAfter = time.Second
 )
 
+// batchShare is the part of the time until a change has to be in force that
+// BatchDelay takes.
+const batchShare = 5
+
+// BatchDelay returns the delay after a call that returned changes, so that one call
+// returns all changes that are written shortly after each other, for a fleet where a
+// change has to be in force within applyWithin.
+func BatchDelay(applyWithin time.Duration) time.Duration { return applyWithin / batchShare }
+
 // Event is an input of the core. Only this package defines events.
 type Event interface{ event() }
 
@@ -147,11 +154,15 @@
 	retryDelay time.Duration
 	// startedAt is the time of Begin.
 	startedAt time.Time
-	out       []Outcome
+	// batch is the delay after changes.
+	batch time.Duration
+	out   []Outcome
 }
 
-// New returns a core that has listed no keys yet.
-func New() *Core { return &Core{versions: map[string]keeper.Version{}} }
+// New returns a core that has listed no keys yet and rests for batch after changes.
+func New(batch time.Duration) *Core {
+	return &Core{versions: map[string]keeper.Version{}, batch: batch}
+}
 
 // Step handles one event and returns what the shell has to do, in order. The last
 // outcome is the next call or a delay before it.
@@ -208,7 +219,7 @@
 	if now.Sub(c.startedAt) < StartupPeriod {
 		return StartupBatchDelay
 	}
-	return BatchDelay
+	return c.batch
 }
 
 // emitCall asks for the next call: a list if there was none yet, else the changes
@@ -298,6 +309,10 @@
 		c.isUnavailable = true
 		c.emit(StoreLost{Since: c.failingSince, Err: e.Err})
 	}
-	c.retryDelay = min(max(2*c.retryDelay, InitialRetryDelay), MaxRetryDelay)
+	bound := MaxRetryDelay
+	if c.version == 0 {
+		bound = MaxFirstRetryDelay
+	}
+	c.retryDelay = min(max(2*c.retryDelay, InitialRetryDelay), bound)
 	c.emit(Rest{c.retryDelay})
 }
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -21,7 +21,7 @@
 	cfg := parser.Default()
 	cfg.VM, cfg.DataCentre = "vm-1", "east"
 	cfg.Store.Endpoints = []string{"http://127.0.0.1:1"}
-	cfg.Platform = &parser.Platform{MemoryMB: 128, Contact: 3 * time.Second, RetryWindow: 10 * time.Second}
+	cfg.Platform = &parser.Platform{MemoryMB: 128, Contact: 3 * time.Second, ApplyWithin: 2 * time.Second, RetryWindow: 10 * time.Second}
 	return cfg
 }
 
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -81,10 +81,11 @@
 	for from, want := range map[string]string{
 		`Ready: "10.1.0.38:8141"`: "Ready is missing",
 		"Contact: 3000ms":         "Contact: 1ms is not allowed",
+		"ApplyWithin: 2000ms":     "ApplyWithin: 2ms is not allowed",
 		"RetryRatio: 0.2":         "RetryRatio: 7 is not allowed",
 		"MemoryMB: 134":           "MemoryMB: 0 is not allowed",
 	} {
-		bad := map[string]string{"Contact": "Contact: 1ms", "RetryRatio": "RetryRatio: 7", "MemoryMB": "MemoryMB: 0", "Ready": "Ready: \"\""}
+		bad := map[string]string{"Contact": "Contact: 1ms", "ApplyWithin": "ApplyWithin: 2ms", "RetryRatio": "RetryRatio: 7", "MemoryMB": "MemoryMB: 0", "Ready": "Ready: \"\""}
 		name, _, _ := strings.Cut(from, ":")
 		_, err := parser.Parse([]byte(strings.Replace(string(text), from, bad[name], 1)))
 		g.Expect(err).To(MatchError(ContainSubstring(want)), from)
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -34,6 +34,7 @@
 	Ready       string        `yaml:"Ready" validate:"required,ip_port" doc:"IP and TCP port where the balancer asks whether this VM takes callers."`
 	Metrics     string        `yaml:"Metrics" validate:"omitempty,ip_port" doc:"IP and TCP port of the metrics, path /metrics. Closed when empty."`
 	Contact     time.Duration `yaml:"Contact" validate:"min=1s,max=1m" doc:"Time without disruption after which the platform counts a VM as in touch. Waits for the store are shorter."`
+	ApplyWithin time.Duration `yaml:"ApplyWithin" validate:"min=1s,max=1m" doc:"Time within which a change of the configuration has to be in force on each VM. Changes that are written shortly after each other are read by one call."`
 	RetryRatio  float64       `yaml:"RetryRatio" validate:"min=0,max=1" doc:"Extra sends to runners allowed for each request, over the whole fleet."`
 	RetryWindow time.Duration `yaml:"RetryWindow" validate:"min=1s,max=10m" doc:"Time over which extra sends are counted."`
 	RetrySlack  float64       `yaml:"RetrySlack" validate:"min=0" doc:"Extra sends allowed in a window beside RetryRatio, over the whole fleet."`
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -14,7 +14,7 @@
 // MissingGrace is how long entries that expired in an outage of the store may be
 // absent after its return. The store's operators state two seconds; the rest is
 // the time until a change is seen.
-const MissingGrace = 2500 * time.Millisecond
+const MissingGrace = 3 * time.Second
 
 // EraGrace is how long entries may be absent, or older than those known, after
 // the store came back from a copy: runners write theirs about every 1.2 s and
