--- a/commands.go
+++ b/commands.go
@@ -35,6 +35,7 @@
 		diffCommand,
 		explainCommand,
 		timelineCommand,
+		accountCommand,
 		drainCommand,
 		keysCommand,
 		recordCommand,
--- a/explainer/story.go
+++ b/explainer/story.go
@@ -33,7 +33,7 @@
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until                          string
 	Upstreams                                                    []string
-	Kind                                                         string
+	Kind, DataCentre                                             string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
 	Memory, Slots                                                int
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -27,28 +27,22 @@
 	// MaxFirstRetryDelay is the bound before the first list, without which a VM
 	// can't serve.
 	MaxFirstRetryDelay = 400 * time.Millisecond
-	// StartupPeriod is the time after the start in which the delay is
-	// StartupBatchDelay instead of that of a batch: when a whole fleet starts, its
-	// VMs and runners register one after another, and each would otherwise end
-	// a call of every VM.
+	// StartupPeriod is the time after the start in which batches are longer: when
+	// a whole fleet starts, its VMs and runners register one after another, and
+	// each would otherwise end a call of every VM.
 	StartupPeriod = 10 * time.Second
-	// StartupBatchDelay is the delay after changes during the StartupPeriod. It
-	// is less than half of the three seconds within which a change has to be in
-	// force.
-	StartupBatchDelay = 1200 * time.Millisecond
 	// UnavailableAfter is how long calls have to fail until the store counts as
 	// unavailable. Replacing a lost connection takes less time.
 	UnavailableAfter = time.Second
 )
 
-// batchShare is the part of the time until a change has to be in force that
-// BatchDelay takes.
-const batchShare = 5
-
-// BatchDelay returns the delay after a call that returned changes, so that one call
-// returns all changes that are written shortly after each other, for a fleet where a
-// change has to be in force within applyWithin.
-func BatchDelay(applyWithin time.Duration) time.Duration { return applyWithin / batchShare }
+// Parts of the time until a change has to be in force that the delay after a call
+// with changes takes. One call then returns all changes that are written shortly
+// after each other.
+const (
+	batchShare        = 0.2
+	startupBatchShare = 0.6
+)
 
 // Event is an input of the core. Only this package defines events.
 type Event interface{ event() }
@@ -154,14 +148,15 @@
 	retryDelay time.Duration
 	// startedAt is the time of Begin.
 	startedAt time.Time
-	// batch is the delay after changes.
-	batch time.Duration
+	// applyWithin is the time within which a change has to be in force.
+	applyWithin time.Duration
 	out   []Outcome
 }
 
-// New returns a core that has listed no keys yet and rests for batch after changes.
-func New(batch time.Duration) *Core {
-	return &Core{versions: map[string]keeper.Version{}, batch: batch}
+// New returns a core that has listed no keys yet, for a fleet where a change has to
+// be in force within applyWithin.
+func New(applyWithin time.Duration) *Core {
+	return &Core{versions: map[string]keeper.Version{}, applyWithin: applyWithin}
 }
 
 // Step handles one event and returns what the shell has to do, in order. The last
@@ -216,10 +211,11 @@
 
 // batchDelay returns the delay after a call that returned changes.
 func (c *Core) batchDelay(now time.Time) time.Duration {
+	share := batchShare
 	if now.Sub(c.startedAt) < StartupPeriod {
-		return StartupBatchDelay
+		share = startupBatchShare
 	}
-	return c.batch
+	return time.Duration(share * float64(c.applyWithin))
 }
 
 // emitCall asks for the next call: a list if there was none yet, else the changes
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -98,7 +98,7 @@
 	var w strings.Builder
 	for _, s := range scripts {
 		fmt.Fprintf(&w, "%s\n", s.name)
-		core := follower.New(400 * time.Millisecond)
+		core := follower.New(2 * time.Second)
 		for _, step := range s.steps {
 			fmt.Fprintf(&w, "  %5s %s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "follower."))
 			for _, o := range core.Step(start.Add(step.at), step.e) {
--- a/follower/shell.go
+++ b/follower/shell.go
@@ -34,10 +34,10 @@
 }
 
 // NewShell returns a shell that reports the entries below a prefix and their
-// changes to receiver. Each call waits up to wait for changes; after changes the
-// next call follows after batch.
-func NewShell(feed keeper.Feed, purpose keeper.Purpose, prefix string, wait, batch time.Duration, receiver Receiver) *Shell {
-	return &Shell{core: New(batch), feed: feed, purpose: purpose, prefix: prefix, wait: wait, receiver: receiver}
+// changes to receiver. Each call waits up to wait for changes; changes have to be
+// in force within applyWithin.
+func NewShell(feed keeper.Feed, purpose keeper.Purpose, prefix string, wait, applyWithin time.Duration, receiver Receiver) *Shell {
+	return &Shell{core: New(applyWithin), feed: feed, purpose: purpose, prefix: prefix, wait: wait, receiver: receiver}
 }
 
 // Run makes calls and reports their results until ctx ends.
