--- a/accounter/table.go
+++ b/accounter/table.go
@@ -38,4 +38,6 @@
 	t.Render()
 }
 
-func formatMs(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
+func formatMs(d time.Duration) string {
+	return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond))
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -150,7 +150,7 @@
 	startedAt time.Time
 	// applyWithin is the time within which a change has to be in force.
 	applyWithin time.Duration
-	out   []Outcome
+	out         []Outcome
 }
 
 // New returns a core that has listed no keys yet, for a fleet where a change has to
