Use the engines of an old order after the store was listed anew

Change: only a change of the record keeps its engines from use; a record in a listing may be of any age. Ruled out: a starting VM, which reads the record before its configuration and never applied it.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -154,7 +154,7 @@
 	}
 	f.mu.Unlock()
 	for _, entry := range o.Entries {
-		if f.handleOwnEntry(entry) {
+		if f.handleOwnEntry(entry, true) {
 			vms[identifier.VM(strings.TrimPrefix(entry.Key, rosterPrefix))] = true
 			continue
 		}
@@ -188,10 +188,11 @@
 }
 
 // handleOwnEntry handles the keys that figtrack itself writes and reports
-// whether entry has one of them.
-func (f *Fleet) handleOwnEntry(entry keeper.Entry) bool {
+// whether entry has one of them. isListed is true for an entry of a listing,
+// false for a change.
+func (f *Fleet) handleOwnEntry(entry keeper.Entry, isListed bool) bool {
 	if entry.Key == ordersKey {
-		f.handleOrder(entry)
+		f.handleOrder(entry, isListed)
 		return true
 	}
 	if !strings.HasPrefix(entry.Key, rosterPrefix) {
@@ -218,7 +219,7 @@
 
 // Take implements follower.Receiver with a single changed entry.
 func (f *Fleet) Take(entry keeper.Entry) {
-	if f.handleOwnEntry(entry) {
+	if f.handleOwnEntry(entry, false) {
 		return
 	}
 	switch d := f.read(entry).(type) {
--- a/router/orders.go
+++ b/router/orders.go
@@ -52,9 +52,9 @@
 }
 
 // handleOrder handles the record of the last orders. The engines are not chosen
-// for requests until the time that a change of role takes has passed. The
-// record in a copy of the store is older than the last one that was known.
-func (f *Fleet) handleOrder(entry keeper.Entry) {
+// for requests until the time that a change of role takes has passed. A record
+// that is found in a listing may be of any age and keeps no engine from use.
+func (f *Fleet) handleOrder(entry keeper.Entry, isListed bool) {
 	var e wire.RoleOrder
 	if err := proto.Unmarshal(entry.Value, &e); err != nil {
 		f.metrics.unreadableEntries.Inc()
@@ -63,11 +63,10 @@
 	}
 	f.mu.Lock()
 	f.orderHolder = stager.Holder{VM: identifier.VM(e.VM), Start: identifier.Incarnation(e.Incarnation), Version: entry.Version}
-	isOld := f.isRelisting
 	f.mu.Unlock()
 	f.log.Info().Str("Holder", e.VM).Strs("Upstreams", e.Upstreams).Str("Role", e.Role).Int64("Era", int64(entry.Era)).Int64("Version", int64(entry.Version)).Msg("OrderSeen")
 	configuration := f.configuration.Load()
-	if configuration == nil || isOld {
+	if configuration == nil || isListed {
 		return
 	}
 	for _, id := range e.Upstreams {
