Take an answer without an era for one of the latest era

Cause, found in the read-through: entries of such an answer had era 0 and would have counted as older than all that is known, and the fleet's era would have gone back. No store that states eras should send one; a device in between may. Change: the follower gives entries the latest era that it knows. Test: a golden script; before, the later entries were taken with era 0.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -264,6 +264,15 @@
 	return true
 }
 
+// inEra sets the era of entries whose answer stated none: it is the latest one, as
+// no answer said otherwise.
+func (c *Core) inEra(entries []keeper.Entry) []keeper.Entry {
+	for i := range entries {
+		entries[i].Era = max(entries[i].Era, c.era)
+	}
+	return entries
+}
+
 // handleListed replaces the known versions by those of a list.
 func (c *Core) handleListed(e Listed) {
 	c.version = e.At
@@ -271,12 +280,12 @@
 	for _, entry := range e.Entries {
 		c.versions[entry.Key] = entry.Version
 	}
-	c.emit(TakeAll{e.Entries, e.Era})
+	c.emit(TakeAll{c.inEra(e.Entries), c.era})
 }
 
 // handleChanged passes on the changes that are newer than the known versions.
 func (c *Core) handleChanged(e Changed) {
-	for _, entry := range e.Entries {
+	for _, entry := range c.inEra(e.Entries) {
 		if entry.Version <= c.versions[entry.Key] {
 			continue
 		}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -75,6 +75,13 @@
 			{time.Second, listedIn(2, 6, entry("a", 3, 'w'))},
 			{2 * time.Second, changesIn(2, 7, entry("a", 7, 'z'))},
 		}},
+		{"an answer without an era belongs to the latest one", []step{
+			{0, follower.Begin{}},
+			{1, listedIn(2, 10, entry("a", 7, 'x'))},
+			{time.Second, changesIn(0, 11, entry("a", 11, 'y'))},
+			{2 * time.Second, follower.Failed{IsCompacted: true}},
+			{2 * time.Second, listedIn(0, 12, entry("a", 12, 'z'))},
+		}},
 		{"a copy without the version that was asked for is listed", []step{
 			{0, follower.Begin{}}, {1, listedIn(1, 10)}, {time.Second, follower.Failed{IsCompacted: true, Era: 2}}, {time.Second, listedIn(2, 6)},
 		}},
