--- a/accounter/plot.go
+++ b/accounter/plot.go
@@ -1,20 +1,12 @@
 package accounter
 
 import (
-	"os"
-	"path/filepath"
-	"strings"
-
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-)
 
-const (
-	plotWidth  = 20 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
+	"github.com/figtrack/figtrack/drawer"
 )
 
 // WritePlot writes a plot of the requests by second and cause. The extension of
@@ -50,17 +42,5 @@
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Wrap(err, "plot")
 	}
-	picture, err := p.WriterTo(plotWidth, plotHeight, strings.TrimPrefix(filepath.Ext(path), "."))
-	if err != nil {
-		return errors.Errorf("plot %s: %v, allowed are names such as out.png and out.svg", path, err)
-	}
-	file, err := os.Create(path)
-	if err != nil {
-		return errors.Wrap(err, "save plot")
-	}
-	if _, err := picture.WriteTo(file); err != nil {
-		file.Close()
-		return errors.Wrap(err, "save plot")
-	}
-	return errors.Wrap(file.Close(), "save plot")
+	return drawer.Save(p, path)
 }
--- a/replayer/plot.go
+++ b/replayer/plot.go
@@ -1,21 +1,12 @@
 package replayer
 
 import (
-	"os"
-	"path/filepath"
-	"strings"
-
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-)
 
-// Dimensions of a plot.
-const (
-	plotWidth  = 20 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
+	"github.com/figtrack/figtrack/drawer"
 )
 
 // WritePlot writes a plot of the arrivals and of the goodput of each result
@@ -36,24 +27,7 @@
 		return errors.Wrap(err, "plot")
 	}
 	p.Legend.Top = true
-	return save(p, path)
-}
-
-func save(p *plot.Plot, path string) error {
-	format := strings.TrimPrefix(filepath.Ext(path), ".")
-	picture, err := p.WriterTo(plotWidth, plotHeight, format)
-	if err != nil {
-		return errors.Errorf("plot %s: %v, allowed are names such as out.png and out.svg", path, err)
-	}
-	file, err := os.Create(path)
-	if err != nil {
-		return errors.Wrap(err, "save plot")
-	}
-	if _, err := picture.WriteTo(file); err != nil {
-		file.Close()
-		return errors.Wrap(err, "save plot")
-	}
-	return errors.Wrap(file.Close(), "save plot")
+	return drawer.Save(p, path)
 }
 
 func perSecond(counts []int) plotter.XYs {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -32,10 +33,7 @@
 	leaving := changed(s1, func(r *tracker.Runner) { r.Leaving = true })
 	again := changed(leaving, func(r *tracker.Runner) { r.Leaving = false })
 	restarted := changed(again, func(r *tracker.Runner) { r.Start, r.Sequence = 2, 1 })
-	steps := []struct {
-		at time.Duration
-		e  tracker.Event
-	}{
+	steps := []step{
 		{0, tracker.Listed{Runners: []tracker.Runner{s1, runner("s2", identifier.RolePlain, "west")}}},
 		{1 * time.Second, tracker.EntryWritten{Runner: leaving}},
 		{2 * time.Second, tracker.EntryWritten{Runner: again}},
@@ -56,13 +54,23 @@
 	}
 	var w strings.Builder
 	view := tracker.New("east", 1)
+	play(&w, view, steps)
+	goldie.New(t).Assert(t, "entries", []byte(w.String()))
+}
+
+type step struct {
+	at time.Duration
+	e  tracker.Event
+}
+
+// play steps a view and prints the events and changes.
+func play(w io.Writer, view *tracker.Tracker, steps []step) {
 	for _, s := range steps {
-		fmt.Fprintf(&w, "%5s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
+		fmt.Fprintf(w, "%5s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
 		for _, c := range view.Step(start.Add(s.at), s.e) {
-			fmt.Fprintf(&w, "      -> %s\n", describe(c))
+			fmt.Fprintf(w, "      -> %s\n", describe(c))
 		}
 	}
-	goldie.New(t).Assert(t, "entries", []byte(w.String()))
 }
 
 // TestViewAfterTheStoreCameBackFromACopy checks that what is missing or older in a
@@ -81,10 +89,7 @@
 	}
 	left := leaving
 	left.Leaving, left.Sequence, left.Age.Version = true, 5, 21
-	steps := []struct {
-		at time.Duration
-		e  tracker.Event
-	}{
+	steps := []step{
 		{0, tracker.Listed{Runners: []tracker.Runner{old, moved, leaving, gone, late}}},
 		{1 * time.Second, tracker.EntryWritten{Runner: left}},
 		{1 * time.Second, tracker.Removed{ID: "gone", Age: keeper.Age{Era: 1, Version: 22}}},
@@ -110,12 +115,7 @@
 	}
 	var w strings.Builder
 	view := tracker.New("east", 1)
-	for _, s := range steps {
-		fmt.Fprintf(&w, "%5s %s\n", s.at, strings.TrimPrefix(fmt.Sprintf("%T", s.e), "tracker."))
-		for _, c := range view.Step(start.Add(s.at), s.e) {
-			fmt.Fprintf(&w, "      -> %s\n", describe(c))
-		}
-	}
+	play(&w, view, steps)
 	for _, id := range []identifier.Upstream{"moved", "late", "leaving"} {
 		if r, ok := view.Find(id); ok {
 			fmt.Fprintf(&w, "%s: start %d at %s, leaving %t\n", r.ID, r.Start, r.Address, r.Leaving)
