--- a/router/eras_test.go
+++ b/router/eras_test.go
@@ -30,7 +30,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newEraModel(t)
 		for range rapid.IntRange(4, 25).Draw(t, "steps") {
-			m.act(rapid.IntRange(0, 9).Draw(t, "action"))
+			m.act(rapid.SampledFrom(modelActions).Draw(t, "action"))
 			m.run(time.Duration(rapid.IntRange(10, 4000).Draw(t, "ms")) * time.Millisecond)
 		}
 		m.isCalm = true
@@ -114,7 +114,8 @@
 	view      map[string]keeper.Entry
 	era       keeper.Era
 	isListing bool
-	// wake cancels the enroller's delay.
+	// restID identifies the enroller's delay in progress; zero while a call is in
+	// flight.
 	restID int
 }
 
@@ -135,20 +136,24 @@
 	return m
 }
 
-// act does what an operator, a runner, the network or a drill does.
-func (m *eraModel) act(action int) {
+// modelActions are drawn with equal chance, so that those listed twice come twice
+// as often.
+var modelActions = []string{"configure", "configure", "register", "deregister", "copy", "copy", "restore", "restore", "cut", "cut"}
+
+// act does what an operator, a runner, the store or the network does.
+func (m *eraModel) act(action string) {
 	switch action {
-	case 0, 1:
+	case "configure":
 		m.write("config", fmt.Sprint(m.now.UnixNano()), 0)
-	case 2:
+	case "register":
 		m.write("runner", fmt.Sprint(m.now.UnixNano()), 0)
-	case 3:
+	case "deregister":
 		m.remove("runner")
-	case 4, 5:
+	case "copy":
 		m.copies = append(m.copies, m.data.clone())
-	case 6, 7:
+	case "restore":
 		m.restore(m.copies[rapid.IntRange(max(0, len(m.copies)-3), len(m.copies)-1).Draw(m.T, "copy")])
-	default:
+	case "cut":
 		v := m.vms[rapid.IntRange(0, len(m.vms)-1).Draw(m.T, "vm")]
 		v.isCut = !v.isCut
 	}
