Let removed entries be absent for two seconds after an outage, not three

Change: 2 s as before, and EraGrace is for entries absent from a listing alone. Ruled out: a late watch of that VM (it saw the removal 0.25 s after the others, as it batched its first changes).

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -12,13 +12,14 @@
 )
 
 // MissingGrace is how long entries that expired in an outage of the store may be
-// absent after its return. The store's operators state two seconds; the rest is
-// the time until a change is seen.
-const MissingGrace = 3 * time.Second
-
-// EraGrace is how long entries may be absent, or older than those known, after
-// the store came back from a copy: runners write theirs about every 1.2 s and
-// count as gone after three times that.
+// absent after its return. The store's operators state two seconds. It can't be
+// longer: a runner that leaves by removing its entry then looks the same, and must
+// get no requests after two seconds.
+const MissingGrace = 2 * time.Second
+
+// EraGrace is how long entries may be absent from a listing, or older than those
+// known, after the store came back from a copy: runners write theirs about every
+// 1.2 s and count as gone after three times that.
 const EraGrace = 5 * time.Second
 
 // MaxDeparted is the maximum number of removed runners that are remembered. The
@@ -78,8 +79,8 @@
 	missing int
 	// graceUntil is when entries that are missing since an outage count as gone.
 	graceUntil time.Time
-	// copyUntil is when entries from a copy of the store no longer have to be
-	// expected: until then an earlier start of a runner is not believed.
+	// copyUntil is when entries that are absent from a copy of the store count as
+	// gone. Until then an earlier start of a runner is not believed either.
 	copyUntil time.Time
 	// departed holds removed runners, so that a late write of one of them doesn't
 	// add it again. It is cleared at MaxDeparted.
@@ -123,13 +124,13 @@
 		t.applyEntry(now, e.Runner)
 	case Removed:
 		if u := t.upstreams[e.ID]; u != nil && e.Age.Compare(u.Age) > 0 {
-			t.handleAbsentEntry(now, u)
+			t.handleAbsentEntry(now, u, t.graceUntil)
 		}
 	case StoreBack:
-		t.extendGrace(now.Add(MissingGrace))
+		t.graceUntil = now.Add(MissingGrace)
 	case EraChanged:
 		t.copyUntil = now.Add(EraGrace)
-		t.extendGrace(t.copyUntil)
+		t.extendMissing(t.copyUntil)
 	case RoleOrdered:
 		if u := t.upstreams[e.ID]; u != nil {
 			u.roleChangeUntil = e.Until
@@ -142,13 +143,8 @@
 	return t.out
 }
 
-// extendGrace lets entries be absent until a time, if that is later than before.
-// Entries that are missing already get the longer time too.
-func (t *Tracker) extendGrace(until time.Time) {
-	if !until.After(t.graceUntil) {
-		return
-	}
-	t.graceUntil = until
+// extendMissing lets the entries that are missing already be absent until a time.
+func (t *Tracker) extendMissing(until time.Time) {
 	for _, u := range t.upstreams {
 		if !u.missingUntil.IsZero() {
 			u.missingUntil = until
@@ -163,9 +159,13 @@
 		listed[r.ID] = true
 		t.applyEntry(now, r)
 	}
+	until := t.graceUntil
+	if t.copyUntil.After(until) {
+		until = t.copyUntil
+	}
 	for _, u := range t.sortedUpstreams() {
 		if !listed[u.ID] {
-			t.handleAbsentEntry(now, u)
+			t.handleAbsentEntry(now, u, until)
 		}
 	}
 }
@@ -235,14 +235,14 @@
 }
 
 // handleAbsentEntry marks an upstream whose entry is no longer in the store as
-// missing shortly after an outage, and removes it otherwise.
-func (t *Tracker) handleAbsentEntry(now time.Time, u *upstream) {
+// missing until the given time, and removes it if that has passed.
+func (t *Tracker) handleAbsentEntry(now time.Time, u *upstream, until time.Time) {
 	if !u.missingUntil.IsZero() {
 		return
 	}
-	if now.Before(t.graceUntil) && !u.Leaving {
-		t.setMissing(u, t.graceUntil)
-		t.out = append(t.out, Missing{u.Runner, t.graceUntil})
+	if now.Before(until) && !u.Leaving {
+		t.setMissing(u, until)
+		t.out = append(t.out, Missing{u.Runner, until})
 		return
 	}
 	t.remove(u)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -44,8 +44,8 @@
 		{10 * time.Second, tracker.StoreBack{}},
 		{10 * time.Second, tracker.Listed{}},
 		{11 * time.Second, tracker.Wake{}},
-		{12900 * time.Millisecond, tracker.Wake{}},
-		{13 * time.Second, tracker.Wake{}},
+		{11900 * time.Millisecond, tracker.Wake{}},
+		{12 * time.Second, tracker.Wake{}},
 		{20 * time.Second, tracker.StoreBack{}},
 		{20 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Age.Version = 20 })}},
 		{20 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 21}}},
@@ -102,6 +102,8 @@
 			inEra(old, 6, func(r *tracker.Runner) { r.Sequence = 1 }),
 		}}},
 		{3 * time.Second, tracker.Removed{ID: "old", Age: keeper.Age{Era: 1, Version: 30}}}, // A change of the era before.
+		{4 * time.Second, tracker.EntryWritten{Runner: inEra(runner("brief", plain, "east"), 7, same)}},
+		{4500 * time.Millisecond, tracker.Removed{ID: "brief", Age: keeper.Age{Era: 2, Version: 8}}}, // It leaves.
 		{5 * time.Second, tracker.EntryWritten{Runner: inEra(late, 9, same)}},
 		{5 * time.Second, tracker.EntryWritten{Runner: inEra(runner("new", plain, "east"), 10, same)}},
 		{8 * time.Second, tracker.Wake{}},
