--- a/stager/stager.go
+++ b/stager/stager.go
@@ -6,9 +6,9 @@
 // even in a surge, while requests are refused because decode engines have no
 // memory left. One more decode engine serves some of these requests.
 //
-// One VM gives all orders: the one whose name sorts first in the roster. Before
-// each order it writes a record in the store; the era and version of the record
-// make the fencing token of the order. A VM that takes over from another one first
+// One VM gives all orders: the one whose name sorts first in the roster. Before it
+// orders engines it writes a record that names them to the store; the era and
+// version of the record make the fencing token of the orders. A VM that takes over from another one first
 // waits until no order of the other one can still be in flight. The same holds
 // after the store came back from a copy: a VM that took over since may have been
 // forgotten.
