--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/figtrack/figtrack/follower"
@@ -18,6 +19,31 @@
 	return keeper.Entry{Key: key, Version: version, Value: value}
 }
 
+// TestBatchesFollowTheTimeToApply checks that a run of changes costs fewer calls where
+// changes may take longer, and that refused calls are spaced out.
+func TestBatchesFollowTheTimeToApply(t *testing.T) {
+	g := NewWithT(t)
+	changed := follower.Changed{Changes: keeper.Changes{At: 11, Entries: []keeper.Entry{entry("a", 11, 'x')}}}
+	rest := func(applyWithin, at time.Duration) time.Duration {
+		core := follower.New(applyWithin)
+		core.Step(start, follower.Begin{})
+		core.Step(start, follower.Listed{Snapshot: keeper.Snapshot{At: 10}})
+		all := core.Step(start.Add(at), changed)
+		return all[len(all)-1].(follower.Rest).For
+	}
+	g.Expect(rest(2*time.Second, time.Minute)).To(Equal(400 * time.Millisecond))
+	g.Expect(rest(4*time.Second, time.Minute)).To(Equal(800 * time.Millisecond))
+	g.Expect(rest(4*time.Second, time.Second)).To(Equal(2400 * time.Millisecond))
+	core := follower.New(4 * time.Second)
+	core.Step(start, follower.Listed{Snapshot: keeper.Snapshot{At: 10}})
+	calls := 0
+	for at := time.Duration(0); at < 9*time.Second; calls++ {
+		all := core.Step(start.Add(at), follower.Failed{})
+		at += all[len(all)-1].(follower.Rest).For
+	}
+	g.Expect(calls).To(BeNumerically("<=", 14), "calls in an outage of 9 s")
+}
+
 func TestScripts(t *testing.T) {
 	listed := follower.Listed{Snapshot: keeper.Snapshot{At: 10, Entries: []keeper.Entry{entry("a", 7, 'x'), entry("b", 12, 'y')}}}
 	changes := func(at keeper.Version, all ...keeper.Entry) follower.Changed {
