--- a/explainer/story.go
+++ b/explainer/story.go
@@ -31,11 +31,12 @@
 	Lives bool
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
-	Key, Role, Holder, LastEvent, Until                          string
+	Key, Role, Holder, LastEvent, Until, Framing                 string
 	Upstreams                                                    []string
 	Kind, DataCentre                                             string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
+	Partial                                                      int
 	Memory, Slots                                                int
 	Took, Left, ViewAge, ComeBack, First, LongestGap, Away       float64
 	Target, Gap                                                  float64
@@ -137,9 +138,9 @@
 		}
 		return text + "."
 	case "Answered":
-		return fmt.Sprintf("answered %d by %s after %.0f ms, first byte after %.0f ms, longest pause %.0f ms, runs %d.", e.Status, e.Upstream, e.Took, e.First, e.LongestGap, e.Runs)
+		return fmt.Sprintf("answered %d by %s after %.0f ms, first byte after %.0f ms, longest pause %.0f ms, runs %d%s.", e.Status, e.Upstream, e.Took, e.First, e.LongestGap, e.Runs, e.describeFraming())
 	case "AnswerBroken":
-		return fmt.Sprintf("the answer of %s broke after %.0f ms and event %q: %s.", e.Upstream, e.Took, e.LastEvent, e.Error)
+		return fmt.Sprintf("the answer of %s broke after %.0f ms and event %q%s: %s.", e.Upstream, e.Took, e.LastEvent, e.describeFraming(), e.Error)
 	case "NotRun":
 		return fmt.Sprintf("refused as not run after %.0f ms: %s; come back after %.0f ms.", e.Took, e.Reason, e.ComeBack)
 	case "Unknown", "Broken":
@@ -151,6 +152,15 @@
 	}
 }
 
+// describeFraming describes how an answer marked its end; lines of older versions
+// don't say it.
+func (e Entry) describeFraming() string {
+	if e.Framing == "" {
+		return ""
+	}
+	return fmt.Sprintf(", framed by %s with %d bytes after the last event", strings.ToLower(e.Framing), e.Partial)
+}
+
 // rosterVM returns the VM that the key of a roster entry names.
 func (e Entry) rosterVM() string {
 	_, vm, _ := strings.Cut(e.Key, "/vms/")
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -36,7 +36,9 @@
 		Str("Request", string(p.q.ID)).
 		Str("Upstream", string(p.run.To.ID)).
 		Int("Status", a.Status).
+		Str("Framing", string(a.Framing)).
 		Str("LastEvent", p.splitter.lastID).
+		Int("Partial", len(p.splitter.partial)).
 		Int("Runs", p.core.Runs()).
 		Dur("First", p.timeToFirstByte).
 		Dur("LongestGap", p.longestGap).
--- a/router/request.go
+++ b/router/request.go
@@ -101,14 +101,28 @@
 func (NoRoute) reply() {}
 func (Broken) reply()  {}
 
+// Framing is how an answer marks the end of its body. Its values are logged.
+type Framing string
+
+const (
+	// FramingLength means that the answer announces its length.
+	FramingLength Framing = "Length"
+	// FramingChunks means that the body is sent in chunks and ends with an empty
+	// one.
+	FramingChunks Framing = "Chunks"
+	// FramingClose means that the body ends with the connection.
+	FramingClose Framing = "Close"
+)
+
 // Answer is a runner's answer whose body is not read yet.
 type Answer struct {
 	Status int
 	// Header holds the fields that are passed on to the caller.
 	Header http.Header
 	// Length is the length of the body; -1 if the runner doesn't announce it.
-	Length int64
-	Body   io.ReadCloser
+	Length  int64
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // RunOptions holds what a run needs besides the request.
