Treat a stream that ends inside an event as broken off

Cause: the answer had neither a length nor chunks; the crash of its runner closed the connection without a reset, net/http reports that as the end of the body, and the router passed on the begun event and ended its own answer as whole. The same held for a stream that its runner ends regularly inside an event.

The router now takes a stream that ends inside an event as broken, and an unframed one without any event too: it resumes where the route allows it and closes the caller's connection otherwise. Blank lines and comments after the last event belong to none. Events may end with carriage returns, so that such streams aren't broken. Failures of a runner on a streaming route are no streams and are passed on like plain answers.

An unframed plain answer that is closed early without a reset can't be told from a whole one.

--- a/router/deliver.go
+++ b/router/deliver.go
@@ -26,7 +26,7 @@
 	p.answer = nil
 	defer a.Body.Close()
 	var err error
-	if p.job.IsStream {
+	if p.job.IsStream && a.isSuccess() {
 		err = p.relayEvents(a)
 	} else {
 		err = p.relayBody(a)
@@ -115,12 +115,19 @@
 
 // relayEvents passes on a stream in whole events. The head is sent together
 // with the first event, so that a stream that breaks earlier can be run on
-// another runner.
+// another runner. A runner that crashes may end its stream without a read error,
+// which only its last event shows.
 func (p *proxiedRequest) relayEvents(a *Answer) error {
 	p.splitter.reset()
 	if err := p.relayBytes(a, p.splitter.push); err != nil {
 		return err
 	}
+	if p.splitter.isInsideEvent() {
+		return errors.Errorf("the stream ended inside the event after %q", p.splitter.lastID)
+	}
+	if a.Framing == FramingClose && !p.splitter.hasEvent {
+		return errors.New("the connection of the stream was closed before the first event")
+	}
 	if err := p.beginAnswer(a); err != nil {
 		return err
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -125,6 +125,10 @@
 	Body    io.ReadCloser
 }
 
+func (a *Answer) isSuccess() bool {
+	return a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+}
+
 // RunOptions holds what a run needs besides the request.
 type RunOptions struct {
 	attempter.Run
--- a/router/splitter_test.go
+++ b/router/splitter_test.go
@@ -11,6 +11,29 @@
 
 func init() { _ = flag.Set("rapid.seed", "32") }
 
+// TestSplitterFindsAnUnfinishedEvent covers the ends of streams, with and
+// without carriage returns.
+func TestSplitterFindsAnUnfinishedEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                                    false,
+		"id: 1\ndata: a\n\n":                  false,
+		"id: 1\ndata: a\n\n\n":                false,
+		"id: 1\ndata: a\n\n: ping\n":          false,
+		"id: 1\r\ndata: a\r\n\r\n":            false,
+		"id: 1\ndata: a\n\n: pi":              true,
+		"id: 1\ndata: a\n":                    true,
+		"id: 1\ndata: a\n\nid: 2\nda":         true,
+		"id: 1\r\ndata: a\r\n\r\nid: 2\r\n":   true,
+		"id: 1\ndata: a\n\n: ping\ndata: b\n": true,
+	} {
+		var s splitter
+		s.push([]byte(text))
+		if got := s.isInsideEvent(); got != want {
+			t.Errorf("isInsideEvent is %v after %q", got, text)
+		}
+	}
+}
+
 // TestSplitterPassesOnWholeEvents pushes a stream in parts that end at
 // arbitrary places.
 func TestSplitterPassesOnWholeEvents(t *testing.T) {
