--- a/router/deliver.go
+++ b/router/deliver.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/attempter"
+	"github.com/figtrack/figtrack/splitter"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -37,8 +38,8 @@
 		Str("Upstream", string(p.run.To.ID)).
 		Int("Status", a.Status).
 		Str("Framing", string(a.Framing)).
-		Str("LastEvent", p.splitter.lastID).
-		Int("Partial", len(p.splitter.partial)).
+		Str("LastEvent", p.splitter.LastID()).
+		Int("Partial", len(p.splitter.Remainder())).
 		Int("Runs", p.core.Runs()).
 		Dur("First", p.timeToFirstByte).
 		Dur("LongestGap", p.longestGap).
@@ -51,14 +52,14 @@
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		// The caller has left or the deadline has passed, which is not the
 		// runner's fault; serve tells the two apart.
-		return attempter.Broken{LastEvent: p.splitter.lastID, Begun: p.headSent}
+		return attempter.Broken{LastEvent: p.splitter.LastID(), Begun: p.headSent}
 	}
 	if err != nil {
 		line.AnErr("Error", err).Msg("AnswerBroken")
 		p.fleet.updateView(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
 			return view.RecordAnswer(p.run.To, true, 0)
 		})
-		return attempter.Broken{LastEvent: p.splitter.lastID, Begun: p.headSent}
+		return attempter.Broken{LastEvent: p.splitter.LastID(), Begun: p.headSent}
 	}
 	line.Msg("Answered")
 	p.metrics.requests.WithLabelValues(string(p.route.Kind), "Answered").Inc()
@@ -118,20 +119,20 @@
 // another runner. A runner that crashes may end its stream without a read error,
 // which only its last event shows.
 func (p *proxiedRequest) relayEvents(a *Answer) error {
-	p.splitter.reset()
-	if err := p.relayBytes(a, p.splitter.push); err != nil {
+	p.splitter.Reset()
+	if err := p.relayBytes(a, p.splitter.Push); err != nil {
 		return err
 	}
-	if p.splitter.isInsideEvent() {
-		return errors.Errorf("the stream ended inside the event after %q", p.splitter.lastID)
+	if p.splitter.IsInsideEvent() {
+		return errors.Errorf("the stream ended inside the event after %q", p.splitter.LastID())
 	}
-	if a.Framing == FramingClose && !p.splitter.hasEvent {
+	if a.Framing == FramingClose && !p.splitter.HasEvent() {
 		return errors.New("the connection of the stream was closed before the first event")
 	}
 	if err := p.beginAnswer(a); err != nil {
 		return err
 	}
-	if rest := p.splitter.remainder(); len(rest) > 0 {
+	if rest := p.splitter.Remainder(); len(rest) > 0 {
 		return p.write(rest)
 	}
 	return nil
@@ -167,8 +168,8 @@
 		if err != nil {
 			return errors.Wrap(err, "read the answer body")
 		}
-		if len(p.splitter.partial) > maxEventBytes {
-			return errors.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)
+		if len(p.splitter.Remainder()) > splitter.MaxEventBytes {
+			return errors.Errorf("an event of the stream is longer than %d bytes", splitter.MaxEventBytes)
 		}
 	}
 }
--- a/router/passage.go
+++ b/router/passage.go
@@ -12,6 +12,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/matcher"
+	"github.com/figtrack/figtrack/splitter"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -52,7 +53,7 @@
 	reservedAt, prefilledAt tracker.Runner
 	// headSent is true once the head of an answer was sent to the caller.
 	headSent bool
-	splitter splitter
+	splitter splitter.Splitter
 	// timeToFirstByte is the time from the arrival to the first byte of an
 	// answer, longestGap the longest pause between two parts of the answer,
 	// and lastPartAt when the latest part was read.
@@ -93,7 +94,7 @@
 	p.log.Info().
 		Str("Request", string(p.q.ID)).
 		Dur("Took", time.Since(p.q.Arrived)).
-		Str("LastEvent", p.splitter.lastID).
+		Str("LastEvent", p.splitter.LastID()).
 		Dur("LongestGap", p.longestGap).
 		Msg("Abandoned")
 	p.metrics.requests.WithLabelValues(string(p.route.Kind), "Abandoned").Inc()
--- a/router/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -1,4 +1,4 @@
-package router
+package splitter
 
 import (
 	"flag"
@@ -26,10 +26,10 @@
 		"id: 1\r\ndata: a\r\n\r\nid: 2\r\n":   true,
 		"id: 1\ndata: a\n\n: ping\ndata: b\n": true,
 	} {
-		var s splitter
-		s.push([]byte(text))
-		if got := s.isInsideEvent(); got != want {
-			t.Errorf("isInsideEvent is %v after %q", got, text)
+		var s Splitter
+		s.Push([]byte(text))
+		if got := s.IsInsideEvent(); got != want {
+			t.Errorf("IsInsideEvent is %v after %q", got, text)
 		}
 	}
 }
@@ -44,22 +44,30 @@
 			fmt.Fprintf(&whole, "id: %d\ndata: %s\n\n", i, rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "data"))
 		}
 		text := whole.String() + rapid.SampledFrom([]string{"", "id: 99\nda", "\n"}).Draw(t, "rest")
-		var s splitter
+		var s Splitter
 		var got strings.Builder
 		for left := text; left != ""; {
 			k := rapid.IntRange(1, len(left)).Draw(t, "cut")
-			part := s.push([]byte(left[:k]))
+			part := s.Push([]byte(left[:k]))
 			if len(part) > 0 && !strings.HasSuffix(string(part), "\n\n") {
-				t.Fatalf("push returned an incomplete event: %q", part)
+				t.Fatalf("Push returned an incomplete event: %q", part)
 			}
 			got.Write(part)
 			left = left[k:]
 		}
-		if n > 0 && s.lastID != fmt.Sprint(n) {
-			t.Fatalf("id of the last event is %q, want %d", s.lastID, n)
+		if n > 0 && s.LastID() != fmt.Sprint(n) {
+			t.Fatalf("id of the last event is %q, want %d", s.LastID(), n)
 		}
-		if got.String()+string(s.remainder()) != text {
-			t.Fatalf("stream %q was passed on as %q", text, got.String()+string(s.remainder()))
+		if got.String()+string(s.Remainder()) != text {
+			t.Fatalf("stream %q was passed on as %q", text, got.String()+string(s.Remainder()))
 		}
 	})
 }
+
+// TestSplitterPassesOnCommentsAtOnce covers comments that keep a connection open.
+func TestSplitterPassesOnCommentsAtOnce(t *testing.T) {
+	var s Splitter
+	if got := string(s.Push([]byte(": ping\n\nid: 1\n"))); got != ": ping\n\n" || s.HasEvent() {
+		t.Errorf("Push returned %q, HasEvent %v", got, s.HasEvent())
+	}
+}
