Treat an event stream of a plain service that ends inside an event as broken

The bytes still go on as they arrive; a scanner follows the events, and the caller's connection is aborted if the last one has no end.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -198,6 +198,32 @@
 
 // TestHopByHopHeadersAreDropped checks that hop-by-hop headers are dropped and
 // all others kept, in both directions.
+func TestEventStreamCutInsideAnEventDoesNotLookComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\nConnection: close\r\n\r\n"
+	for rest, isBroken := range map[string]bool{
+		"id: 1\ndata: a\n\nid: 2\nda":       true,
+		"":                                  true,
+		"id: 1\ndata: a\n\n":                false,
+		"id: 1\r\ndata: a\r\n\r\n: end\r\n": false,
+	} {
+		cut := instance{conn: func(c net.Conn) {
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, head+rest)
+		}}
+		withSite(t, []instance{cut}, func(s *site) {
+			reply, err := s.client.Get(s.url + "/orders/stock")
+			s.Expect(err).NotTo(HaveOccurred())
+			defer reply.Body.Close()
+			text, err := io.ReadAll(reply.Body)
+			s.Expect(string(text)).To(Equal(rest))
+			s.Expect(err != nil).To(Equal(isBroken), "%q: %v", rest, err)
+		})
+	}
+}
+
 func TestHopByHopHeadersAreDropped(t *testing.T) {
 	var got http.Header
 	note := func(w http.ResponseWriter, r *http.Request) {
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
+	"github.com/figtrack/figtrack/splitter"
 )
 
 // tryResult is the result of one try. Its values are logged.
@@ -148,9 +150,16 @@
 	w.WriteHeader(answer.StatusCode)
 	// Send the header without waiting for the first part of the body.
 	_ = control.Flush()
-	if result := copyFlushing(w, answer.Body); result != tryAnswered {
+	var events *splitter.Scanner
+	if isEventStream(answer) {
+		events = &splitter.Scanner{}
+	}
+	if result := copyFlushing(w, answer.Body, events); result != tryAnswered {
 		return result
 	}
+	if events != nil && isCutOff(answer, events) {
+		return tryBrokenAnswer
+	}
 	for name, values := range answer.Trailer {
 		for _, v := range values {
 			w.Header().Add(http.TrailerPrefix+name, v)
@@ -162,14 +171,32 @@
 // copyBufferBytes is the size of the buffer of copyFlushing.
 const copyBufferBytes = 32 << 10
 
+// isEventStream reports whether an answer is a stream of server-sent events.
+func isEventStream(answer *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream" && answer.StatusCode < http.StatusMultipleChoices
+}
+
+// isCutOff reports whether a stream of events that was read to its end is
+// incomplete. An upstream that crashes may close the connection of an answer
+// without a length or chunks, which reads like the end of the body.
+func isCutOff(answer *http.Response, events *splitter.Scanner) bool {
+	isUnframed := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+	return events.IsInsideEvent() || isUnframed && !events.HasEvent()
+}
+
 // copyFlushing copies a body and flushes after each read, so that a streamed
-// answer reaches the caller without delay.
-func copyFlushing(w http.ResponseWriter, r io.Reader) tryResult {
+// answer reaches the caller without delay. events follows the bytes, unless it is
+// nil.
+func copyFlushing(w http.ResponseWriter, r io.Reader, events *splitter.Scanner) tryResult {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := r.Read(buffer)
 		if n > 0 {
+			if events != nil {
+				events.Scan(buffer[:n])
+			}
 			if _, failed := w.Write(buffer[:n]); failed != nil {
 				return tryUnread
 			}
