--- a/explainer/story.go
+++ b/explainer/story.go
@@ -32,7 +32,7 @@
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until, Framing                 string
-	Upstreams                                                    []string
+	Upstreams, Parts                                             []string
 	Kind, DataCentre                                             string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
@@ -127,6 +127,9 @@
 		if e.Input > 0 {
 			text += fmt.Sprintf("; prompt %d tokens, answer at most %d, expected %d", e.Input, e.Output, e.Expected)
 		}
+		if len(e.Parts) > 0 {
+			text += "; parts " + strings.Join(e.Parts, ",")
+		}
 		if e.ViewAge > 0 {
 			text += fmt.Sprintf("; the store was silent for %.0f ms", e.ViewAge)
 		}
--- a/router/request.go
+++ b/router/request.go
@@ -31,6 +31,14 @@
 	Expected identifier.Tokens
 }
 
+func (p Prompt) partIDs() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Part is a part of a prompt, such as a common prefix, that other requests may
 // share.
 type Part struct {
