Refuse requests with a part of their prompts on which engines crash

Cause: nothing remembered what a crashed engine had been running. The streams that were cut before an event are those of the crashing requests; the others had up to 3 s of events.

isolator counts, for each part of a prompt but the last, the starts of engines that closed a stream of less than a second. All VMs share one record of them in the store, written under a condition. A whole answer clears its parts, and for 10 s keeps them from being counted, so that parts which sound requests share don't collect the crashes that other requests have caused. Requests of a common prefix share its parts: a crash that a more specific part explains doesn't count against another. From three crashes on, requests with the part get 503 before anything is sent, also while they wait for memory or between prefill and run. VMs that start, and a store that comes back from a copy, keep the record.

In 200 simulated fleets of six VMs that read the record 0.4 s late, 3 to 8 requests with the part reached engines, and under 1 in 100 sound requests was refused. Ruled out: repeats of one request as the only cause (most of the crashing requests ran once).

--- a/accounter/accounter.go
+++ b/accounter/accounter.go
@@ -43,6 +43,8 @@
 	RunnerFailed Cause = "RunnerFailed"
 	// RunnerLost: the runner's answer broke off or never came.
 	RunnerLost Cause = "RunnerLost"
+	// Blocked: engines crash on a trait of the request.
+	Blocked Cause = "Blocked"
 	// Timeout: the deadline or the route's timeout passed first.
 	Timeout Cause = "Timeout"
 	// CallerLeft: the caller closed its connection before the end.
@@ -54,7 +56,7 @@
 // Causes are all causes in the order of tables.
 var Causes = []Cause{
 	InTime, MemoryWait, PrefillQueue, FirstToken, Repeated, Pause,
-	NoRoom, NoRunner, BudgetEmpty, ViewTooOld, RunnerFailed, RunnerLost, Timeout, CallerLeft, VMStopped,
+	NoRoom, NoRunner, BudgetEmpty, ViewTooOld, RunnerFailed, RunnerLost, Blocked, Timeout, CallerLeft, VMStopped,
 }
 
 // Request is the account of one request, as one VM handled it.
@@ -177,6 +179,8 @@
 		return ViewTooOld
 	case "AnswerLost":
 		return RunnerLost
+	case "Blocked":
+		return Blocked
 	default:
 		return Timeout
 	}
--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -13,6 +13,7 @@
 
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -75,6 +76,9 @@
 	IsStream bool
 	// NeedsEngine is true if the pool has prefill and decode engines.
 	NeedsEngine bool
+	// Traits are what the request may have in common with others on which engines
+	// crash.
+	Traits []isolator.Trait
 	// Input is the declared length of the prompt, Output the length of the
 	// answer for which memory is reserved.
 	Input, Output identifier.Tokens
@@ -105,6 +109,9 @@
 	// Charge charges an extra send that has already happened, even if the
 	// budget is used up.
 	Charge(now time.Time, pool identifier.Pool)
+	// BlockedFor returns for how long requests with one of the traits are refused;
+	// zero if they aren't.
+	BlockedFor(now time.Time, traits []isolator.Trait) time.Duration
 	// RetryAfter estimates how long it takes until the pool has room again.
 	RetryAfter(now time.Time, pool identifier.Pool) time.Duration
 }
@@ -366,6 +373,21 @@
 	}
 }
 
+// endBlocked ends a request on whose traits engines crash, and reports whether it
+// did. Nothing may be sent to an engine then.
+func (c *Core) endBlocked(now time.Time) bool {
+	blockedFor := c.fleet.BlockedFor(now, c.job.Traits)
+	if blockedFor <= 0 {
+		return false
+	}
+	if c.headSent || c.mayHaveRun {
+		c.giveUp(now, ReasonBlocked)
+	} else {
+		c.end(Refuse{ReasonBlocked, blockedFor})
+	}
+	return true
+}
+
 // retryAfter returns the time after which a refused caller may try again; at
 // most a third of the time that the caller still waits.
 func (c *Core) retryAfter(now time.Time) time.Duration {
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -25,6 +27,9 @@
 	empty, spent bool
 	// hasOnePlain is true if there is only one plain service.
 	hasOnePlain bool
+	// blockedFrom is the time after the start from which blockedTrait is blocked;
+	// zero for never.
+	blockedFrom time.Duration
 }
 
 func runner(id string, role identifier.Role) tracker.Runner {
@@ -67,6 +72,15 @@
 
 func (f *fleet) Charge(time.Time, identifier.Pool) {}
 
+const blockedTrait isolator.Trait = "5c1e"
+
+func (f *fleet) BlockedFor(now time.Time, traits []isolator.Trait) time.Duration {
+	if f.blockedFrom > 0 && now.Sub(start) >= f.blockedFrom && slices.Contains(traits, blockedTrait) {
+		return time.Hour
+	}
+	return 0
+}
+
 func (f *fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return 300 * time.Millisecond }
 
 // step is an event at a time after the start.
@@ -96,6 +110,12 @@
 	}
 }
 
+func suspectStream(resumable bool) attempter.Job {
+	job := stream(resumable)
+	job.Traits = []isolator.Trait{"91bd", blockedTrait}
+	return job
+}
+
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 var (
@@ -167,6 +187,21 @@
 	{"a caller that leaves gives back what is kept", stream(false), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Abandoned{}},
 	}},
+	{"a stream with a blocked trait is refused at once", suspectStream(false), fleet{blockedFrom: ms(1)}, []step{{ms(1), attempter.Begin{}}}},
+	{"a stream whose trait is blocked in the meantime is not read", suspectStream(false), fleet{blockedFrom: ms(2)}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(2), attempter.Reserved{Hold: "i"}},
+	}},
+	{"a stream whose trait is blocked in the meantime is not run", suspectStream(false), fleet{blockedFrom: ms(2)}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(1), attempter.Reserved{Hold: "i"}}, {ms(2), attempter.Prefilled{Handle: "k"}},
+	}},
+	{"a broken stream whose trait is blocked is not run again", suspectStream(true), fleet{blockedFrom: ms(200)}, []step{
+		{0, attempter.Begin{}},
+		{ms(1), attempter.Reserved{Hold: "h"}},
+		{ms(2), attempter.Reserved{Hold: "i"}},
+		{ms(100), attempter.Prefilled{Handle: "k"}},
+		{ms(110), ok},
+		{ms(200), attempter.Broken{}},
+	}},
 	{"a payment whose answer is lost is not sent again", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), lost}}},
 	{"a payment that was refused goes elsewhere", plain(false), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(1), notRun}, {ms(2), leaving}, {ms(3), full},
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -174,6 +174,9 @@
 	ReasonAttempts Reason = "Attempts"
 	// ReasonLost means that the answer of a run was lost.
 	ReasonLost Reason = "AnswerLost"
+	// ReasonBlocked means that engines crash on what the request has in common with
+	// others.
+	ReasonBlocked Reason = "Blocked"
 	// ReasonTimeout means that the request's deadline has passed.
 	ReasonTimeout Reason = "Timeout"
 	// ReasonAbandoned means that the caller has closed its connection.
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -10,6 +10,9 @@
 // chooseRunner finds the runner of the next run; in a pool of engines it first
 // reserves memory on one.
 func (c *Core) chooseRunner(now time.Time) {
+	if c.endBlocked(now) {
+		return
+	}
 	if c.job.NeedsEngine {
 		c.reserve(now)
 		return
@@ -80,6 +83,9 @@
 // limit of calls or the retry budget is reached, the decode engine computes the
 // prefill itself.
 func (c *Core) prefill(now time.Time) {
+	if c.endBlocked(now) {
+		return
+	}
 	r, ok := c.fleet.ChoosePrefill(now, c.job.Pool, c.runner.DataCentre, c.excludedPrefills)
 	if !ok || c.prefills >= MaxPrefills || c.prefills > 0 && !c.fleet.TryCharge(now, c.job.Pool) {
 		// The decode engine computes the prefill itself, at half the speed.
@@ -94,6 +100,9 @@
 // run sends the request to the chosen runner and charges the retry budget for
 // every send after the first.
 func (c *Core) run(now time.Time) {
+	if c.endBlocked(now) {
+		return
+	}
 	if c.sends > 0 && !c.isCharged && !c.fleet.TryCharge(now, c.job.Pool) {
 		c.giveUp(now, ReasonBudget)
 		return
--- /dev/null
+++ b/isolator/isolator.go
@@ -0,0 +1,334 @@
+// Package isolator finds the trait that the requests have in common on which
+// engines crash, such as a part of their prompts, and blocks requests with it.
+//
+// Requests with such a trait reach all VMs, no two of them alike. Each ends the
+// engine that begins to answer it, and with it the streams of many other requests,
+// which share parts of their prompts with the crashing ones. A surge of them ends
+// engines faster than these come back. So the VMs count crashes together, in one
+// record in the store, and a whole answer to any request with a trait clears it.
+package isolator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/figtrack/figtrack/keeper"
+)
+
+const (
+	// MaxSuspectLife is the longest life of a run that counts against its traits:
+	// the engine crashes when it begins to write the answer.
+	MaxSuspectLife = time.Second
+	// SurvivorTime is how long a whole answer shows at least that its traits crash
+	// no engine.
+	SurvivorTime = 10 * time.Second
+	// SuspectTTL is how long a trait stays suspect after its last crash.
+	SuspectTTL = time.Hour
+	// RetryInterval is the time from a failed write to the next one.
+	RetryInterval = 250 * time.Millisecond
+	// MaxSuspects is the most suspects in the record.
+	MaxSuspects = 64
+	// MaxCrashes is the most crashes of a suspect in the record.
+	MaxCrashes = 32
+	// maxSurvivors is the most traits that are remembered as survivors for one
+	// SurvivorTime.
+	maxSurvivors = 4096
+)
+
+// Core is what one VM knows of the suspects. Only Step changes it.
+type Core struct {
+	// shared is the record in the store, as last read or written, at version and
+	// era. It is empty if the record isMissing.
+	shared    map[Trait]Suspect
+	version   keeper.Version
+	era       keeper.Era
+	isMissing bool
+	// added holds the crashes that are not in shared, removed the traits in shared
+	// that are no longer suspect.
+	added   map[Trait]Suspect
+	removed map[Trait]bool
+	// changedAt is when the crashes of each suspect last changed.
+	changedAt map[Trait]time.Time
+	// survivors and formerSurvivors hold the traits of whole answers in the
+	// current and in the last SurvivorTime, which began at survivorsSince.
+	survivors, formerSurvivors map[Trait]bool
+	survivorsSince             time.Time
+	// writing is the record of the Write in progress; nil without one.
+	writing map[Trait]Suspect
+	// retryAt is the earliest time of the next Write.
+	retryAt time.Time
+	// blocked holds the blocked traits with their numbers of crashes. It is computed
+	// again at the end of a Step that has set isChanged.
+	blocked   map[Trait]int
+	isChanged bool
+	outcomes  []Outcome
+}
+
+// New returns a core that suspects nothing.
+func New() *Core {
+	return &Core{
+		shared: map[Trait]Suspect{}, added: map[Trait]Suspect{}, removed: map[Trait]bool{},
+		changedAt: map[Trait]time.Time{}, survivors: map[Trait]bool{}, blocked: map[Trait]int{},
+		isMissing: true,
+	}
+}
+
+// FindBlocked returns the first blocked trait of a request, and until when it is
+// blocked.
+func (c *Core) FindBlocked(traits []Trait) (t Trait, until time.Time, found bool) {
+	for _, t := range traits {
+		if _, ok := c.blocked[t]; ok {
+			return t, c.changedAt[t].Add(SuspectTTL), true
+		}
+	}
+	return "", time.Time{}, false
+}
+
+// BlockedCount returns the number of blocked traits.
+func (c *Core) BlockedCount() int { return len(c.blocked) }
+
+// Step handles one event and returns the outcomes, in order.
+func (c *Core) Step(now time.Time, e Event) []Outcome {
+	c.outcomes = nil
+	switch e := e.(type) {
+	case RunBroken:
+		c.handleBroken(now, e)
+	case RunCompleted:
+		c.handleCompleted(now, e)
+	case RecordRead:
+		c.handleRead(now, e)
+	case Written:
+		c.handleWritten(e)
+	case Conflicted:
+		c.writing = nil
+		if e.IsMissing && e.Era == c.era {
+			c.version = 0 // The record was removed at an unknown version.
+		}
+		c.handleRead(now, e.RecordRead)
+	case WriteFailed:
+		c.writing, c.retryAt = nil, now.Add(RetryInterval)
+	case Wake:
+		c.expire(now)
+	default:
+		panic(fmt.Sprintf("isolator: unknown event %T", e))
+	}
+	if c.isChanged {
+		c.updateBlocked()
+	}
+	c.startWrite(now)
+	return c.outcomes
+}
+
+func (c *Core) emit(o Outcome) { c.outcomes = append(c.outcomes, o) }
+
+func (c *Core) handleBroken(now time.Time, e RunBroken) {
+	if e.Lived >= MaxSuspectLife {
+		return
+	}
+	c.rotateSurvivors(now)
+	for depth, t := range e.Traits {
+		if c.survivors[t] || c.formerSurvivors[t] {
+			continue
+		}
+		known := c.effective(t)
+		if slices.Contains(known.Crashes, e.On) || len(known.Crashes) >= MaxCrashes {
+			continue
+		}
+		s := c.added[t]
+		c.added[t] = Suspect{t, depth, append(slices.Clone(s.Crashes), e.On)}
+		delete(c.removed, t)
+		c.changedAt[t], c.isChanged = now, true
+		c.emit(Suspected{t, e.On, len(known.Crashes) + 1})
+	}
+}
+
+func (c *Core) handleCompleted(now time.Time, e RunCompleted) {
+	c.rotateSurvivors(now)
+	for _, t := range e.Traits {
+		if len(c.survivors) < maxSurvivors {
+			c.survivors[t] = true
+		}
+		c.clear(t)
+	}
+}
+
+// clear removes a trait from the suspects.
+func (c *Core) clear(t Trait) {
+	if len(c.effective(t).Crashes) == 0 {
+		return
+	}
+	c.isChanged = true
+	delete(c.added, t)
+	if _, ok := c.shared[t]; ok {
+		c.removed[t] = true
+	}
+}
+
+func (c *Core) rotateSurvivors(now time.Time) {
+	if age := now.Sub(c.survivorsSince); age >= SurvivorTime {
+		c.formerSurvivors, c.survivors, c.survivorsSince = c.survivors, map[Trait]bool{}, now
+		if age >= 2*SurvivorTime {
+			c.formerSurvivors = nil
+		}
+	}
+}
+
+// handleRead takes over the shared record. A store that came back from a copy may
+// lack what it once had, which is added again.
+func (c *Core) handleRead(now time.Time, e RecordRead) {
+	if e.Era < c.era || e.Era == c.era && e.Version < c.version {
+		return
+	}
+	if e.Era > c.era {
+		for t := range c.shared {
+			if s := c.effective(t); len(s.Crashes) > 0 {
+				c.added[t] = s
+			}
+		}
+	}
+	former := c.shared
+	c.version, c.era, c.isMissing = e.Version, e.Era, e.IsMissing
+	c.setShared(toMap(e.Record))
+	c.rotateSurvivors(now)
+	for t, s := range c.shared {
+		if len(s.Crashes) > len(former[t].Crashes) {
+			c.changedAt[t] = now
+		}
+		if c.survivors[t] || c.formerSurvivors[t] {
+			c.clear(t)
+		}
+	}
+}
+
+// handleWritten takes over the record that was written, unless RecordRead has
+// brought it or a later one.
+func (c *Core) handleWritten(e Written) {
+	shared := c.writing
+	c.writing = nil
+	if e.Era != c.era || e.Version <= c.version {
+		return
+	}
+	c.version, c.isMissing = e.Version, false
+	c.setShared(shared)
+}
+
+// setShared sets the record in the store and forgets the changes that it has.
+func (c *Core) setShared(shared map[Trait]Suspect) {
+	c.shared, c.isChanged = shared, true
+	for t := range c.removed {
+		if _, ok := shared[t]; !ok {
+			delete(c.removed, t)
+		}
+	}
+	for t, s := range c.added {
+		s.Crashes = slices.DeleteFunc(s.Crashes, func(one Crash) bool { return slices.Contains(shared[t].Crashes, one) })
+		if c.added[t] = s; len(s.Crashes) == 0 {
+			delete(c.added, t)
+		}
+	}
+	for t := range c.changedAt {
+		if len(c.effective(t).Crashes) == 0 {
+			delete(c.changedAt, t)
+		}
+	}
+}
+
+// effective returns what is known of a trait; without crashes if it isn't suspect.
+func (c *Core) effective(t Trait) Suspect {
+	s, isShared := c.shared[t]
+	if c.removed[t] {
+		s, isShared = Suspect{}, false
+	}
+	added, isAdded := c.added[t]
+	if !isAdded {
+		return s
+	}
+	if !isShared {
+		return added
+	}
+	s.Crashes = append(slices.Clone(s.Crashes), added.Crashes...)
+	return s
+}
+
+// record returns all suspects, at most MaxSuspects of them: those with the most
+// and then with the latest crashes.
+func (c *Core) record() Record {
+	all := map[Trait]bool{}
+	for t := range c.shared {
+		all[t] = true
+	}
+	for t := range c.added {
+		all[t] = true
+	}
+	var r Record
+	for t := range all {
+		if s := c.effective(t); len(s.Crashes) > 0 {
+			r = append(r, s)
+		}
+	}
+	slices.SortFunc(r, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), c.changedAt[b.Trait].Compare(c.changedAt[a.Trait]), cmp.Compare(a.Trait, b.Trait))
+	})
+	r = r[:min(len(r), MaxSuspects)]
+	slices.SortFunc(r, func(a, b Suspect) int { return cmp.Compare(a.Trait, b.Trait) })
+	return r
+}
+
+// expire removes suspects whose last crash is long ago.
+func (c *Core) expire(now time.Time) {
+	for t, at := range c.changedAt {
+		if now.Sub(at) >= SuspectTTL {
+			c.clear(t)
+			delete(c.changedAt, t)
+		}
+	}
+}
+
+func (c *Core) updateBlocked() {
+	blocked := findBlocked(c.record())
+	for _, t := range slices.Sorted(maps.Keys(blocked)) {
+		if _, ok := c.blocked[t]; !ok {
+			c.emit(Blocked{t, blocked[t]})
+		}
+	}
+	for _, t := range slices.Sorted(maps.Keys(c.blocked)) {
+		if _, ok := blocked[t]; !ok {
+			c.emit(Unblocked{t})
+		}
+	}
+	c.blocked, c.isChanged = blocked, false
+}
+
+// startWrite asks for a write if the record in the store lacks a change.
+func (c *Core) startWrite(now time.Time) {
+	if c.writing != nil || now.Before(c.retryAt) || len(c.added) == 0 && len(c.removed) == 0 {
+		return
+	}
+	r := c.record()
+	next := toMap(r)
+	for t := range c.added {
+		if _, ok := next[t]; !ok {
+			delete(c.added, t) // The record has no room for it.
+		}
+	}
+	if len(c.added) == 0 && len(c.removed) == 0 {
+		return
+	}
+	c.writing = next
+	expected := c.version
+	if c.isMissing {
+		expected = 0
+	}
+	c.emit(Write{Record: r, Expected: expected})
+}
+
+func toMap(r Record) map[Trait]Suspect {
+	m := make(map[Trait]Suspect, len(r))
+	for _, s := range r {
+		m[s.Trait] = s
+	}
+	return m
+}
--- /dev/null
+++ b/isolator/isolator_test.go
@@ -0,0 +1,263 @@
+package isolator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
+	"github.com/figtrack/figtrack/keeper"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+type step struct {
+	at time.Duration
+	e  isolator.Event
+}
+
+func crash(engine int) isolator.Crash {
+	return isolator.Crash{Upstream: identifier.Upstream(fmt.Sprint("d", engine)), Start: 7}
+}
+
+func broken(engine int, traits ...isolator.Trait) isolator.RunBroken {
+	return isolator.RunBroken{Traits: traits, On: crash(engine), Lived: 50 * time.Millisecond}
+}
+
+func completed(traits ...isolator.Trait) isolator.RunCompleted {
+	return isolator.RunCompleted{Traits: traits}
+}
+
+func record(version keeper.Version, era keeper.Era, suspects ...isolator.Suspect) isolator.RecordRead {
+	return isolator.RecordRead{Record: suspects, Version: version, Era: era}
+}
+
+func missing(era keeper.Era) isolator.RecordRead {
+	return isolator.RecordRead{Era: era, IsMissing: true}
+}
+
+func suspect(t isolator.Trait, depth int, engines ...int) isolator.Suspect {
+	s := isolator.Suspect{Trait: t, Depth: depth}
+	for _, n := range engines {
+		s.Crashes = append(s.Crashes, crash(n))
+	}
+	return s
+}
+
+func TestScripts(t *testing.T) {
+	scripts := []struct {
+		name  string
+		steps []step
+	}{
+		{"a trait of three crashes is blocked, a prefix of it isn't", []step{
+			{0, missing(1)},
+			{0, broken(1, "a", "b")},
+			{1, isolator.Written{Version: 3, Era: 1}},
+			{2, broken(2, "a", "b")},
+			{3, broken(3, "a", "b")},
+			{4, isolator.Written{Version: 4, Era: 1}},
+		}},
+		{"several runs on one engine are one crash", []step{{0, broken(1, "a")}, {1, broken(1, "a")}, {2, broken(1, "a")}}},
+		{"a run that lived doesn't count", []step{{0, isolator.RunBroken{Traits: []isolator.Trait{"a"}, On: crash(1), Lived: time.Second}}}},
+		{"a whole answer shows that its traits crash no engine, for a time", []step{
+			{0, completed("a")}, {1, broken(1, "a")}, {25 * time.Second, broken(1, "a")},
+		}},
+		{"a whole answer clears a suspect", []step{
+			{0, record(5, 1, suspect("a", 0, 1, 2, 3))}, {1, completed("a")}, {2, isolator.Written{Version: 6, Era: 1}}, {3, record(6, 1)},
+		}},
+		{"a suspect of another VM is cleared by a recent answer", []step{{0, completed("a")}, {time.Second, record(5, 1, suspect("a", 0, 1, 2))}}},
+		{"crashes of several VMs add up", []step{
+			{0, record(5, 1, suspect("b", 1, 1))}, {1, broken(2, "a", "b")}, {2, record(6, 1, suspect("b", 1, 1, 3))}, {3, isolator.Conflicted{RecordRead: record(6, 1, suspect("b", 1, 1, 3))}}, {4, isolator.Written{Version: 7, Era: 1}},
+		}},
+		{"the watch may bring a write before its answer", []step{
+			{0, missing(1)}, {1, broken(1, "a")}, {2, record(3, 1, suspect("a", 0, 1))}, {3, isolator.Written{Version: 3, Era: 1}}, {4, broken(2, "a")},
+		}},
+		{"a record that was removed is written anew", []step{
+			{0, record(5, 1, suspect("a", 0, 1))}, {1, isolator.RecordRead{Version: 8, Era: 1, IsMissing: true}}, {2, broken(2, "a")},
+		}},
+		{"the report of a prefix that comes first blocks nothing", []step{{0, record(5, 1, suspect("a", 0, 1, 2, 3), suspect("b", 1, 1, 2))}}},
+		{"a prefix that explains more crashes is blocked instead", []step{{0, record(5, 1, suspect("a", 0, 1, 2, 3, 4, 5, 6), suspect("b", 1, 1, 2, 3))}}},
+		{"a trait that explains more crashes goes before a deeper one", []step{{0, record(5, 1, suspect("b", 1, 1, 2, 3, 4), suspect("c", 2, 1, 2))}}},
+		{"a failed write is repeated later", []step{
+			{0, broken(1, "a")}, {1, isolator.WriteFailed{}}, {2, isolator.Wake{}}, {time.Second, isolator.Wake{}},
+		}},
+		{"a store that comes back from a copy gets what it lacks", []step{
+			{0, record(5, 1, suspect("a", 0, 1, 2, 3))}, {1, missing(2)}, {2, isolator.Written{Version: 2, Era: 2}}, {3, record(5, 1)},
+		}},
+		{"a suspect is forgotten after its time", []step{
+			{0, record(5, 1, suspect("a", 0, 1, 2, 3))}, {isolator.SuspectTTL, isolator.Wake{}}, {isolator.SuspectTTL + 1, isolator.Written{Version: 6, Era: 1}},
+		}},
+	}
+	var w strings.Builder
+	for _, s := range scripts {
+		fmt.Fprintf(&w, "%s\n", s.name)
+		core := isolator.New()
+		for _, step := range s.steps {
+			outcomes := core.Step(start.Add(step.at), step.e)
+			fmt.Fprintf(&w, "  %7s %s%s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "isolator."), describe(outcomes))
+		}
+		fmt.Fprintln(&w)
+	}
+	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
+}
+
+func describe(outcomes []isolator.Outcome) string {
+	var w strings.Builder
+	for _, o := range outcomes {
+		switch o := o.(type) {
+		case isolator.Write:
+			fmt.Fprintf(&w, " -> Write over %d:", o.Expected)
+			for _, s := range o.Record {
+				fmt.Fprintf(&w, " %s@%d=%d", s.Trait, s.Depth, len(s.Crashes))
+			}
+		case isolator.Suspected:
+			fmt.Fprintf(&w, " -> Suspected %s by %s (%d)", o.Trait, o.On.Upstream, o.Crashes)
+		case isolator.Blocked:
+			fmt.Fprintf(&w, " -> Blocked %s (%d)", o.Trait, o.Crashes)
+		case isolator.Unblocked:
+			fmt.Fprintf(&w, " -> Unblocked %s", o.Trait)
+		}
+	}
+	return w.String()
+}
+
+// TestRecordIsBounded reports more suspects than the record has room for: those with
+// several crashes stay, and the writes end.
+func TestRecordIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	core := isolator.New()
+	core.Step(start, record(1, 1, suspect("x", 1, 1, 2, 3)))
+	writes := 0
+	for i := range 3 * isolator.MaxSuspects {
+		for _, o := range core.Step(start.Add(time.Duration(i)*time.Second), broken(10+i, isolator.Trait(fmt.Sprint("t", i)))) {
+			if w, ok := o.(isolator.Write); ok {
+				writes++
+				g.Expect(len(w.Record)).To(BeNumerically("<=", isolator.MaxSuspects))
+				core.Step(start.Add(time.Duration(i)*time.Second), isolator.Written{Version: keeper.Version(2 + i), Era: 1})
+			}
+		}
+	}
+	g.Expect(writes).To(BeNumerically("<=", 3*isolator.MaxSuspects))
+	_, _, found := core.FindBlocked([]isolator.Trait{"y", "x"})
+	g.Expect(found).To(BeTrue())
+}
+
+// simulated is a fleet of cores that share a record, and their store.
+type simulated struct {
+	cores    []*isolator.Core
+	record   isolator.Record
+	version  keeper.Version
+	rand     *rand.Rand
+	inFlight map[isolator.Crash][]simulatedRun
+	starts   []int
+	crashes  int
+}
+
+type simulatedRun struct {
+	vm     int
+	traits []isolator.Trait
+	since  time.Duration
+}
+
+// step makes a VM's core handle an event and writes its record, as the only VM that
+// writes at that time.
+func (s *simulated) step(now time.Duration, vm int, e isolator.Event) {
+	for _, o := range s.cores[vm].Step(start.Add(now), e) {
+		w, ok := o.(isolator.Write)
+		switch {
+		case !ok:
+		case w.Expected != s.version:
+			s.step(now, vm, isolator.Conflicted{RecordRead: s.read()})
+		default:
+			s.version++
+			s.record = w.Record
+			s.step(now, vm, isolator.Written{Version: s.version, Era: 1})
+		}
+	}
+}
+
+func (s *simulated) read() isolator.RecordRead {
+	return isolator.RecordRead{Record: s.record, Version: s.version, Era: 1, IsMissing: s.version == 0}
+}
+
+// crashEngine ends an engine and reports its broken runs.
+func (s *simulated) crashEngine(now time.Duration, engine int) {
+	on := isolator.Crash{Upstream: identifier.Upstream(fmt.Sprint("d", engine)), Start: identifier.Incarnation(s.starts[engine])}
+	for _, r := range s.inFlight[on] {
+		s.step(now, r.vm, isolator.RunBroken{Traits: r.traits, On: on, Lived: now - r.since})
+	}
+	delete(s.inFlight, on)
+	s.starts[engine]++
+	s.crashes++
+}
+
+// TestOneTraitIsIsolatedInAFleet plays requests with shared traits, one of which
+// crashes engines from the start or later, and engines that crash for other reasons,
+// also five at once. The VMs read the record 400 ms late.
+func TestOneTraitIsIsolatedInAFleet(t *testing.T) {
+	const engines, requests, runTime, readInterval = 9, 1500, 1500 * time.Millisecond, 400 * time.Millisecond
+	for seed := range uint64(200) {
+		g := NewWithT(t)
+		s := &simulated{rand: rand.New(rand.NewPCG(seed, 1)), inFlight: map[isolator.Crash][]simulatedRun{}, starts: make([]int, engines)}
+		for range 6 {
+			s.cores = append(s.cores, isolator.New())
+		}
+		reached, blockedSound := 0, 0
+		badFrom := []int{0, 200}[seed%2]
+		for i := range requests {
+			now := time.Duration(i) * 50 * time.Millisecond
+			vm := s.rand.IntN(len(s.cores))
+			if now%readInterval == 0 {
+				for one := range s.cores {
+					s.step(now, one, s.read())
+				}
+			}
+			for on, runs := range s.inFlight {
+				var left []simulatedRun
+				for _, r := range runs {
+					if now-r.since < runTime {
+						left = append(left, r)
+						continue
+					}
+					s.step(now, r.vm, isolator.RunCompleted{Traits: r.traits})
+				}
+				s.inFlight[on] = left
+			}
+			// The prompts share one of three beginnings and one of forty subjects.
+			traits := []isolator.Trait{isolator.Trait(fmt.Sprint("begin", s.rand.IntN(3))), isolator.Trait(fmt.Sprint("subject", s.rand.IntN(40)))}
+			isBad := i >= badFrom && s.rand.IntN(8) == 0
+			if isBad {
+				traits[1] = "bad"
+			}
+			if _, _, found := s.cores[vm].FindBlocked(traits); found {
+				if !isBad {
+					blockedSound++
+				}
+				continue
+			}
+			engine := s.rand.IntN(engines)
+			on := isolator.Crash{Upstream: identifier.Upstream(fmt.Sprint("d", engine)), Start: identifier.Incarnation(s.starts[engine])}
+			s.inFlight[on] = append(s.inFlight[on], simulatedRun{vm, traits, now})
+			switch {
+			case isBad:
+				reached++
+				s.crashEngine(now, engine)
+			case s.rand.IntN(300) == 0:
+				s.crashEngine(now, engine)
+			case i%500 == 0:
+				for one := range 5 {
+					s.crashEngine(now, one)
+				}
+			}
+		}
+		g.Expect(reached).To(BeNumerically(">=", isolator.BlockThreshold), "seed %d", seed)
+		g.Expect(reached).To(BeNumerically("<=", 5+3), "seed %d", seed)
+		g.Expect(blockedSound).To(BeNumerically("<", requests/100), "seed %d", seed)
+	}
+}
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -7,6 +7,7 @@
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/tracer"
 	"github.com/figtrack/figtrack/tracker"
@@ -337,6 +338,9 @@
 // Charge implements attempter.Fleet.
 func (r *routingPolicy) Charge(time.Time, identifier.Pool) {}
 
+// BlockedFor implements attempter.Fleet. No trace has requests that crash engines.
+func (r *routingPolicy) BlockedFor(time.Time, []isolator.Trait) time.Duration { return 0 }
+
 // RetryAfter implements attempter.Fleet.
 func (r *routingPolicy) RetryAfter(time.Time, identifier.Pool) time.Duration {
 	return routingRetryAfter
--- /dev/null
+++ b/router/crashes.go
@@ -0,0 +1,181 @@
+package router
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figtrack/figtrack/attempter"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
+	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/looper"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// maxCrashWriteDelay bounds the random delay of a write of the crash record: the
+// VMs whose streams one crash has cut all want to write it.
+const maxCrashWriteDelay = 100 * time.Millisecond
+
+// traitsOf returns what a request may have in common with others on which engines
+// crash: the parts of its prompt but the last, which is its own.
+func traitsOf(p Prompt) []isolator.Trait {
+	var traits []isolator.Trait
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		traits = append(traits, isolator.Trait(part.ID))
+	}
+	return traits
+}
+
+// isClosedByPeer reports whether a call or an answer failed as the runner closed the
+// connection, as it does when it crashes.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// BlockedFor implements attempter.Fleet.
+func (f *Fleet) BlockedFor(now time.Time, traits []isolator.Trait) time.Duration {
+	if len(traits) == 0 {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, until, found := f.isolation.FindBlocked(traits)
+	if !found {
+		return 0
+	}
+	return max(until.Sub(now), defaultRetryAfter)
+}
+
+// recordBroken records that a runner closed the connection of a run early.
+func (f *Fleet) recordBroken(job attempter.Job, run attempter.Run, lived time.Duration) {
+	if len(job.Traits) == 0 {
+		return
+	}
+	on := isolator.Crash{Upstream: run.To.ID, Start: run.To.Start}
+	f.stepIsolation(isolator.RunBroken{Traits: job.Traits, On: on, Lived: lived})
+}
+
+// recordCompleted records that a run was answered whole.
+func (f *Fleet) recordCompleted(job attempter.Job) {
+	if len(job.Traits) > 0 {
+		f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
+	}
+}
+
+// stepIsolation passes an event to the isolation and performs its outcomes.
+func (f *Fleet) stepIsolation(e isolator.Event) {
+	f.mu.Lock()
+	outcomes := f.isolation.Step(time.Now(), e)
+	f.metrics.blockedTraits.Set(float64(f.isolation.BlockedCount()))
+	f.mu.Unlock()
+	for _, o := range outcomes {
+		switch o := o.(type) {
+		case isolator.Write:
+			f.crashRecords <- o // Never blocks: no other one follows before the result.
+		case isolator.Suspected:
+			f.metrics.suspectedTraits.Inc()
+			f.log.Info().Str("Trait", string(o.Trait)).Str("Upstream", string(o.On.Upstream)).Int("Crashes", o.Crashes).Msg("TraitSuspected")
+		case isolator.Blocked:
+			f.log.Warn().Str("Trait", string(o.Trait)).Int("Crashes", o.Crashes).Msg("TraitBlocked")
+		case isolator.Unblocked:
+			f.log.Info().Str("Trait", string(o.Trait)).Msg("TraitUnblocked")
+		}
+	}
+}
+
+// handleCrashes handles the record of crashes that all VMs share.
+func (f *Fleet) handleCrashes(entry keeper.Entry) {
+	read, err := decodeCrashes(entry)
+	if err != nil {
+		f.metrics.unreadableEntries.Inc()
+		f.log.Warn().Str("Key", entry.Key).Int64("Version", int64(entry.Version)).AnErr("Error", err).Msg("EntryNotRead")
+		return
+	}
+	f.stepIsolation(read)
+}
+
+func decodeCrashes(entry keeper.Entry) (isolator.RecordRead, error) {
+	read := isolator.RecordRead{Version: entry.Version, Era: entry.Era, IsMissing: entry.Value == nil}
+	var e wire.CrashRecord
+	if err := proto.Unmarshal(entry.Value, &e); err != nil {
+		return read, err
+	}
+	for _, one := range e.Suspects {
+		s := isolator.Suspect{Trait: isolator.Trait(one.Trait), Depth: int(one.Depth)}
+		for _, c := range one.Crashes {
+			s.Crashes = append(s.Crashes, isolator.Crash{Upstream: identifier.Upstream(c.Upstream), Start: identifier.Incarnation(c.Incarnation)})
+		}
+		read.Record = append(read.Record, s)
+	}
+	return read, nil
+}
+
+func encodeCrashes(r isolator.Record) ([]byte, error) {
+	e := &wire.CrashRecord{}
+	for _, s := range r {
+		one := &wire.CrashSuspect{Trait: string(s.Trait), Depth: uint32(s.Depth)}
+		for _, c := range s.Crashes {
+			one.Crashes = append(one.Crashes, &wire.EngineStart{Upstream: string(c.Upstream), Incarnation: uint64(c.Start)})
+		}
+		e.Suspects = append(e.Suspects, one)
+	}
+	return proto.Marshal(e)
+}
+
+// CrashWriter writes the record of crashes to the store for a fleet's isolation.
+type CrashWriter struct {
+	fleet *Fleet
+	store Swapper
+	log   zerolog.Logger
+}
+
+// NewCrashWriter returns a writer that does nothing before Run.
+func NewCrashWriter(fleet *Fleet, store Swapper, log zerolog.Logger) *CrashWriter {
+	return &CrashWriter{fleet: fleet, store: store, log: log}
+}
+
+// Run writes records until ctx ends.
+func (w *CrashWriter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-w.fleet.crashRecords:
+			if looper.Sleep(ctx, rand.N(maxCrashWriteDelay)) {
+				w.fleet.stepIsolation(w.write(ctx, o))
+			}
+		}
+	}
+}
+
+func (w *CrashWriter) write(ctx context.Context, o isolator.Write) isolator.Event {
+	value, err := encodeCrashes(o.Record)
+	if err != nil {
+		w.log.Error().AnErr("Error", err).Msg("CrashesNotWritten")
+		return isolator.WriteFailed{}
+	}
+	entry, done, err := w.store.Swap(ctx, keeper.PurposeFence, crashesKey, o.Expected, value)
+	read, unreadable := decodeCrashes(entry)
+	if err == nil && !done && unreadable != nil {
+		w.log.Warn().Str("Key", crashesKey).Int64("Version", int64(entry.Version)).AnErr("Error", unreadable).Msg("EntryReplaced")
+		entry, done, err = w.store.Swap(ctx, keeper.PurposeFence, crashesKey, entry.Version, value)
+	}
+	if err != nil {
+		w.log.Info().Int64("Expected", int64(o.Expected)).AnErr("Error", err).Msg("CrashesNotWritten")
+		return isolator.WriteFailed{}
+	}
+	if done {
+		return isolator.Written{Version: entry.Version, Era: entry.Era}
+	}
+	if unreadable != nil {
+		return isolator.WriteFailed{}
+	}
+	return isolator.Conflicted{RecordRead: read}
+}
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -59,9 +59,15 @@
 		p.fleet.updateView(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
 			return view.RecordAnswer(p.run.To, true, 0)
 		})
+		if isClosedByPeer(err) {
+			p.fleet.recordBroken(p.job, p.run, max(0, p.lastPartAt.Sub(p.runStartedAt)))
+		}
 		return attempter.Broken{LastEvent: p.splitter.LastID(), Begun: p.headSent}
 	}
 	line.Msg("Answered")
+	if a.isSuccess() {
+		p.fleet.recordCompleted(p.job)
+	}
 	p.metrics.requests.WithLabelValues(string(p.route.Kind), "Answered").Inc()
 	p.metrics.answerTimes.WithLabelValues(string(p.route.Kind)).Observe(took.Seconds())
 	return nil
@@ -124,10 +130,10 @@
 		return err
 	}
 	if p.splitter.IsInsideEvent() {
-		return errors.Errorf("the stream ended inside the event after %q", p.splitter.LastID())
+		return errors.Wrapf(io.ErrUnexpectedEOF, "the stream ended inside the event after %q", p.splitter.LastID())
 	}
 	if a.Framing == FramingClose && !p.splitter.HasEvent() {
-		return errors.New("the connection of the stream was closed before the first event")
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection of the stream was closed before the first event")
 	}
 	if err := p.beginAnswer(a); err != nil {
 		return err
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/figtrack/figtrack/enroller"
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/stager"
 	"github.com/figtrack/figtrack/tracker"
@@ -64,6 +65,10 @@
 	// ownKey is this VM's key in the roster; enrolment keeps that entry.
 	ownKey    string
 	enrolment Enrolment
+	// isolation counts crashes of engines against the traits of requests.
+	isolation *isolator.Core
+	// crashRecords holds the write that isolation asks for, if any.
+	crashRecords chan isolator.Write
 	// isListed is true once the entries of the store were read for the first
 	// time.
 	isListed bool
@@ -71,7 +76,10 @@
 
 // NewFleet returns a fleet without a configuration or any upstreams.
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, metrics *Metrics, log zerolog.Logger) *Fleet {
-	return &Fleet{reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster(), tokenMeans: map[identifier.Pool]*tokenMeans{}}
+	return &Fleet{
+		reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster(), tokenMeans: map[identifier.Pool]*tokenMeans{},
+		isolation: isolator.New(), crashRecords: make(chan isolator.Write, 1),
+	}
 }
 
 // Gauges returns the gauges of the view's age and of the remaining retry
@@ -145,6 +153,7 @@
 func (f *Fleet) TakeAll(o follower.TakeAll) {
 	var runners []tracker.Runner
 	vms := map[identifier.VM]bool{}
+	hasCrashes := false
 	f.mu.Lock()
 	absentSince := time.Now()
 	if f.isRelisting {
@@ -154,6 +163,7 @@
 	}
 	f.mu.Unlock()
 	for _, entry := range o.Entries {
+		hasCrashes = hasCrashes || entry.Key == crashesKey
 		if f.handleOwnEntry(entry, true) {
 			vms[identifier.VM(strings.TrimPrefix(entry.Key, rosterPrefix))] = true
 			continue
@@ -165,6 +175,9 @@
 			runners = append(runners, d.Runner)
 		}
 	}
+	if !hasCrashes {
+		f.stepIsolation(isolator.RecordRead{Era: o.Era, IsMissing: true})
+	}
 	f.stepView(tracker.Listed{Runners: runners})
 	f.mu.Lock()
 	f.roster.retain(absentSince, vms)
@@ -195,6 +208,10 @@
 		f.handleOrder(entry, isListed)
 		return true
 	}
+	if entry.Key == crashesKey {
+		f.handleCrashes(entry)
+		return true
+	}
 	if !strings.HasPrefix(entry.Key, rosterPrefix) {
 		return false
 	}
@@ -299,6 +316,7 @@
 // time limit.
 func (f *Fleet) Wake() {
 	f.stepView(tracker.Wake{})
+	f.stepIsolation(isolator.Wake{})
 	f.mu.Lock()
 	f.budget.SetVMs(f.roster.count(time.Now()))
 	f.mu.Unlock()
--- a/router/passage.go
+++ b/router/passage.go
@@ -48,6 +48,8 @@
 	answer *Answer
 	// run is the run that returned answer.
 	run attempter.Run
+	// runStartedAt is when run was sent.
+	runStartedAt time.Time
 	// reservedAt and prefilledAt are the engines of the last Reserve and
 	// Prefill calls.
 	reservedAt, prefilledAt tracker.Runner
@@ -209,6 +211,7 @@
 func (p *proxiedRequest) send(ctx context.Context, o attempter.Run) attempter.Event {
 	p.run = o
 	sent := time.Now()
+	p.runStartedAt = sent
 	load := tracker.Load{DecodeTokens: p.job.Input + p.job.Output}
 	ctx, cancel := context.WithCancel(ctx)
 	headTimer := startTimer(o.Limit, cancel)
@@ -221,6 +224,9 @@
 	if err != nil {
 		cancel()
 		p.removeLoad(o.To, load)
+		if driver.KindOf(err) == driver.KindUnknown && isClosedByPeer(err) {
+			p.fleet.recordBroken(p.job, o, 0)
+		}
 		if o.Source != nil && driver.KindOf(err) == driver.KindFull {
 			p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
 				view.RecordDroppedHandle(now, o.Source.Runner)
--- a/router/roster.go
+++ b/router/roster.go
@@ -15,6 +15,7 @@
 const (
 	rosterPrefix = "figtrack/vms/"
 	ordersKey    = "figtrack/orders"
+	crashesKey   = "figtrack/crashes"
 )
 
 // departedRetention is how long a VM that left the roster still counts for the
