Count only streams that ended within 0.3 s of their first event

The time before the first event depends on queues and no longer counts. The record has room for 128 traits, as one crash of many engines at once adds as many.

--- a/isolator/event.go
+++ b/isolator/event.go
@@ -38,8 +38,8 @@
 type RunBroken struct {
 	Traits []Trait
 	On     Crash
-	// Lived is the time from the start of the run to its last event; zero without
-	// an event.
+	// Lived is the time from the first to the last event of the run; zero without an
+	// event.
 	Lived time.Duration
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -21,7 +21,7 @@
 const (
 	// MaxSuspectLife is the longest life of a run that counts against its traits:
 	// the engine crashes when it begins to write the answer.
-	MaxSuspectLife = time.Second
+	MaxSuspectLife = 300 * time.Millisecond
 	// SurvivorTime is how long a whole answer shows at least that its traits crash
 	// no engine.
 	SurvivorTime = 10 * time.Second
@@ -30,7 +30,7 @@
 	// RetryInterval is the time from a failed write to the next one.
 	RetryInterval = 250 * time.Millisecond
 	// MaxSuspects is the most suspects in the record.
-	MaxSuspects = 64
+	MaxSuspects = 128
 	// MaxCrashes is the most crashes of a suspect in the record.
 	MaxCrashes = 32
 	// maxSurvivors is the most traits that are remembered as survivors for one
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -64,7 +64,7 @@
 			{4, isolator.Written{Version: 4, Era: 1}},
 		}},
 		{"several runs on one engine are one crash", []step{{0, broken(1, "a")}, {1, broken(1, "a")}, {2, broken(1, "a")}}},
-		{"a run that lived doesn't count", []step{{0, isolator.RunBroken{Traits: []isolator.Trait{"a"}, On: crash(1), Lived: time.Second}}}},
+		{"a run that lived doesn't count", []step{{0, isolator.RunBroken{Traits: []isolator.Trait{"a"}, On: crash(1), Lived: isolator.MaxSuspectLife}}}},
 		{"a whole answer shows that its traits crash no engine, for a time", []step{
 			{0, completed("a")}, {1, broken(1, "a")}, {25 * time.Second, broken(1, "a")},
 		}},
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -60,7 +60,7 @@
 			return view.RecordAnswer(p.run.To, true, 0)
 		})
 		if isClosedByPeer(err) {
-			p.fleet.recordBroken(p.job, p.run, max(0, p.lastPartAt.Sub(p.runStartedAt)))
+			p.fleet.recordBroken(p.job, p.run, p.runLife())
 		}
 		return attempter.Broken{LastEvent: p.splitter.LastID(), Begun: p.headSent}
 	}
@@ -144,9 +144,20 @@
 	return nil
 }
 
+// runLife returns the time from the first to the last part of run's answer.
+func (p *proxiedRequest) runLife() time.Duration {
+	if p.runBeganAt.IsZero() {
+		return 0
+	}
+	return p.lastPartAt.Sub(p.runBeganAt)
+}
+
 // recordGap updates the longest pause between two parts of a stream.
 func (p *proxiedRequest) recordGap() {
 	now := time.Now()
+	if p.runBeganAt.IsZero() {
+		p.runBeganAt = now
+	}
 	if !p.lastPartAt.IsZero() {
 		p.longestGap = max(p.longestGap, now.Sub(p.lastPartAt))
 	}
--- a/router/passage.go
+++ b/router/passage.go
@@ -48,8 +48,8 @@
 	answer *Answer
 	// run is the run that returned answer.
 	run attempter.Run
-	// runStartedAt is when run was sent.
-	runStartedAt time.Time
+	// runBeganAt is when the first part of run's answer was read; zero before.
+	runBeganAt time.Time
 	// reservedAt and prefilledAt are the engines of the last Reserve and
 	// Prefill calls.
 	reservedAt, prefilledAt tracker.Runner
@@ -211,7 +211,7 @@
 func (p *proxiedRequest) send(ctx context.Context, o attempter.Run) attempter.Event {
 	p.run = o
 	sent := time.Now()
-	p.runStartedAt = sent
+	p.runBeganAt = time.Time{}
 	load := tracker.Load{DecodeTokens: p.job.Input + p.job.Output}
 	ctx, cancel := context.WithCancel(ctx)
 	headTimer := startTimer(o.Limit, cancel)
