Count no crash of an engine that answers a later call

A crash is void now if its engine answers a call that any VM began after it knew of the crash, within 2 s, as an engine that ended may be back under its id later.

--- a/isolator/event.go
+++ b/isolator/event.go
@@ -46,6 +46,14 @@
 // RunCompleted reports that a run with these traits was answered whole.
 type RunCompleted struct{ Traits []Trait }
 
+// EngineAnswered reports an answer of an engine, of whatever kind, to a call that
+// began at SentAt. An engine that answers a later call has not crashed: its
+// connection was closed for another reason.
+type EngineAnswered struct {
+	By     Crash
+	SentAt time.Time
+}
+
 // RecordRead carries the shared record as it is in the store.
 type RecordRead struct {
 	Record Record
@@ -72,13 +80,14 @@
 // Wake reports that time has passed.
 type Wake struct{}
 
-func (RunBroken) event()    {}
-func (RunCompleted) event() {}
-func (RecordRead) event()   {}
-func (Written) event()      {}
-func (Conflicted) event()   {}
-func (WriteFailed) event()  {}
-func (Wake) event()         {}
+func (RunBroken) event()      {}
+func (RunCompleted) event()   {}
+func (EngineAnswered) event() {}
+func (RecordRead) event()     {}
+func (Written) event()        {}
+func (Conflicted) event()     {}
+func (WriteFailed) event()    {}
+func (Wake) event()           {}
 
 // Outcome is what a Step has led to. Only this package implements it.
 type Outcome interface{ outcome() }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -25,6 +25,9 @@
 	// SurvivorTime is how long a whole answer shows at least that its traits crash
 	// no engine.
 	SurvivorTime = 10 * time.Second
+	// MaxAliveDelay is how long after a crash was known an answer of the engine still
+	// shows that it was none. Later, a new process may have the engine's id.
+	MaxAliveDelay = 2 * time.Second
 	// SuspectTTL is how long a trait stays suspect after its last crash.
 	SuspectTTL = time.Hour
 	// RetryInterval is the time from a failed write to the next one.
@@ -50,6 +53,10 @@
 	// that are no longer suspect.
 	added   map[Trait]Suspect
 	removed map[Trait]bool
+	// knownSince is when this VM first knew of each crash of a suspect; voided holds
+	// the crashes in shared that have turned out to be none.
+	knownSince map[Crash]time.Time
+	voided     map[Crash]bool
 	// changedAt is when the crashes of each suspect last changed.
 	changedAt map[Trait]time.Time
 	// survivors and formerSurvivors hold the traits of whole answers in the
@@ -72,7 +79,7 @@
 	return &Core{
 		shared: map[Trait]Suspect{}, added: map[Trait]Suspect{}, removed: map[Trait]bool{},
 		changedAt: map[Trait]time.Time{}, survivors: map[Trait]bool{}, blocked: map[Trait]int{},
-		isMissing: true,
+		knownSince: map[Crash]time.Time{}, voided: map[Crash]bool{}, isMissing: true,
 	}
 }
 
@@ -98,6 +105,8 @@
 		c.handleBroken(now, e)
 	case RunCompleted:
 		c.handleCompleted(now, e)
+	case EngineAnswered:
+		c.handleAnswered(e)
 	case RecordRead:
 		c.handleRead(now, e)
 	case Written:
@@ -141,6 +150,7 @@
 		c.added[t] = Suspect{t, depth, append(slices.Clone(s.Crashes), e.On)}
 		delete(c.removed, t)
 		c.changedAt[t], c.isChanged = now, true
+		c.recordKnown(now, e.On)
 		c.emit(Suspected{t, e.On, len(known.Crashes) + 1})
 	}
 }
@@ -155,6 +165,23 @@
 	}
 }
 
+func (c *Core) recordKnown(now time.Time, crash Crash) {
+	if _, ok := c.knownSince[crash]; !ok {
+		c.knownSince[crash] = now
+	}
+}
+
+func (c *Core) handleAnswered(e EngineAnswered) {
+	since, isKnown := c.knownSince[e.By]
+	if !isKnown || !e.SentAt.After(since) || e.SentAt.Sub(since) > MaxAliveDelay {
+		return
+	}
+	delete(c.knownSince, e.By)
+	c.isChanged = true
+	c.voided[e.By] = true
+	c.setShared(c.shared)
+}
+
 // clear removes a trait from the suspects.
 func (c *Core) clear(t Trait) {
 	if len(c.effective(t).Crashes) == 0 {
@@ -197,6 +224,9 @@
 		if len(s.Crashes) > len(former[t].Crashes) {
 			c.changedAt[t] = now
 		}
+		for _, crash := range s.Crashes {
+			c.recordKnown(now, crash)
+		}
 		if c.survivors[t] || c.formerSurvivors[t] {
 			c.clear(t)
 		}
@@ -223,12 +253,20 @@
 			delete(c.removed, t)
 		}
 	}
+	inShared := map[Crash]bool{}
+	for _, s := range shared {
+		for _, crash := range s.Crashes {
+			inShared[crash] = true
+		}
+	}
 	for t, s := range c.added {
-		s.Crashes = slices.DeleteFunc(s.Crashes, func(one Crash) bool { return slices.Contains(shared[t].Crashes, one) })
+		s.Crashes = slices.DeleteFunc(s.Crashes, func(one Crash) bool { return c.voided[one] || slices.Contains(shared[t].Crashes, one) })
 		if c.added[t] = s; len(s.Crashes) == 0 {
 			delete(c.added, t)
 		}
 	}
+	maps.DeleteFunc(c.voided, func(crash Crash, _ bool) bool { return !inShared[crash] })
+	maps.DeleteFunc(c.knownSince, func(crash Crash, _ time.Time) bool { return !inShared[crash] && !c.isAdded(crash) })
 	for t := range c.changedAt {
 		if len(c.effective(t).Crashes) == 0 {
 			delete(c.changedAt, t)
@@ -236,12 +274,22 @@
 	}
 }
 
+func (c *Core) isAdded(crash Crash) bool {
+	for _, s := range c.added {
+		if slices.Contains(s.Crashes, crash) {
+			return true
+		}
+	}
+	return false
+}
+
 // effective returns what is known of a trait; without crashes if it isn't suspect.
 func (c *Core) effective(t Trait) Suspect {
 	s, isShared := c.shared[t]
 	if c.removed[t] {
 		s, isShared = Suspect{}, false
 	}
+	s.Crashes = slices.DeleteFunc(slices.Clone(s.Crashes), func(one Crash) bool { return c.voided[one] })
 	added, isAdded := c.added[t]
 	if !isAdded {
 		return s
@@ -249,7 +297,7 @@
 	if !isShared {
 		return added
 	}
-	s.Crashes = append(slices.Clone(s.Crashes), added.Crashes...)
+	s.Crashes = append(s.Crashes, added.Crashes...)
 	return s
 }
 
@@ -302,9 +350,11 @@
 	c.blocked, c.isChanged = blocked, false
 }
 
+func (c *Core) isWriteDue() bool { return len(c.added)+len(c.removed)+len(c.voided) > 0 }
+
 // startWrite asks for a write if the record in the store lacks a change.
 func (c *Core) startWrite(now time.Time) {
-	if c.writing != nil || now.Before(c.retryAt) || len(c.added) == 0 && len(c.removed) == 0 {
+	if c.writing != nil || now.Before(c.retryAt) || !c.isWriteDue() {
 		return
 	}
 	r := c.record()
@@ -314,7 +364,7 @@
 			delete(c.added, t) // The record has no room for it.
 		}
 	}
-	if len(c.added) == 0 && len(c.removed) == 0 {
+	if !c.isWriteDue() {
 		return
 	}
 	c.writing = next
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -84,6 +84,22 @@
 		{"the report of a prefix that comes first blocks nothing", []step{{0, record(5, 1, suspect("a", 0, 1, 2, 3), suspect("b", 1, 1, 2))}}},
 		{"a prefix that explains more crashes is blocked instead", []step{{0, record(5, 1, suspect("a", 0, 1, 2, 3, 4, 5, 6), suspect("b", 1, 1, 2, 3))}}},
 		{"a trait that explains more crashes goes before a deeper one", []step{{0, record(5, 1, suspect("b", 1, 1, 2, 3, 4), suspect("c", 2, 1, 2))}}},
+		{"an engine that answers a later call has not crashed", []step{
+			{0, missing(1)},
+			{1, broken(1, "a")},
+			{2, isolator.Written{Version: 3, Era: 1}},
+			{3, isolator.EngineAnswered{By: crash(1), SentAt: start}},
+			{4, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(2)}},
+			{5, isolator.Written{Version: 4, Era: 1}},
+			{6, broken(2, "a")},
+		}},
+		{"a new process with the engine's id says nothing of the crash", []step{
+			{0, missing(1)}, {1, broken(1, "a")}, {2, isolator.Written{Version: 3, Era: 1}},
+			{3 * time.Second, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(3 * time.Second)}},
+		}},
+		{"the crash that another VM reported is none either", []step{
+			{0, record(5, 1, suspect("a", 0, 1, 2, 3))}, {1, isolator.EngineAnswered{By: crash(2), SentAt: start.Add(1)}}, {2, isolator.Written{Version: 6, Era: 1}},
+		}},
 		{"a failed write is repeated later", []step{
 			{0, broken(1, "a")}, {1, isolator.WriteFailed{}}, {2, isolator.Wake{}}, {time.Second, isolator.Wake{}},
 		}},
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -16,6 +16,7 @@
 	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/looper"
+	"github.com/figtrack/figtrack/tracker"
 	"github.com/figtrack/figtrack/wire"
 )
 
@@ -69,6 +70,11 @@
 	}
 }
 
+// recordAnswered records that a runner answered a call that began at sentAt.
+func (f *Fleet) recordAnswered(by tracker.Runner, sentAt time.Time) {
+	f.stepIsolation(isolator.EngineAnswered{By: isolator.Crash{Upstream: by.ID, Start: by.Start}, SentAt: sentAt})
+}
+
 // stepIsolation passes an event to the isolation and performs its outcomes.
 func (f *Fleet) stepIsolation(e isolator.Event) {
 	f.mu.Lock()
--- a/router/passage.go
+++ b/router/passage.go
@@ -319,6 +319,9 @@
 		Dur("Took", took).
 		AnErr("Error", err).
 		Msg("Called")
+	if p.job.NeedsEngine && (err == nil || driver.KindOf(err) == driver.KindFull) {
+		p.fleet.recordAnswered(to, began)
+	}
 	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
 		return applyCallResult(now, view, to, call != callReserve, err, took)
 	})
