Bound answers that have no end

Runners in trouble may send bytes without end, in a head or a body. A VM read 10 MB of a head before it gave up, for each such call, and has 134 MB for all its requests; an unframed or chunked body was passed on for as long as the caller waited.

Heads are bounded to 64 KB in the clients of runners, engines, services and the store, answers without a length to 16 MB; a longer answer is broken off. An answer with a length is bounded by it. On figtrack's own interface the body of a plain service is bounded by the time of its call alone.

--- a/poster/poster.go
+++ b/poster/poster.go
@@ -27,6 +27,8 @@
 	// maxIdlePerHost is the maximum number of unused connections that are kept per
 	// host.
 	maxIdlePerHost = 64
+	// maxHeadBytes bounds the head of a reply.
+	maxHeadBytes = 64 << 10
 	// maxDrainBytes bounds the unread part of a reply that DrainBody reads so
 	// that the connection can be reused.
 	maxDrainBytes = 4 << 10
@@ -41,6 +43,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -168,8 +168,12 @@
 // returns.
 func (p *proxiedRequest) relayBytes(a *Answer, filter func([]byte) []byte) error {
 	buffer := make([]byte, readBufferBytes)
+	read := 0
 	for {
 		n, err := a.Body.Read(buffer)
+		if read += n; read > maxUnboundedBytes && a.Framing != FramingLength {
+			return errors.Errorf("the answer is longer than %d bytes and announces no length", maxUnboundedBytes)
+		}
 		if part := filter(buffer[:n]); len(part) > 0 {
 			if err := p.beginAnswer(a); err != nil {
 				return err
--- a/router/passage.go
+++ b/router/passage.go
@@ -21,6 +21,10 @@
 	// read to its end before it is passed on, so that the request can be run
 	// again if the answer breaks off.
 	maxBufferedBytes = 64 << 10
+	// maxUnboundedBytes is the size above which an answer that announces no length
+	// is cut off: a faulty runner may send bytes without end. Streams of the
+	// stated sites stay below 100 KB.
+	maxUnboundedBytes = 16 << 20
 	// readBufferBytes is the size of one read of an answer.
 	readBufferBytes = 16 << 10
 	// cleanupTimeout bounds the calls that release memory; the runner drops an
--- a/server/server.go
+++ b/server/server.go
@@ -176,6 +176,9 @@
 	maxIdleConnsPerUpstream = 64
 	// idleConnTimeout is how long an idle connection to an upstream is kept.
 	idleConnTimeout = 90 * time.Second
+	// maxHeadBytes bounds the head of an upstream's answer: a faulty upstream may
+	// send bytes without end.
+	maxHeadBytes = 64 << 10
 )
 
 func (n Dependencies) newTransport(disableKeepAlives bool) *http.Transport {
@@ -185,6 +188,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
