Don't wait for the body of a failure that is not passed on

A runner that answered 500 and then sent nothing of the announced body held a request that may be repeated until its deadline, as the body is read so that the connection can be reused: the caller got 504 in place of the other runner's answer. The read is given up after 20 ms, and the connection is closed.

--- a/router/passage.go
+++ b/router/passage.go
@@ -239,6 +239,7 @@
 		}
 		return failedEvent(err)
 	}
+	answer.Cancel = cancel
 	answer.Body = &closeHook{ReadCloser: answer.Body, onClose: func() {
 		cancel()
 		p.removeLoad(o.To, load)
@@ -251,11 +252,17 @@
 	return attempter.Answered{Status: answer.Status}
 }
 
+// drainTimeout bounds the read of an answer that is not passed on: the request goes
+// on only afterwards.
+const drainTimeout = 20 * time.Millisecond
+
 // drainBody reads a short answer that is not passed on, so that its connection
 // can be reused, and closes it.
 func drainBody(a *Answer) {
 	if a.Length >= 0 && a.Length <= maxBufferedBytes {
+		limit := time.AfterFunc(drainTimeout, a.Cancel)
 		_, _ = io.Copy(io.Discard, a.Body) // After an error the connection is not reused.
+		limit.Stop()
 	}
 	a.Body.Close()
 }
--- a/router/request.go
+++ b/router/request.go
@@ -131,6 +131,8 @@
 	Length  int64
 	Framing Framing
 	Body    io.ReadCloser
+	// Cancel ends the call, and with it a read of the body. The router sets it.
+	Cancel context.CancelFunc
 }
 
 func (a *Answer) isSuccess() bool {
