Give a restarted VM no allowance of retries for one window

The allowance now counts from one window after the start; the ratio of the VM's own requests from the start. A prefill, which is charged only if it is refused, may be risked on the allowance from the start, else a fleet that restarts would have its first prompts read by decode engines.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -37,8 +37,8 @@
 type Budget struct {
 	cfg   Settings
 	pools map[identifier.Pool]*window
-	// startedAt is the time of the first use. Ticks are counted from it, not
-	// from the time of day, which may jump.
+	// startedAt is when the VM started. Ticks are counted from it, not from the time
+	// of day, which may jump.
 	startedAt time.Time
 	// vms is the number of VMs that share the allowance; at least 1.
 	vms int
@@ -50,9 +50,11 @@
 	requests, extraSends [windowBuckets]float64
 }
 
-// New returns a budget with nothing charged, for a fleet of vms VMs.
-func New(cfg Settings, vms int) *Budget {
-	return &Budget{cfg: cfg, pools: map[identifier.Pool]*window{}, vms: max(vms, 1)}
+// New returns a budget with nothing charged, for a fleet of vms VMs. It allows no
+// part of the allowance in the first window after startedAt: an earlier process of
+// this VM may have spent it just before.
+func New(cfg Settings, vms int, startedAt time.Time) *Budget {
+	return &Budget{cfg: cfg, pools: map[identifier.Pool]*window{}, startedAt: startedAt, vms: max(vms, 1)}
 }
 
 // SetVMs sets the number of VMs that share the allowance.
@@ -68,7 +70,7 @@
 // window's limit is reached.
 func (b *Budget) TryCharge(now time.Time, pool identifier.Pool) bool {
 	w := b.window(now, pool)
-	if b.left(w) < 1 {
+	if b.left(now, w) < 1 {
 		return false
 	}
 	w.extraSends[w.newestTick%windowBuckets]++
@@ -84,22 +86,30 @@
 
 // Left returns the number of extra sends that the window still allows.
 func (b *Budget) Left(now time.Time, pool identifier.Pool) float64 {
-	return b.left(b.window(now, pool))
+	return b.left(now, b.window(now, pool))
 }
 
-func (b *Budget) left(w *window) float64 {
+// CanRisk reports whether a send may be made that is charged only if it is refused.
+// Few are, so that the allowance counts from the start of the VM.
+func (b *Budget) CanRisk(now time.Time, pool identifier.Pool) bool {
+	w := b.window(now, pool)
+	return b.left(b.startedAt.Add(b.cfg.Window), w) >= 1
+}
+
+func (b *Budget) left(now time.Time, w *window) float64 {
 	var requests, extra float64
 	for i := range windowBuckets {
 		requests += w.requests[i]
 		extra += w.extraSends[i]
 	}
-	return spendShare*(b.cfg.Ratio*requests+b.cfg.Allowance/float64(b.vms)) - extra
+	allowance := 0.0
+	if now.Sub(b.startedAt) >= b.cfg.Window {
+		allowance = b.cfg.Allowance / float64(b.vms)
+	}
+	return spendShare*(b.cfg.Ratio*requests+allowance) - extra
 }
 
 func (b *Budget) window(now time.Time, pool identifier.Pool) *window {
-	if b.startedAt.IsZero() {
-		b.startedAt = now
-	}
 	tick := int64(now.Sub(b.startedAt)) / max(int64(b.cfg.Window)/(windowBuckets-1), 1)
 	w := b.pools[pool]
 	if w == nil {
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -18,7 +18,7 @@
 func TestAllowanceIsDividedByVMs(t *testing.T) {
 	g := NewWithT(t)
 	taken := func(vms int) int {
-		b := budgeter.New(cfg, vms)
+		b := budgeter.New(cfg, vms, start.Add(-cfg.Window))
 		n := 0
 		for b.TryCharge(start, "desk") {
 			n++
@@ -30,13 +30,25 @@
 	g.Expect(taken(400)).To(BeZero())
 }
 
+func TestRestartedVMHasNoAllowanceForAWindow(t *testing.T) {
+	g := NewWithT(t)
+	b := budgeter.New(cfg, 6, start)
+	g.Expect(b.TryCharge(start.Add(cfg.Window-1), "desk")).To(BeFalse())
+	g.Expect(b.CanRisk(start.Add(cfg.Window-1), "desk")).To(BeTrue())
+	for range 10 {
+		b.CountRequest(start.Add(cfg.Window-1), "desk")
+	}
+	g.Expect(b.TryCharge(start.Add(cfg.Window-1), "desk")).To(BeTrue())
+	g.Expect(b.TryCharge(start.Add(cfg.Window), "desk")).To(BeTrue())
+}
+
 func init() { _ = flag.Set("rapid.seed", "31") }
 
 // TestNoWindowIsOverspent checks, for random sequences of requests and sends,
 // that no interval of the window's length exceeds the limit.
 func TestNoWindowIsOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := budgeter.New(cfg, 1)
+		b := budgeter.New(cfg, 1, start.Add(-cfg.Window))
 		now := start
 		var requests, extra []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -365,7 +365,7 @@
 func (f *Fleet) ChoosePrefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.budget.Left(now, pool) < 1 {
+	if !f.budget.CanRisk(now, pool) {
 		return tracker.Runner{}, false // A refused call is charged afterwards and would exceed the budget.
 	}
 	return f.view.Prefill(now, pool, near, without)
