Send nothing new to a runner that says in an answer that it leaves

The new test failed for plain services, decode and prefill engines. platform reads it from answers of any kind, but not from a misdirected one, which is another runner's, and tracker keeps it for that start: later entries, an entry that is removed and written again and a new address change nothing.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -76,10 +76,12 @@
 
 // NewFleet returns a fleet without a configuration or any upstreams.
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, metrics *Metrics, log zerolog.Logger) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		reader: reader, runners: runners, view: view, budget: budget, metrics: metrics, log: log, roster: newRoster(), tokenMeans: map[identifier.Pool]*tokenMeans{},
 		isolation: isolator.New(), crashRecords: make(chan isolator.Write, 1),
 	}
+	runners.SetListener(f)
+	return f
 }
 
 // Gauges returns the gauges of the view's age and of the remaining retry
@@ -322,6 +324,11 @@
 	f.mu.Unlock()
 }
 
+// HandleLeaving implements AnnouncementListener.
+func (f *Fleet) HandleLeaving(r tracker.Runner) {
+	f.updateView(func(_ time.Time, view *tracker.Tracker) []tracker.Change { return view.RecordLeaving(r) })
+}
+
 // handleChanges logs changes of the view and closes the idle connections to
 // runners that have left.
 func (f *Fleet) handleChanges(changes []tracker.Change) {
@@ -330,7 +337,7 @@
 		case tracker.Joined:
 			f.logRunner(c.Runner).Str("Role", string(c.Runner.Role)).Str("Address", c.Runner.Address).Msg("RunnerJoined")
 		case tracker.Left:
-			f.logRunner(c.Runner).Msg("RunnerLeaving")
+			f.logRunner(c.Runner).Str("Source", string(c.Source)).Msg("RunnerLeaving")
 			f.runners.Forget(c.Runner)
 		case tracker.Missing:
 			f.logRunner(c.Runner).Time("Until", c.Until).Msg("RunnerMissing")
--- a/router/request.go
+++ b/router/request.go
@@ -165,4 +165,13 @@
 	Order(ctx context.Context, to tracker.Runner, role identifier.Role, holder identifier.VM, fence identifier.Fence) error
 	// Forget closes the idle connections to a runner.
 	Forget(r tracker.Runner)
+	// SetListener sets what is told of announcements. It is called once, before any
+	// other call.
+	SetListener(l AnnouncementListener)
+}
+
+// AnnouncementListener is told what runners announce in answers of any kind.
+type AnnouncementListener interface {
+	// HandleLeaving is called when a runner says that it takes no new requests.
+	HandleLeaving(r tracker.Runner)
 }
--- a/tracker/ledger.go
+++ b/tracker/ledger.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// RecordLeaving records that a runner has said in an answer that it leaves. That
+// holds for this start of the runner, whatever its entry says.
+func (t *Tracker) RecordLeaving(r Runner) []Change {
+	u := t.current(r)
+	if u == nil || u.Leaving {
+		return nil
+	}
+	u.Leaving = true
+	return []Change{Left{u.Runner, LeavingByAnswer}}
+}
+
 // RemoveMisdirected removes a runner whose address now belongs to another one.
 func (t *Tracker) RemoveMisdirected(r Runner) []Change {
 	u := t.current(r)
--- a/tracker/runner.go
+++ b/tracker/runner.go
@@ -42,7 +42,20 @@
 type Joined struct{ Runner Runner }
 
 // Left reports that a runner registered itself as taking no new work.
-type Left struct{ Runner Runner }
+type Left struct {
+	Runner Runner
+	Source LeavingSource
+}
+
+// LeavingSource is where a VM learned that a runner leaves. Its values are logged.
+type LeavingSource string
+
+const (
+	// LeavingByEntry means the runner's entry in the store.
+	LeavingByEntry LeavingSource = "Entry"
+	// LeavingByAnswer means an answer of the runner.
+	LeavingByAnswer LeavingSource = "Answer"
+)
 
 // Missing reports that a runner's entry is absent shortly after an outage of the
 // store. The runner is used until Until, because its entry may come back.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -189,9 +189,12 @@
 	if u != nil {
 		t.remove(u)
 	}
+	if d, ok := t.departed[r.ID]; ok && d.Start == r.Start {
+		r.Leaving = r.Leaving || d.Leaving
+	}
 	t.insert(&upstream{Runner: r})
 	if r.Leaving {
-		t.out = append(t.out, Left{r})
+		t.out = append(t.out, Left{r, LeavingByEntry})
 		return
 	}
 	t.out = append(t.out, Joined{r})
@@ -209,7 +212,7 @@
 	u.Runner = r
 	t.setMissing(u, time.Time{})
 	if left {
-		t.out = append(t.out, Left{r})
+		t.out = append(t.out, Left{r, LeavingByEntry})
 	}
 }
 
