Send nothing to a runner for as long as it asks for

The header was not read. The new tests failed for plain services, decode and prefill engines: the runner got requests all along, and with all runners paused callers were told to come back in 0.3 s.

tracker passes over a paused runner, also for orders; a prefilled stream whose engine is paused in the meantime goes to another one with its cache; releases, which runners don't need, are not sent. If all runners of a pool are paused for longer than a request waits, it is refused at once with the time that is left, spread over half a second. After a pause one request tries the runner first, for half a second at most. Pauses are measured by the monotonic clock, belong to one start of a runner, and are bounded to five minutes; what isn't a positive number of seconds is a plain refusal and is logged.

timeline now tells pauses and blocked traits.

--- a/accounter/accounter.go
+++ b/accounter/accounter.go
@@ -171,7 +171,7 @@
 	switch reason {
 	case "NoMemory", "Busy":
 		return NoRoom
-	case "NoRunner":
+	case "NoRunner", "Paused":
 		return NoRunner
 	case "RetryBudget", "Attempts":
 		return BudgetEmpty
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -30,6 +30,10 @@
 	// blockedFrom is the time after the start from which blockedTrait is blocked;
 	// zero for never.
 	blockedFrom time.Duration
+	// paused holds the runners that are paused between two times after the start. If
+	// empty is set too, all are.
+	paused                  []identifier.Upstream
+	pausedFrom, pausedUntil time.Duration
 }
 
 func runner(id string, role identifier.Role) tracker.Runner {
@@ -64,14 +68,27 @@
 	return firstOf(f.usable(identifier.RolePrefill, without, "p1", "p2"))
 }
 
-func (f *fleet) ChooseDecode(_ time.Time, _ identifier.Pool, _ identifier.Tokens, without tracker.Without) (tracker.Runner, bool) {
-	return firstOf(f.usable(identifier.RoleDecode, without, "d1", "d2", "d3"))
+func (f *fleet) ChooseDecode(now time.Time, _ identifier.Pool, _ identifier.Tokens, without tracker.Without) (tracker.Runner, bool) {
+	engines := f.usable(identifier.RoleDecode, without, "d1", "d2", "d3")
+	return firstOf(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.IsPaused(now, r) }))
 }
 
 func (f *fleet) TryCharge(time.Time, identifier.Pool) bool { return !f.spent }
 
 func (f *fleet) Charge(time.Time, identifier.Pool) {}
 
+func (f *fleet) IsPaused(now time.Time, r tracker.Runner) bool {
+	at := now.Sub(start)
+	return at >= f.pausedFrom && at < f.pausedUntil && slices.Contains(f.paused, r.ID)
+}
+
+func (f *fleet) PauseLeft(now time.Time, _ identifier.Pool) time.Duration {
+	if !f.empty {
+		return 0
+	}
+	return max(0, start.Add(f.pausedUntil).Sub(now))
+}
+
 const blockedTrait isolator.Trait = "5c1e"
 
 func (f *fleet) BlockedFor(now time.Time, traits []isolator.Trait) time.Duration {
@@ -202,6 +219,18 @@
 		{ms(110), ok},
 		{ms(200), attempter.Broken{}},
 	}},
+	{"a stream whose engine is paused in the meantime goes to another one, with its cache", stream(false), fleet{paused: []identifier.Upstream{"d1"}, pausedFrom: ms(50), pausedUntil: ms(1000)}, []step{
+		{0, attempter.Begin{}},
+		{ms(1), attempter.Reserved{Hold: "h"}},
+		{ms(2), attempter.Reserved{Hold: "i"}},
+		{ms(100), attempter.Prefilled{Handle: "k"}},
+		{ms(101), attempter.Reserved{Hold: "j"}},
+		{ms(102), attempter.Reserved{Hold: "l"}},
+		{ms(110), ok},
+	}},
+	{"a stream is refused at once if all engines are paused for longer than it waits", stream(false), fleet{empty: true, pausedUntil: ms(1000)}, []step{{0, attempter.Begin{}}}},
+	{"a stream waits for an engine whose pause ends soon", stream(false), fleet{empty: true, pausedUntil: ms(50)}, []step{{0, attempter.Begin{}}, {ms(25), attempter.Rested{}}}},
+	{"a payment is refused at once if all runners are paused", plain(false), fleet{empty: true, pausedUntil: ms(1000)}, []step{{0, attempter.Begin{}}}},
 	{"a payment whose answer is lost is not sent again", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), lost}}},
 	{"a payment that was refused goes elsewhere", plain(false), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(1), notRun}, {ms(2), leaving}, {ms(3), full},
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -168,6 +168,8 @@
 	// ReasonBusy means that the request was sent MaxSends times and the last
 	// runner refused it.
 	ReasonBusy Reason = "Busy"
+	// ReasonPaused means that all runners of the pool asked for a pause.
+	ReasonPaused Reason = "Paused"
 	// ReasonBudget means that the retry budget allows no further send.
 	ReasonBudget Reason = "RetryBudget"
 	// ReasonAttempts means that the route allows no further run.
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -19,13 +19,20 @@
 	}
 	r, ok := c.choosePlain(now)
 	if !ok {
-		c.giveUp(now, ReasonNoRunner)
+		c.giveUp(now, c.reasonWithoutRunner(now))
 		return
 	}
 	c.runner = r
 	c.run(now)
 }
 
+func (c *Core) reasonWithoutRunner(now time.Time) Reason {
+	if c.fleet.PauseLeft(now, c.job.Pool) > 0 {
+		return ReasonPaused
+	}
+	return ReasonNoRunner
+}
+
 // choosePlain chooses a plain service. After a server error it falls back to
 // services that have already failed if there is no other.
 func (c *Core) choosePlain(now time.Time) (tracker.Runner, bool) {
@@ -60,6 +67,10 @@
 		}
 		c.slack = 0
 	}
+	if c.fleet.PauseLeft(now, c.job.Pool) > c.waitUntil.Sub(now) {
+		c.giveUp(now, ReasonPaused)
+		return
+	}
 	c.phase = phaseResting
 	c.emit(Rest{min(ReservePause, c.waitUntil.Sub(now))})
 }
@@ -76,9 +87,24 @@
 		return
 	}
 	c.hold = hold
+	if c.source != nil {
+		c.run(now)
+		return
+	}
 	c.prefill(now)
 }
 
+// replacePaused looks for another runner, as the chosen one has asked for a pause in
+// the meantime. The KV cache is kept for it.
+func (c *Core) replacePaused(now time.Time) {
+	if c.hold != "" {
+		c.emit(Release{c.runner, c.hold})
+	}
+	c.hold, c.isShrunk, c.reserveTries = "", false, 0
+	c.waitUntil = now.Add(c.memoryWait())
+	c.chooseRunner(now)
+}
+
 // prefill sends the prompt to a prefill engine. If none is usable, or the
 // limit of calls or the retry budget is reached, the decode engine computes the
 // prefill itself.
@@ -103,6 +129,10 @@
 	if c.endBlocked(now) {
 		return
 	}
+	if c.fleet.IsPaused(now, c.runner) {
+		c.replacePaused(now)
+		return
+	}
 	if c.sends > 0 && !c.isCharged && !c.fleet.TryCharge(now, c.job.Pool) {
 		c.giveUp(now, ReasonBudget)
 		return
--- a/explainer/story.go
+++ b/explainer/story.go
@@ -31,12 +31,12 @@
 	Lives bool
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
-	Key, Role, Holder, LastEvent, Until, Framing                 string
+	Key, Role, Holder, LastEvent, Until, Framing, Trait          string
 	Upstreams, Parts                                             []string
 	Kind, DataCentre                                             string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
-	Partial                                                      int
+	Partial, Crashes                                             int
 	Memory, Slots                                                int
 	Took, Left, ViewAge, ComeBack, First, LongestGap, Away       float64
 	Target, Gap                                                  float64
@@ -182,7 +182,7 @@
 		return fmt.Sprintf("stopped, %d answers cut off.", e.Cut)
 	case "ConfigurationInForce":
 		return fmt.Sprintf("configuration %d in force.", e.Revision)
-	case "RunnerJoined", "RunnerLeaving", "RunnerMissing", "RunnerGone", "RunnerSuspected", "RunnerTrusted":
+	case "RunnerJoined", "RunnerLeaving", "RunnerMissing", "RunnerGone", "RunnerSuspected", "RunnerTrusted", "RunnerPaused", "RunnerResumed":
 		text := fmt.Sprintf("runner %s of %s %s (version %d)", e.Upstream, e.Pool, strings.ToLower(strings.TrimPrefix(e.Message, "Runner")), e.Version)
 		if e.Until != "" {
 			text += " until " + e.Until
@@ -191,6 +191,12 @@
 			text += ": " + e.Reason
 		}
 		return text + "."
+	case "TraitSuspected":
+		return fmt.Sprintf("trait %s suspected by a crash of %s, %d in all.", e.Trait, e.Upstream, e.Crashes)
+	case "TraitBlocked":
+		return fmt.Sprintf("requests with trait %s are refused, %d engines crashed on it.", e.Trait, e.Crashes)
+	case "TraitUnblocked":
+		return fmt.Sprintf("requests with trait %s are served again.", e.Trait)
 	case "RosterChanged":
 		if !e.Lives {
 			return fmt.Sprintf("VM %s left the roster, %d VMs.", e.rosterVM(), e.VMs)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,10 @@
 // load, decode memory becomes free several times a second.
 const defaultRetryAfter = 300 * time.Millisecond
 
+// maxPauseSpread bounds the random time that callers come back after the end of a
+// pause.
+const maxPauseSpread = 500 * time.Millisecond
+
 // Reader decodes entries of the store. An error means that the entry can't be
 // used.
 type Reader interface {
@@ -349,6 +354,11 @@
 			f.logRunner(c.Runner).Time("Until", c.Until).Str("Reason", c.Reason).Msg("RunnerSuspected")
 		case tracker.Trusted:
 			f.logRunner(c.Runner).Msg("RunnerTrusted")
+		case tracker.Paused:
+			f.metrics.pauses.Inc()
+			f.logRunner(c.Runner).Time("Until", c.Until).Msg("RunnerPaused")
+		case tracker.Resumed:
+			f.logRunner(c.Runner).Msg("RunnerResumed")
 		}
 	}
 }
@@ -402,8 +412,39 @@
 	f.metrics.retries.WithLabelValues("Counted").Inc()
 }
 
-// RetryAfter implements attempter.Fleet.
-func (f *Fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return defaultRetryAfter }
+// RetryAfter implements attempter.Fleet. Callers that are refused during a pause of
+// all runners come back spread over maxPauseSpread.
+func (f *Fleet) RetryAfter(now time.Time, pool identifier.Pool) time.Duration {
+	left := f.PauseLeft(now, pool)
+	if left <= 0 {
+		return defaultRetryAfter
+	}
+	return left + rand.N(maxPauseSpread)
+}
+
+// PauseLeft implements attempter.Fleet.
+func (f *Fleet) PauseLeft(now time.Time, pool identifier.Pool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.PauseLeft(now, pool)
+}
+
+// IsPaused implements attempter.Fleet.
+func (f *Fleet) IsPaused(now time.Time, r tracker.Runner) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.IsPaused(now, r)
+}
+
+// HandlePause implements AnnouncementListener.
+func (f *Fleet) HandlePause(r tracker.Runner, pause time.Duration) {
+	f.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change { return view.RecordPause(now, r, pause) })
+}
+
+// HandleUnusablePause implements AnnouncementListener.
+func (f *Fleet) HandleUnusablePause(r tracker.Runner, text string) {
+	f.logRunner(r).Str("Text", text).Msg("PauseNotUsable")
+}
 
 func (f *Fleet) recordArrival(now time.Time, job attempter.Job) {
 	f.mu.Lock()
--- a/router/orders.go
+++ b/router/orders.go
@@ -210,9 +210,10 @@
 }
 
 // findRunner returns the runner with an id if it is still the same incarnation
-// and accepts work.
+// and accepts work now.
 func (f *Fleet) findRunner(id identifier.Upstream, start identifier.Incarnation) (tracker.Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Runner(id, start)
+	r, ok := f.view.Runner(id, start)
+	return r, ok && !f.view.IsPaused(time.Now(), r)
 }
--- a/router/passage.go
+++ b/router/passage.go
@@ -161,6 +161,10 @@
 
 func (p *proxiedRequest) reserve(ctx context.Context, o attempter.Reserve) attempter.Event {
 	p.reservedAt = o.To
+	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+		view.BeginTrial(now, o.To)
+		return nil
+	})
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	began := time.Now()
@@ -297,7 +301,8 @@
 func (p *proxiedRequest) timeLeft() time.Duration { return time.Until(p.job.Deadline) }
 
 func (p *proxiedRequest) addLoad(r tracker.Runner, load tracker.Load) {
-	p.fleet.updateView(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
+	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+		view.BeginTrial(now, r)
 		view.BeginCall(r, load)
 		return nil
 	})
@@ -343,7 +348,7 @@
 // without an answer doesn't make the runner suspect.
 func applyCallResult(now time.Time, view *tracker.Tracker, to tracker.Runner, mayBeLong bool, err error, took time.Duration) []tracker.Change {
 	if err == nil {
-		return view.RecordAnswer(to, false, took)
+		return append(view.RecordAccepted(now, to), view.RecordAnswer(to, false, took)...)
 	}
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -362,7 +367,12 @@
 	}
 }
 
+// release and discard make no call to a runner that wants none: it frees what it
+// keeps soon.
 func (p *proxiedRequest) release(o attempter.Release) {
+	if p.fleet.IsPaused(time.Now(), o.To) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 	go func() {
 		defer cancel()
@@ -373,6 +383,9 @@
 }
 
 func (p *proxiedRequest) discard(o attempter.Discard) {
+	if p.fleet.IsPaused(time.Now(), o.Source.Runner) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 	go func() {
 		defer cancel()
--- a/router/request.go
+++ b/router/request.go
@@ -174,4 +174,8 @@
 type AnnouncementListener interface {
 	// HandleLeaving is called when a runner says that it takes no new requests.
 	HandleLeaving(r tracker.Runner)
+	// HandlePause is called when a runner turns a call away and wants none for a time.
+	HandlePause(r tracker.Runner, pause time.Duration)
+	// HandleUnusablePause is called if what it says of that time can't be used.
+	HandleUnusablePause(r tracker.Runner, text string)
 }
--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -44,7 +44,7 @@
 // Plain chooses a runner for a call to a plain service. It returns false if there
 // is none.
 func (t *Tracker) Plain(now time.Time, pool identifier.Pool, without Without) (Runner, bool) {
-	return t.cheapest(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
+	return t.cheapest(now, t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RolePlain {
 			return 0, false
 		}
@@ -64,7 +64,7 @@
 // data centre near. It returns false if each would cost MaxPrefillCost or more;
 // the decode engine then computes the prefill.
 func (t *Tracker) Prefill(now time.Time, pool identifier.Pool, near identifier.DataCentre, without Without) (Runner, bool) {
-	return t.cheapest(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
+	return t.cheapest(now, t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RolePrefill || now.Before(u.roleChangeUntil) {
 			return 0, false
 		}
@@ -87,7 +87,7 @@
 // suspected or change their role are left out, because a failed attempt uses up
 // part of the target.
 func (t *Tracker) Decode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, without Without) (Runner, bool) {
-	return t.cheapest(t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
+	return t.cheapest(now, t.pools[pool], without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RoleDecode || now.Before(u.fullUntil) && tokens >= u.smallestRefused ||
 			now.Before(u.roleChangeUntil) || now.Before(u.suspectUntil) {
 			return 0, false
@@ -121,11 +121,11 @@
 
 // cheapest returns the runner of a pool with the lowest cost; ties are broken
 // at random. cost returns false for a runner that can't be used.
-func (t *Tracker) cheapest(pool []*upstream, without Without, cost func(*upstream) (time.Duration, bool)) (Runner, bool) {
+func (t *Tracker) cheapest(now time.Time, pool []*upstream, without Without, cost func(*upstream) (time.Duration, bool)) (Runner, bool) {
 	var found *upstream
 	var lowest time.Duration
 	for _, u := range pool {
-		if u.Leaving || without[u.ID] {
+		if u.Leaving || without[u.ID] || u.isHeldBack(now) {
 			continue
 		}
 		c, ok := cost(u)
--- /dev/null
+++ b/tracker/pause.go
@@ -0,0 +1,82 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/figtrack/figtrack/identifier"
+)
+
+const (
+	// MaxPause bounds the pause that a runner may ask for.
+	MaxPause = 5 * time.Minute
+	// TrialTimeout is how long the first request after a pause keeps others from the
+	// runner if it gets no answer.
+	TrialTimeout = 500 * time.Millisecond
+)
+
+// RecordPause records that a runner asked this VM to send it nothing for a time. A
+// later, shorter pause doesn't shorten an earlier one.
+func (t *Tracker) RecordPause(now time.Time, r Runner, pause time.Duration) []Change {
+	u := t.current(r)
+	until := now.Add(min(pause, MaxPause))
+	if u == nil || !until.After(u.pausedUntil) {
+		return nil
+	}
+	isNew := !now.Before(u.pausedUntil)
+	u.pausedUntil, u.trialUntil = until, time.Time{}
+	if !isNew {
+		return nil
+	}
+	return []Change{Paused{u.Runner, until}}
+}
+
+// BeginTrial records a request to a runner. After a pause others wait for its answer,
+// so that not all requests return to the runner at once.
+func (t *Tracker) BeginTrial(now time.Time, r Runner) {
+	if u := t.current(r); u != nil && !u.pausedUntil.IsZero() && !now.Before(u.pausedUntil) {
+		u.trialUntil = now.Add(TrialTimeout)
+	}
+}
+
+// RecordAccepted records that a runner has accepted a request, which ends its pause
+// if the time of that is over.
+func (t *Tracker) RecordAccepted(now time.Time, r Runner) []Change {
+	u := t.current(r)
+	if u == nil || u.pausedUntil.IsZero() || now.Before(u.pausedUntil) {
+		return nil
+	}
+	u.pausedUntil, u.trialUntil = time.Time{}, time.Time{}
+	return []Change{Resumed{u.Runner}}
+}
+
+// IsPaused reports whether a runner asked for a pause that isn't over.
+func (t *Tracker) IsPaused(now time.Time, r Runner) bool {
+	u := t.current(r)
+	return u != nil && now.Before(u.pausedUntil)
+}
+
+// PauseLeft returns the time until one of a pool's runners that answer requests may
+// be used again. It is zero if one may be used now, as far as pauses go, or if there is
+// none at all.
+func (t *Tracker) PauseLeft(now time.Time, pool identifier.Pool) time.Duration {
+	least := time.Duration(0)
+	for _, u := range t.pools[pool] {
+		if u.Leaving || u.Role == identifier.RolePrefill {
+			continue
+		}
+		if !u.isHeldBack(now) {
+			return 0
+		}
+		left := max(u.pausedUntil.Sub(now), u.trialUntil.Sub(now))
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// isHeldBack reports whether a runner is paused, or tried by one request after a
+// pause.
+func (u *upstream) isHeldBack(now time.Time) bool {
+	return !u.pausedUntil.IsZero() && (now.Before(u.pausedUntil) || now.Before(u.trialUntil))
+}
--- a/tracker/runner.go
+++ b/tracker/runner.go
@@ -78,6 +78,17 @@
 // Trusted reports that a suspected runner has answered.
 type Trusted struct{ Runner Runner }
 
+// Paused reports that a runner asked this VM to send it nothing until Until.
+type Paused struct {
+	Runner Runner
+	Until  time.Time
+}
+
+// Resumed reports that a runner is used again after a pause.
+type Resumed struct{ Runner Runner }
+
+func (Paused) change()    {}
+func (Resumed) change()   {}
 func (Joined) change()    {}
 func (Left) change()      {}
 func (Missing) change()   {}
