--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -94,7 +94,9 @@
 			{6, broken(2, "a")},
 		}},
 		{"a new process with the engine's id says nothing of the crash", []step{
-			{0, missing(1)}, {1, broken(1, "a")}, {2, isolator.Written{Version: 3, Era: 1}},
+			{0, missing(1)},
+			{1, broken(1, "a")},
+			{2, isolator.Written{Version: 3, Era: 1}},
 			{3 * time.Second, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(3 * time.Second)}},
 		}},
 		{"the crash that another VM reported is none either", []step{
