Don't change the record of a write in progress

Found in reading: the record of a write shared its crashes with the core, which removes voided ones in place while the writer encodes the record. The new test failed: the record had an empty crash.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -295,6 +295,7 @@
 		return s
 	}
 	if !isShared {
+		added.Crashes = slices.Clone(added.Crashes)
 		return added
 	}
 	s.Crashes = append(s.Crashes, added.Crashes...)
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -166,6 +166,18 @@
 	g.Expect(found).To(BeTrue())
 }
 
+// TestWriteInProgressKeepsItsRecord voids a crash while the record that has it is
+// written by another goroutine.
+func TestWriteInProgressKeepsItsRecord(t *testing.T) {
+	g := NewWithT(t)
+	core := isolator.New()
+	core.Step(start, missing(1))
+	outcomes := core.Step(start, broken(1, "a"))
+	w := outcomes[len(outcomes)-1].(isolator.Write)
+	core.Step(start.Add(1), isolator.EngineAnswered{By: crash(1), SentAt: start.Add(1)})
+	g.Expect(w.Record).To(Equal(isolator.Record{suspect("a", 0, 1)}))
+}
+
 // simulated is a fleet of cores that share a record, and their store.
 type simulated struct {
 	cores    []*isolator.Core
