Place a stream again if its engine begins to leave before it is run

A stream whose engine said that it leaves, or whose entry said so, while the prompt was read elsewhere was still run there, and would be cut when the engine ends: it serves for its drain time, streams last for seconds. As for an engine that asks for a pause, the stream goes to another one with its cache.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -112,8 +112,8 @@
 	// BlockedFor returns for how long requests with one of the traits are refused;
 	// zero if they aren't.
 	BlockedFor(now time.Time, traits []isolator.Trait) time.Duration
-	// IsPaused reports whether a runner asked for a pause that isn't over.
-	IsPaused(now time.Time, r tracker.Runner) bool
+	// RefusesNew reports whether a runner leaves, or asked for a pause that isn't over.
+	RefusesNew(now time.Time, r tracker.Runner) bool
 	// PauseLeft returns the time until one of the pool's runners may be used again;
 	// zero unless all of them asked for a pause.
 	PauseLeft(now time.Time, pool identifier.Pool) time.Duration
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -70,14 +70,14 @@
 
 func (f *fleet) ChooseDecode(now time.Time, _ identifier.Pool, _ identifier.Tokens, without tracker.Without) (tracker.Runner, bool) {
 	engines := f.usable(identifier.RoleDecode, without, "d1", "d2", "d3")
-	return firstOf(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.IsPaused(now, r) }))
+	return firstOf(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.RefusesNew(now, r) }))
 }
 
 func (f *fleet) TryCharge(time.Time, identifier.Pool) bool { return !f.spent }
 
 func (f *fleet) Charge(time.Time, identifier.Pool) {}
 
-func (f *fleet) IsPaused(now time.Time, r tracker.Runner) bool {
+func (f *fleet) RefusesNew(now time.Time, r tracker.Runner) bool {
 	at := now.Sub(start)
 	return at >= f.pausedFrom && at < f.pausedUntil && slices.Contains(f.paused, r.ID)
 }
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -94,9 +94,9 @@
 	c.prefill(now)
 }
 
-// replacePaused looks for another runner, as the chosen one has asked for a pause in
-// the meantime. The KV cache is kept for it.
-func (c *Core) replacePaused(now time.Time) {
+// replaceRunner looks for another runner, as the chosen one has asked for a pause or
+// begun to leave in the meantime. The KV cache is kept for it.
+func (c *Core) replaceRunner(now time.Time) {
 	if c.hold != "" {
 		c.emit(Release{c.runner, c.hold})
 	}
@@ -129,8 +129,8 @@
 	if c.endBlocked(now) {
 		return
 	}
-	if c.fleet.IsPaused(now, c.runner) {
-		c.replacePaused(now)
+	if c.fleet.RefusesNew(now, c.runner) {
+		c.replaceRunner(now)
 		return
 	}
 	if c.sends > 0 && !c.isCharged && !c.fleet.TryCharge(now, c.job.Pool) {
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -341,8 +341,9 @@
 // BlockedFor implements attempter.Fleet. No trace has requests that crash engines.
 func (r *routingPolicy) BlockedFor(time.Time, []isolator.Trait) time.Duration { return 0 }
 
-// IsPaused implements attempter.Fleet. No trace has runners that ask for a pause.
-func (r *routingPolicy) IsPaused(time.Time, tracker.Runner) bool { return false }
+// RefusesNew implements attempter.Fleet. No trace has runners that ask for a pause or
+// say that they leave.
+func (r *routingPolicy) RefusesNew(time.Time, tracker.Runner) bool { return false }
 
 // PauseLeft implements attempter.Fleet.
 func (r *routingPolicy) PauseLeft(time.Time, identifier.Pool) time.Duration { return 0 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -429,8 +429,14 @@
 	return f.view.PauseLeft(now, pool)
 }
 
-// IsPaused implements attempter.Fleet.
-func (f *Fleet) IsPaused(now time.Time, r tracker.Runner) bool {
+// RefusesNew implements attempter.Fleet.
+func (f *Fleet) RefusesNew(now time.Time, r tracker.Runner) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.RefusesNew(now, r)
+}
+
+func (f *Fleet) isPaused(now time.Time, r tracker.Runner) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.view.IsPaused(now, r)
--- a/router/passage.go
+++ b/router/passage.go
@@ -370,7 +370,7 @@
 // release and discard make no call to a runner that wants none: it frees what it
 // keeps soon.
 func (p *proxiedRequest) release(o attempter.Release) {
-	if p.fleet.IsPaused(time.Now(), o.To) {
+	if p.fleet.isPaused(time.Now(), o.To) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
@@ -383,7 +383,7 @@
 }
 
 func (p *proxiedRequest) discard(o attempter.Discard) {
-	if p.fleet.IsPaused(time.Now(), o.Source.Runner) {
+	if p.fleet.isPaused(time.Now(), o.Source.Runner) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
--- a/tracker/pause.go
+++ b/tracker/pause.go
@@ -55,6 +55,12 @@
 	return u != nil && now.Before(u.pausedUntil)
 }
 
+// RefusesNew reports whether a runner leaves or is paused.
+func (t *Tracker) RefusesNew(now time.Time, r Runner) bool {
+	u := t.current(r)
+	return u != nil && (u.Leaving || now.Before(u.pausedUntil))
+}
+
 // PauseLeft returns the time until one of a pool's runners that answer requests may
 // be used again. It is zero if one may be used now, as far as pauses go, or if there is
 // none at all.
