--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,5 +1,6 @@
 // Package isolator finds the trait that the requests have in common on which
-// engines crash, such as a part of their prompts, and blocks requests with it.
+// engines crash, such as a part of their prompts or their whole content, and blocks
+// requests with it.
 //
 // Requests with such a trait reach all VMs, no two of them alike. Each ends the
 // engine that begins to answer it, and with it the streams of many other requests,
@@ -30,6 +31,9 @@
 	MaxAliveDelay = 2 * time.Second
 	// SuspectTTL is how long a trait stays suspect after its last crash.
 	SuspectTTL = time.Hour
+	// WriteDelay is the time from the first change of the record to its write, in
+	// which an engine that has not crashed mostly answers another call.
+	WriteDelay = 150 * time.Millisecond
 	// RetryInterval is the time from a failed write to the next one.
 	RetryInterval = 250 * time.Millisecond
 	// MaxSuspects is the most suspects in the record.
@@ -65,8 +69,8 @@
 	survivorsSince             time.Time
 	// writing is the record of the Write in progress; nil without one.
 	writing map[Trait]Suspect
-	// retryAt is the earliest time of the next Write.
-	retryAt time.Time
+	// writeAt is the earliest time of the next Write; zero while none is due.
+	writeAt time.Time
 	// blocked holds the blocked traits with their numbers of crashes. It is computed
 	// again at the end of a Step that has set isChanged.
 	blocked   map[Trait]int
@@ -118,7 +122,7 @@
 		}
 		c.handleRead(now, e.RecordRead)
 	case WriteFailed:
-		c.writing, c.retryAt = nil, now.Add(RetryInterval)
+		c.writing, c.writeAt = nil, now.Add(RetryInterval)
 	case Wake:
 		c.expire(now)
 	default:
@@ -355,7 +359,14 @@
 
 // startWrite asks for a write if the record in the store lacks a change.
 func (c *Core) startWrite(now time.Time) {
-	if c.writing != nil || now.Before(c.retryAt) || !c.isWriteDue() {
+	if !c.isWriteDue() {
+		c.writeAt = time.Time{}
+		return
+	}
+	if c.writeAt.IsZero() {
+		c.writeAt = now.Add(WriteDelay)
+	}
+	if c.writing != nil || now.Before(c.writeAt) {
 		return
 	}
 	r := c.record()
@@ -368,7 +379,7 @@
 	if !c.isWriteDue() {
 		return
 	}
-	c.writing = next
+	c.writing, c.writeAt = next, time.Time{}
 	expected := c.version
 	if c.isMissing {
 		expected = 0
