Take back that whole contents of requests count as traits

Counting them made each lost answer a write to the store that wakes all VMs. The delay of writes stays.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,6 +1,5 @@
 // Package isolator finds the trait that the requests have in common on which
-// engines crash, such as a part of their prompts or their whole content, and blocks
-// requests with it.
+// engines crash, such as a part of their prompts, and blocks requests with it.
 //
 // Requests with such a trait reach all VMs, no two of them alike. Each ends the
 // engine that begins to answer it, and with it the streams of many other requests,
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"syscall"
@@ -17,7 +16,6 @@
 	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/looper"
-	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/tracker"
 	"github.com/figtrack/figtrack/wire"
 )
@@ -26,17 +24,14 @@
 // VMs whose streams one crash has cut all want to write it.
 const maxCrashWriteDelay = 100 * time.Millisecond
 
-// traitsOf returns what a request may have in common with others on which runners
-// crash: the parts of its prompt but the last, which is its own, and its whole
-// content, which callers may send again.
-func traitsOf(q *Request) []isolator.Trait {
+// traitsOf returns what a request may have in common with others on which engines
+// crash: the parts of its prompt but the last, which is its own.
+func traitsOf(p Prompt) []isolator.Trait {
 	var traits []isolator.Trait
-	for _, part := range q.Prompt.Parts[:max(0, len(q.Prompt.Parts)-1)] {
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
 		traits = append(traits, isolator.Trait(part.ID))
 	}
-	content := fmt.Appendf(nil, "%q %q %q %q ", q.Method, q.Host, q.Target, q.Prompt.partIDs())
-	fingerprint := quarantiner.NewFingerprint(q.Prompt.Model, append(content, q.Body...))
-	return append(traits, isolator.Trait(fmt.Sprintf("content %016x", uint64(fingerprint))))
+	return traits
 }
 
 // isClosedByPeer reports whether a call or an answer failed as the runner closed the
@@ -47,6 +42,9 @@
 
 // BlockedFor implements attempter.Fleet.
 func (f *Fleet) BlockedFor(now time.Time, traits []isolator.Trait) time.Duration {
+	if len(traits) == 0 {
+		return 0
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, until, found := f.isolation.FindBlocked(traits)
@@ -58,13 +56,18 @@
 
 // recordBroken records that a runner closed the connection of a run early.
 func (f *Fleet) recordBroken(job attempter.Job, run attempter.Run, lived time.Duration) {
+	if len(job.Traits) == 0 {
+		return
+	}
 	on := isolator.Crash{Upstream: run.To.ID, Start: run.To.Start}
 	f.stepIsolation(isolator.RunBroken{Traits: job.Traits, On: on, Lived: lived})
 }
 
 // recordCompleted records that a run was answered whole.
 func (f *Fleet) recordCompleted(job attempter.Job) {
-	f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
+	if len(job.Traits) > 0 {
+		f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
+	}
 }
 
 // recordAnswered records that a runner answered a call that began at sentAt.
--- a/router/passage.go
+++ b/router/passage.go
@@ -335,7 +335,7 @@
 		Dur("Took", took).
 		AnErr("Error", err).
 		Msg("Called")
-	if err == nil || driver.KindOf(err) == driver.KindFull {
+	if p.job.NeedsEngine && (err == nil || driver.KindOf(err) == driver.KindFull) {
 		p.fleet.recordAnswered(to, began)
 	}
 	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
--- a/router/router.go
+++ b/router/router.go
@@ -127,7 +127,7 @@
 		IsRepeatable: route.IsRepeatable(),
 		IsStream:     route.Kind == matcher.KindStream,
 		NeedsEngine:  c.Pools[pool].HasEngines,
-		Traits:       traitsOf(q),
+		Traits:       traitsOf(q.Prompt),
 		Input:        q.Prompt.Input,
 		Output:       outputEstimate(q.Prompt),
 		MaxAttempts:  max(route.MaxAttempts, 1),
