--- a/explainer/story.go
+++ b/explainer/story.go
@@ -31,7 +31,7 @@
 	Lives bool
 
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
-	Key, Role, Holder, LastEvent, Until, Framing, Trait          string
+	Key, Role, Holder, LastEvent, Until, Framing, Trait, Content string
 	Upstreams, Parts                                             []string
 	Kind, DataCentre                                             string
 	Revision, Version, Era                                       int64
@@ -130,6 +130,9 @@
 		if len(e.Parts) > 0 {
 			text += "; parts " + strings.Join(e.Parts, ",")
 		}
+		if e.Content != "" {
+			text += "; " + e.Content
+		}
 		if e.ViewAge > 0 {
 			text += fmt.Sprintf("; the store was silent for %.0f ms", e.ViewAge)
 		}
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"syscall"
@@ -16,6 +17,7 @@
 	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/looper"
+	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/tracker"
 	"github.com/figtrack/figtrack/wire"
 )
@@ -34,6 +36,13 @@
 	return traits
 }
 
+// contentOf returns the trait that only identical requests have. Identical requests
+// come under different ids.
+func contentOf(q *Request) isolator.Trait {
+	head := fmt.Appendf(nil, "%q %q %q %q ", q.Method, q.Host, q.Target, q.Prompt.partIDs())
+	return isolator.Trait(fmt.Sprintf("content %016x", uint64(quarantiner.NewFingerprint(q.Prompt.Model, append(head, q.Body...)))))
+}
+
 // isClosedByPeer reports whether a call or an answer failed as the runner closed the
 // connection, as it does when it crashes.
 func isClosedByPeer(err error) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -86,6 +86,7 @@
 		Int("Output", int(q.Prompt.Output)).
 		Int("Expected", int(q.Prompt.Expected)).
 		Strs("Parts", q.Prompt.partIDs()).
+		Str("Content", string(contentOf(q))).
 		Dur("Left", job.Deadline.Sub(q.Arrived)).
 		Str("Kind", string(route.Kind)).
 		Dur("Target", route.Target).
