--- a/piper/piper.go
+++ b/piper/piper.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -58,7 +59,7 @@
 
 // Dial opens a connection to a listener of the network.
 func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
-	refused := errors.Errorf("connect to %s: nothing listens on this address", address)
+	refused := errors.Wrapf(syscall.ECONNREFUSED, "connect to %s: nothing listens on this address", address)
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
