Count crashes by the whole content of requests, over all VMs

Cause: a crash was charged to the runner alone unless a part of a prompt explained it. Now it counts once the runner's process has ended: it refuses a connection, which the VM checks 100 ms later unless the runner has answered another call, or it has a later start. A crash that blocks nothing yet is written within 0.8 s, a second or third one after 50 ms; a suspect that is cleared far from being blocked goes with the next write.

Ruled out: waiting until one VM has seen two crashes (at 295 VMs none does), and the end of the entry as evidence (too late).

--- a/explainer/story.go
+++ b/explainer/story.go
@@ -194,10 +194,15 @@
 			text += ": " + e.Reason
 		}
 		return text + "."
+	case "ProcessChecked":
+		if e.Error != "" {
+			return fmt.Sprintf("the process of %s was checked: %s.", e.Upstream, e.Error)
+		}
+		return fmt.Sprintf("the process of %s was checked: it runs.", e.Upstream)
 	case "TraitSuspected":
 		return fmt.Sprintf("trait %s suspected by a crash of %s, %d in all.", e.Trait, e.Upstream, e.Crashes)
 	case "TraitBlocked":
-		return fmt.Sprintf("requests with trait %s are refused, %d engines crashed on it.", e.Trait, e.Crashes)
+		return fmt.Sprintf("requests with trait %s are refused, %d runners crashed on it.", e.Trait, e.Crashes)
 	case "TraitUnblocked":
 		return fmt.Sprintf("requests with trait %s are served again.", e.Trait)
 	case "RosterChanged":
--- a/isolator/event.go
+++ b/isolator/event.go
@@ -33,8 +33,8 @@
 // Event is an input of Core.Step. Only this package implements it.
 type Event interface{ event() }
 
-// RunBroken reports that the connection of a run was closed early. Traits are those
-// of the request, the deepest last.
+// RunBroken reports that the connection of a run was closed early, which counts as a
+// crash once EngineEnded follows. Traits are those of the request, the deepest last.
 type RunBroken struct {
 	Traits []Trait
 	On     Crash
@@ -43,6 +43,10 @@
 	Lived time.Duration
 }
 
+// EngineEnded reports that a process of an engine has ended: it refuses connections,
+// or the engine has a later start.
+type EngineEnded struct{ By Crash }
+
 // RunCompleted reports that a run with these traits was answered whole.
 type RunCompleted struct{ Traits []Trait }
 
@@ -81,6 +85,7 @@
 type Wake struct{}
 
 func (RunBroken) event()      {}
+func (EngineEnded) event()    {}
 func (RunCompleted) event()   {}
 func (EngineAnswered) event() {}
 func (RecordRead) event()     {}
@@ -100,6 +105,10 @@
 	Expected keeper.Version
 }
 
+// Check asks whether a process of an engine has ended, after a run on it has broken.
+// EngineEnded or EngineAnswered follows, or neither if that can't be told.
+type Check struct{ On Crash }
+
 // Suspected reports that a crash was added to a trait, by this VM.
 type Suspected struct {
 	Trait   Trait
@@ -117,6 +126,7 @@
 type Unblocked struct{ Trait Trait }
 
 func (Write) outcome()     {}
+func (Check) outcome()     {}
 func (Suspected) outcome() {}
 func (Blocked) outcome()   {}
 func (Unblocked) outcome() {}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,11 +1,16 @@
 // Package isolator finds the trait that the requests have in common on which
-// engines crash, such as a part of their prompts, and blocks requests with it.
+// engines crash, such as a part of their prompts or their whole content, and blocks
+// requests with it.
 //
 // Requests with such a trait reach all VMs, no two of them alike. Each ends the
 // engine that begins to answer it, and with it the streams of many other requests,
 // which share parts of their prompts with the crashing ones. A surge of them ends
 // engines faster than these come back. So the VMs count crashes together, in one
 // record in the store, and a whole answer to any request with a trait clears it.
+//
+// Connections are also closed where no engine crashes, so a broken run counts only
+// once its engine is known to have ended. A write of the record wakes all VMs: what
+// blocks no trait yet waits for others to be written with it.
 package isolator
 
 import (
@@ -30,15 +35,25 @@
 	MaxAliveDelay = 2 * time.Second
 	// SuspectTTL is how long a trait stays suspect after its last crash.
 	SuspectTTL = time.Hour
-	// WriteDelay is the time from the first change of the record to its write, in
-	// which an engine that has not crashed mostly answers another call.
-	WriteDelay = 150 * time.Millisecond
+	// CheckDelay is the time from a broken run to the check of its engine, in which one
+	// that has not crashed mostly answers another call.
+	CheckDelay = 100 * time.Millisecond
+	// ConfirmTime is how long after a broken run the end of its engine still shows that
+	// it has crashed.
+	ConfirmTime = 5 * time.Second
+	// MaxWriteDelay is the longest time from a change of the record to its write. All
+	// VMs have to know a third crash within three seconds.
+	MaxWriteDelay = 800 * time.Millisecond
+	// MinWriteDelay is the same for a change that may decide whether a trait is blocked.
+	MinWriteDelay = 50 * time.Millisecond
 	// RetryInterval is the time from a failed write to the next one.
 	RetryInterval = 250 * time.Millisecond
 	// MaxSuspects is the most suspects in the record.
 	MaxSuspects = 128
 	// MaxCrashes is the most crashes of a suspect in the record.
 	MaxCrashes = 32
+	// maxBroken is the most broken runs that wait for the end of their engines.
+	maxBroken = 256
 	// maxSurvivors is the most traits that are remembered as survivors for one
 	// SurvivorTime.
 	maxSurvivors = 4096
@@ -56,6 +71,9 @@
 	// that are no longer suspect.
 	added   map[Trait]Suspect
 	removed map[Trait]bool
+	// broken holds the broken runs on engines that may have ended, in the order of
+	// their reports.
+	broken []brokenRun
 	// knownSince is when this VM first knew of each crash of a suspect; voided holds
 	// the crashes in shared that have turned out to be none.
 	knownSince map[Crash]time.Time
@@ -68,8 +86,9 @@
 	survivorsSince             time.Time
 	// writing is the record of the Write in progress; nil without one.
 	writing map[Trait]Suspect
-	// writeAt is the earliest time of the next Write; zero while none is due.
-	writeAt time.Time
+	// writeAt is when the next Write is due; zero while none is. None follows before
+	// retryAt.
+	writeAt, retryAt time.Time
 	// blocked holds the blocked traits with their numbers of crashes. It is computed
 	// again at the end of a Step that has set isChanged.
 	blocked   map[Trait]int
@@ -77,6 +96,14 @@
 	outcomes  []Outcome
 }
 
+// brokenRun is a run that was broken at a time.
+type brokenRun struct {
+	RunBroken
+	at time.Time
+	// isChecked is true once a Check of the engine was asked for.
+	isChecked bool
+}
+
 // New returns a core that suspects nothing.
 func New() *Core {
 	return &Core{
@@ -106,6 +133,8 @@
 	switch e := e.(type) {
 	case RunBroken:
 		c.handleBroken(now, e)
+	case EngineEnded:
+		c.handleEnded(now, e)
 	case RunCompleted:
 		c.handleCompleted(now, e)
 	case EngineAnswered:
@@ -121,12 +150,13 @@
 		}
 		c.handleRead(now, e.RecordRead)
 	case WriteFailed:
-		c.writing, c.writeAt = nil, now.Add(RetryInterval)
+		c.writing, c.retryAt = nil, now.Add(RetryInterval)
 	case Wake:
 		c.expire(now)
 	default:
 		panic(fmt.Sprintf("isolator: unknown event %T", e))
 	}
+	c.checkBroken(now)
 	if c.isChanged {
 		c.updateBlocked()
 	}
@@ -140,6 +170,47 @@
 	if e.Lived >= MaxSuspectLife {
 		return
 	}
+	if _, isKnown := c.knownSince[e.On]; isKnown {
+		c.suspect(now, e)
+		return
+	}
+	if len(c.broken) < maxBroken {
+		c.broken = append(c.broken, brokenRun{RunBroken: e, at: now})
+	}
+}
+
+// handleEnded counts the runs that broke shortly before.
+func (c *Core) handleEnded(now time.Time, e EngineEnded) {
+	var rest []brokenRun
+	for _, b := range c.broken {
+		if b.On == e.By {
+			c.suspect(now, b.RunBroken)
+			continue
+		}
+		rest = append(rest, b)
+	}
+	c.broken = rest
+}
+
+// checkBroken asks for the checks that are due, one for each engine, and forgets the
+// runs whose engines have not ended in time.
+func (c *Core) checkBroken(now time.Time) {
+	c.broken = slices.DeleteFunc(c.broken, func(b brokenRun) bool { return now.Sub(b.at) >= ConfirmTime })
+	for i, b := range c.broken {
+		if b.isChecked || now.Sub(b.at) < CheckDelay {
+			continue
+		}
+		c.emit(Check{b.On})
+		for j := range c.broken[i:] {
+			if other := &c.broken[i+j]; other.On == b.On {
+				other.isChecked = true
+			}
+		}
+	}
+}
+
+// suspect adds a crash to the traits of a run.
+func (c *Core) suspect(now time.Time, e RunBroken) {
 	c.rotateSurvivors(now)
 	for depth, t := range e.Traits {
 		if c.survivors[t] || c.formerSurvivors[t] {
@@ -175,6 +246,7 @@
 }
 
 func (c *Core) handleAnswered(e EngineAnswered) {
+	c.broken = slices.DeleteFunc(c.broken, func(b brokenRun) bool { return b.On == e.By && e.SentAt.After(b.at) })
 	since, isKnown := c.knownSince[e.By]
 	if !isKnown || !e.SentAt.After(since) || e.SentAt.Sub(since) > MaxAliveDelay {
 		return
@@ -354,18 +426,33 @@
 	c.blocked, c.isChanged = blocked, false
 }
 
-func (c *Core) isWriteDue() bool { return len(c.added)+len(c.removed)+len(c.voided) > 0 }
+// writeDelay returns the time from now to the next write; false if no change needs
+// one. What blocks no trait by itself is written with later changes.
+func (c *Core) writeDelay() (delay time.Duration, isNeeded bool) {
+	delay = MaxWriteDelay
+	for t := range c.added {
+		if len(c.effective(t).Crashes) >= BlockThreshold-1 {
+			delay = MinWriteDelay
+		}
+	}
+	isNeeded = len(c.added)+len(c.voided) > 0
+	for t := range c.removed {
+		isNeeded = isNeeded || len(c.shared[t].Crashes) >= BlockThreshold-1
+	}
+	return delay, isNeeded
+}
 
 // startWrite asks for a write if the record in the store lacks a change.
 func (c *Core) startWrite(now time.Time) {
-	if !c.isWriteDue() {
+	delay, isNeeded := c.writeDelay()
+	if !isNeeded {
 		c.writeAt = time.Time{}
 		return
 	}
-	if c.writeAt.IsZero() {
-		c.writeAt = now.Add(WriteDelay)
+	if at := now.Add(delay); c.writeAt.IsZero() || at.Before(c.writeAt) {
+		c.writeAt = at
 	}
-	if c.writing != nil || now.Before(c.writeAt) {
+	if c.writing != nil || now.Before(c.writeAt) || now.Before(c.retryAt) {
 		return
 	}
 	r := c.record()
@@ -375,7 +462,7 @@
 			delete(c.added, t) // The record has no room for it.
 		}
 	}
-	if !c.isWriteDue() {
+	if _, isNeeded := c.writeDelay(); !isNeeded {
 		return
 	}
 	c.writing, c.writeAt = next, time.Time{}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -88,8 +88,8 @@
 			{0, missing(1)},
 			{1, broken(1, "a")},
 			{2, isolator.Written{Version: 3, Era: 1}},
-			{3, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(-time.Second)}},
-			{4, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(2)}},
+			{3, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(-2 * time.Second)}},
+			{4, isolator.EngineAnswered{By: crash(1), SentAt: start.Add(-time.Second)}},
 			{5, isolator.Written{Version: 4, Era: 1}},
 			{6, broken(2, "a")},
 		}},
@@ -117,14 +117,14 @@
 		fmt.Fprintf(&w, "%s\n", s.name)
 		core := isolator.New()
 		for i, step := range s.steps {
-			// Each event is followed by a Wake after WriteDelay, so that writes show.
-			offset := time.Duration(i) * isolator.WriteDelay
+			// Each event is followed by a Wake after MaxWriteDelay, so that writes show.
+			offset := time.Duration(i) * isolator.MaxWriteDelay
 			if e, ok := step.e.(isolator.EngineAnswered); ok {
 				e.SentAt = e.SentAt.Add(offset)
 				step.e = e
 			}
-			outcomes := core.Step(start.Add(step.at+offset), step.e)
-			outcomes = append(outcomes, core.Step(start.Add(step.at+offset+isolator.WriteDelay), isolator.Wake{})...)
+			outcomes := stepEnded(core, start.Add(step.at+offset), step.e)
+			outcomes = append(outcomes, core.Step(start.Add(step.at+offset+isolator.MaxWriteDelay), isolator.Wake{})...)
 			fmt.Fprintf(&w, "  %7s %s%s\n", step.at.Truncate(time.Millisecond), strings.TrimPrefix(fmt.Sprintf("%T", step.e), "isolator."), describe(outcomes))
 		}
 		fmt.Fprintln(&w)
@@ -132,6 +132,15 @@
 	goldie.New(t).Assert(t, "scripts", []byte(w.String()))
 }
 
+// stepEnded passes an event to a core. An engine on which it breaks a run has ended.
+func stepEnded(core *isolator.Core, now time.Time, e isolator.Event) []isolator.Outcome {
+	outcomes := core.Step(now, e)
+	if b, ok := e.(isolator.RunBroken); ok {
+		outcomes = append(outcomes, core.Step(now, isolator.EngineEnded{By: b.On})...)
+	}
+	return outcomes
+}
+
 func describe(outcomes []isolator.Outcome) string {
 	var w strings.Builder
 	for _, o := range outcomes {
@@ -141,6 +150,8 @@
 			for _, s := range o.Record {
 				fmt.Fprintf(&w, " %s@%d=%d", s.Trait, s.Depth, len(s.Crashes))
 			}
+		case isolator.Check:
+			fmt.Fprintf(&w, " -> Check %s", o.On.Upstream)
 		case isolator.Suspected:
 			fmt.Fprintf(&w, " -> Suspected %s by %s (%d)", o.Trait, o.On.Upstream, o.Crashes)
 		case isolator.Blocked:
@@ -152,14 +163,50 @@
 	return w.String()
 }
 
-// TestCrashThatIsNoneIsNotWritten has the engine answer before the write is due.
-func TestCrashThatIsNoneIsNotWritten(t *testing.T) {
+// TestBrokenRunCountsOnceItsEngineHasEnded has runs broken on an engine that answers
+// another call, on one of which nothing is known, and on one that has ended.
+func TestBrokenRunCountsOnceItsEngineHasEnded(t *testing.T) {
 	g := NewWithT(t)
 	core := isolator.New()
 	core.Step(start, missing(1))
-	core.Step(start, broken(1, "a"))
-	core.Step(start.Add(10*time.Millisecond), isolator.EngineAnswered{By: crash(1), SentAt: start.Add(5 * time.Millisecond)})
-	g.Expect(core.Step(start.Add(isolator.WriteDelay), isolator.Wake{})).To(BeEmpty())
+	for engine := 1; engine <= 3; engine++ {
+		g.Expect(core.Step(start, broken(engine, "a"))).To(BeEmpty())
+		g.Expect(core.Step(start, broken(engine, "b"))).To(BeEmpty())
+	}
+	g.Expect(core.Step(start.Add(10*time.Millisecond), isolator.EngineAnswered{By: crash(1), SentAt: start.Add(5 * time.Millisecond)})).To(BeEmpty())
+	g.Expect(core.Step(start.Add(isolator.CheckDelay), isolator.Wake{})).To(Equal([]isolator.Outcome{isolator.Check{On: crash(2)}, isolator.Check{On: crash(3)}}))
+	g.Expect(core.Step(start.Add(isolator.CheckDelay), isolator.EngineEnded{By: crash(1)})).To(BeEmpty())
+	g.Expect(core.Step(start.Add(isolator.CheckDelay), isolator.EngineEnded{By: crash(3)})).To(Equal([]isolator.Outcome{
+		isolator.Suspected{Trait: "a", On: crash(3), Crashes: 1}, isolator.Suspected{Trait: "b", On: crash(3), Crashes: 1},
+	}))
+	later := start.Add(isolator.ConfirmTime)
+	g.Expect(core.Step(later, isolator.Wake{})).To(Equal([]isolator.Outcome{isolator.Write{Record: isolator.Record{suspect("a", 0, 3), suspect("b", 0, 3)}}}))
+	g.Expect(core.Step(later, isolator.EngineEnded{By: crash(2)})).To(BeEmpty())
+}
+
+// TestCrashThatMayBlockIsWrittenSoon has two VMs that know one crash each: the second
+// one is written soon, the first one may wait.
+func TestCrashThatMayBlockIsWrittenSoon(t *testing.T) {
+	g := NewWithT(t)
+	core := isolator.New()
+	core.Step(start, missing(1))
+	stepEnded(core, start, broken(1, "a"))
+	g.Expect(core.Step(start.Add(isolator.MaxWriteDelay-1), isolator.Wake{})).To(BeEmpty())
+	core.Step(start.Add(isolator.MaxWriteDelay-1), record(5, 1, suspect("a", 0, 2)))
+	soon := start.Add(isolator.MaxWriteDelay - 1 + isolator.MinWriteDelay)
+	g.Expect(core.Step(soon, isolator.Wake{})).To(Equal([]isolator.Outcome{isolator.Write{Record: isolator.Record{suspect("a", 0, 2, 1)}, Expected: 5}}))
+}
+
+// TestClearedSuspectIsWrittenWithTheNextCrash clears a trait that is far from being
+// blocked: the store learns it once there is something else to write.
+func TestClearedSuspectIsWrittenWithTheNextCrash(t *testing.T) {
+	g := NewWithT(t)
+	core := isolator.New()
+	core.Step(start, record(5, 1, suspect("a", 0, 1)))
+	core.Step(start, completed("a"))
+	g.Expect(core.Step(start.Add(isolator.MaxWriteDelay), isolator.Wake{})).To(BeEmpty())
+	stepEnded(core, start.Add(isolator.MaxWriteDelay), broken(2, "b"))
+	g.Expect(core.Step(start.Add(2*isolator.MaxWriteDelay), isolator.Wake{})).To(Equal([]isolator.Outcome{isolator.Write{Record: isolator.Record{suspect("b", 0, 2)}, Expected: 5}}))
 }
 
 // TestRecordIsBounded reports more suspects than the record has room for: those with
@@ -171,8 +218,8 @@
 	writes := 0
 	for i := range 3 * isolator.MaxSuspects {
 		now := start.Add(time.Duration(i) * time.Second)
-		outcomes := core.Step(now, broken(10+i, isolator.Trait(fmt.Sprint("t", i))))
-		for _, o := range append(outcomes, core.Step(now.Add(isolator.WriteDelay), isolator.Wake{})...) {
+		outcomes := stepEnded(core, now, broken(10+i, isolator.Trait(fmt.Sprint("t", i))))
+		for _, o := range append(outcomes, core.Step(now.Add(isolator.MaxWriteDelay), isolator.Wake{})...) {
 			if w, ok := o.(isolator.Write); ok {
 				writes++
 				g.Expect(len(w.Record)).To(BeNumerically("<=", isolator.MaxSuspects))
@@ -191,10 +238,10 @@
 	g := NewWithT(t)
 	core := isolator.New()
 	core.Step(start, missing(1))
-	core.Step(start, broken(1, "a"))
-	outcomes := core.Step(start.Add(isolator.WriteDelay), isolator.Wake{})
+	stepEnded(core, start, broken(1, "a"))
+	outcomes := core.Step(start.Add(isolator.MaxWriteDelay), isolator.Wake{})
 	w := outcomes[len(outcomes)-1].(isolator.Write)
-	core.Step(start.Add(isolator.WriteDelay), isolator.EngineAnswered{By: crash(1), SentAt: start.Add(1)})
+	core.Step(start.Add(isolator.MaxWriteDelay), isolator.EngineAnswered{By: crash(1), SentAt: start.Add(1)})
 	g.Expect(w.Record).To(Equal(isolator.Record{suspect("a", 0, 1)}))
 }
 
@@ -218,7 +265,7 @@
 // step makes a VM's core handle an event and writes its record, as the only VM that
 // writes at that time.
 func (s *simulated) step(now time.Duration, vm int, e isolator.Event) {
-	for _, o := range s.cores[vm].Step(start.Add(now), e) {
+	for _, o := range stepEnded(s.cores[vm], start.Add(now), e) {
 		w, ok := o.(isolator.Write)
 		switch {
 		case !ok:
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -26,14 +26,18 @@
 // VMs whose streams one crash has cut all want to write it.
 const maxCrashWriteDelay = 100 * time.Millisecond
 
-// traitsOf returns what a request may have in common with others on which engines
-// crash: the parts of its prompt but the last, which is its own.
-func traitsOf(p Prompt) []isolator.Trait {
+// checkTimeout bounds the check of a runner.
+const checkTimeout = 500 * time.Millisecond
+
+// traitsOf returns what a request may have in common with others on which runners
+// crash: the parts of its prompt but the last, which is its own, and its whole
+// content, which callers may send again.
+func traitsOf(q *Request) []isolator.Trait {
 	var traits []isolator.Trait
-	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+	for _, part := range q.Prompt.Parts[:max(0, len(q.Prompt.Parts)-1)] {
 		traits = append(traits, isolator.Trait(part.ID))
 	}
-	return traits
+	return append(traits, contentOf(q))
 }
 
 // contentOf returns the trait that only identical requests have. Identical requests
@@ -51,9 +55,6 @@
 
 // BlockedFor implements attempter.Fleet.
 func (f *Fleet) BlockedFor(now time.Time, traits []isolator.Trait) time.Duration {
-	if len(traits) == 0 {
-		return 0
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, until, found := f.isolation.FindBlocked(traits)
@@ -65,23 +66,47 @@
 
 // recordBroken records that a runner closed the connection of a run early.
 func (f *Fleet) recordBroken(job attempter.Job, run attempter.Run, lived time.Duration) {
-	if len(job.Traits) == 0 {
-		return
-	}
-	on := isolator.Crash{Upstream: run.To.ID, Start: run.To.Start}
-	f.stepIsolation(isolator.RunBroken{Traits: job.Traits, On: on, Lived: lived})
+	f.stepIsolation(isolator.RunBroken{Traits: job.Traits, On: processOf(run.To), Lived: lived})
 }
 
 // recordCompleted records that a run was answered whole.
 func (f *Fleet) recordCompleted(job attempter.Job) {
-	if len(job.Traits) > 0 {
-		f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
-	}
+	f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
 }
 
 // recordAnswered records that a runner answered a call that began at sentAt.
 func (f *Fleet) recordAnswered(by tracker.Runner, sentAt time.Time) {
-	f.stepIsolation(isolator.EngineAnswered{By: isolator.Crash{Upstream: by.ID, Start: by.Start}, SentAt: sentAt})
+	f.stepIsolation(isolator.EngineAnswered{By: processOf(by), SentAt: sentAt})
+}
+
+// recordEnded records that a runner's process has ended.
+func (f *Fleet) recordEnded(by tracker.Runner) {
+	f.stepIsolation(isolator.EngineEnded{By: processOf(by)})
+}
+
+func processOf(r tracker.Runner) isolator.Crash {
+	return isolator.Crash{Upstream: r.ID, Start: r.Start}
+}
+
+// checkProcess connects to a runner to tell whether its process has ended. One that
+// has left the view or has started again has.
+func (f *Fleet) checkProcess(on isolator.Crash) {
+	r, isKnown := f.Runner(on.Upstream)
+	if !isKnown || r.Start != on.Start {
+		f.stepIsolation(isolator.EngineEnded{By: on})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	began := time.Now()
+	err := f.runners.Connect(ctx, r)
+	f.log.Info().Str("Upstream", string(r.ID)).AnErr("Error", err).Msg("ProcessChecked")
+	switch {
+	case err == nil:
+		f.recordAnswered(r, began)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		f.recordEnded(r)
+	}
 }
 
 // stepIsolation passes an event to the isolation and performs its outcomes.
@@ -94,6 +119,8 @@
 		switch o := o.(type) {
 		case isolator.Write:
 			f.crashRecords <- o // Never blocks: no other one follows before the result.
+		case isolator.Check:
+			go f.checkProcess(o.On)
 		case isolator.Suspected:
 			f.metrics.suspectedTraits.Inc()
 			f.log.Info().Str("Trait", string(o.Trait)).Str("Upstream", string(o.On.Upstream)).Int("Crashes", o.Crashes).Msg("TraitSuspected")
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -55,8 +55,8 @@
 		storeRestores:     newCounter("store_restores_total", "Times that the store came back from a copy that lacks acknowledged writes."),
 		vms:               newGauge("roster_vms", "VMs that live, or left a moment ago, by the store's word."),
 		pauses:            newCounter("runner_pauses_total", "Times that a runner asked this VM to send it nothing for a while."),
-		suspectedTraits:   newCounter("suspected_traits_total", "Crashes of engines that this VM counted against a trait of requests, such as a part of their prompts."),
-		blockedTraits:     newGauge("blocked_traits", "Traits on which engines crash; requests with one are refused."),
+		suspectedTraits:   newCounter("suspected_traits_total", "Crashes of runners that this VM counted against a trait of requests: a part of their prompts or their whole content."),
+		blockedTraits:     newGauge("blocked_traits", "Traits on which runners crash; requests with one are refused."),
 	}
 	registry.MustRegister(m.requests, m.refusals, m.inFlight, m.firstByteTimes, m.answerTimes, m.calls, m.callTimes, m.retries,
 		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms, m.pauses, m.suspectedTraits, m.blockedTraits)
--- a/router/passage.go
+++ b/router/passage.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -335,8 +336,11 @@
 		Dur("Took", took).
 		AnErr("Error", err).
 		Msg("Called")
-	if p.job.NeedsEngine && (err == nil || driver.KindOf(err) == driver.KindFull) {
+	switch {
+	case err == nil || driver.KindOf(err) == driver.KindFull:
 		p.fleet.recordAnswered(to, began)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.fleet.recordEnded(to)
 	}
 	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
 		return applyCallResult(now, view, to, call != callReserve, err, took)
--- a/router/request.go
+++ b/router/request.go
@@ -163,6 +163,9 @@
 	Run(ctx context.Context, r *Request, options RunOptions) (*Answer, error)
 	// Order changes the role of an engine.
 	Order(ctx context.Context, to tracker.Runner, role identifier.Role, holder identifier.VM, fence identifier.Fence) error
+	// Connect opens a connection to a runner and closes it. syscall.ECONNREFUSED shows
+	// that no process listens at the runner's address.
+	Connect(ctx context.Context, to tracker.Runner) error
 	// Forget closes the idle connections to a runner.
 	Forget(r tracker.Runner)
 	// SetListener sets what is told of announcements. It is called once, before any
--- a/router/router.go
+++ b/router/router.go
@@ -86,7 +86,7 @@
 		Int("Output", int(q.Prompt.Output)).
 		Int("Expected", int(q.Prompt.Expected)).
 		Strs("Parts", q.Prompt.partIDs()).
-		Str("Content", string(contentOf(q))).
+		Str("Content", string(job.Traits[len(job.Traits)-1])).
 		Dur("Left", job.Deadline.Sub(q.Arrived)).
 		Str("Kind", string(route.Kind)).
 		Dur("Target", route.Target).
@@ -128,7 +128,7 @@
 		IsRepeatable: route.IsRepeatable(),
 		IsStream:     route.Kind == matcher.KindStream,
 		NeedsEngine:  c.Pools[pool].HasEngines,
-		Traits:       traitsOf(q.Prompt),
+		Traits:       traitsOf(q),
 		Input:        q.Prompt.Input,
 		Output:       outputEstimate(q.Prompt),
 		MaxAttempts:  max(route.MaxAttempts, 1),
