--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -79,6 +79,9 @@
 	// Traits are what the request may have in common with others on which engines
 	// crash.
 	Traits []isolator.Trait
+	// PrefillTraits are the same for engines that crash on its prefill. It runs without
+	// one then.
+	PrefillTraits []isolator.Trait
 	// Input is the declared length of the prompt, Output the length of the
 	// answer for which memory is reserved.
 	Input, Output identifier.Tokens
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -133,6 +133,12 @@
 	return job
 }
 
+func unprefillableStream() attempter.Job {
+	job := stream(false)
+	job.PrefillTraits = []isolator.Trait{blockedTrait}
+	return job
+}
+
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 var (
@@ -205,6 +211,7 @@
 		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Abandoned{}},
 	}},
 	{"a stream with a blocked trait is refused at once", suspectStream(false), fleet{blockedFrom: ms(1)}, []step{{ms(1), attempter.Begin{}}}},
+	{"a stream on whose prefill engines crash runs without one", unprefillableStream(), fleet{blockedFrom: ms(1)}, []step{{ms(1), attempter.Begin{}}, {ms(10), attempter.Reserved{Hold: "h1"}}}},
 	{"a stream whose trait is blocked in the meantime is not read", suspectStream(false), fleet{blockedFrom: ms(2)}, []step{
 		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(2), attempter.Reserved{Hold: "i"}},
 	}},
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -113,7 +113,8 @@
 		return
 	}
 	r, ok := c.fleet.ChoosePrefill(now, c.job.Pool, c.runner.DataCentre, c.excludedPrefills)
-	if !ok || c.prefills >= MaxPrefills || c.prefills > 0 && !c.fleet.TryCharge(now, c.job.Pool) {
+	isBlocked := c.fleet.BlockedFor(now, c.job.PrefillTraits) > 0
+	if !ok || isBlocked || c.prefills >= MaxPrefills || c.prefills > 0 && !c.fleet.TryCharge(now, c.job.Pool) {
 		// The decode engine computes the prefill itself, at half the speed.
 		c.run(now)
 		return
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
@@ -40,6 +39,16 @@
 	return append(traits, contentOf(q))
 }
 
+// prefillTraitsOf returns the same traits for engines that only prefill the prompt: a
+// request on which these crash may run elsewhere.
+func prefillTraitsOf(traits []isolator.Trait) []isolator.Trait {
+	all := make([]isolator.Trait, 0, len(traits))
+	for _, t := range traits {
+		all = append(all, "prefill "+t)
+	}
+	return all
+}
+
 // contentOf returns the trait that only identical requests have. Identical requests
 // come under different ids.
 func contentOf(q *Request) isolator.Trait {
@@ -64,14 +73,14 @@
 	return max(until.Sub(now), defaultRetryAfter)
 }
 
-// recordBroken records that a runner closed the connection of a run early.
-func (f *Fleet) recordBroken(job attempter.Job, run attempter.Run, lived time.Duration) {
-	f.stepIsolation(isolator.RunBroken{Traits: job.Traits, On: processOf(run.To), Lived: lived})
+// recordBroken records that a runner closed the connection of a prefill or run early.
+func (f *Fleet) recordBroken(traits []isolator.Trait, by tracker.Runner, lived time.Duration) {
+	f.stepIsolation(isolator.RunBroken{Traits: traits, On: processOf(by), Lived: lived})
 }
 
-// recordCompleted records that a run was answered whole.
-func (f *Fleet) recordCompleted(job attempter.Job) {
-	f.stepIsolation(isolator.RunCompleted{Traits: job.Traits})
+// recordCompleted records that a prefill or run was answered whole.
+func (f *Fleet) recordCompleted(traits []isolator.Trait) {
+	f.stepIsolation(isolator.RunCompleted{Traits: traits})
 }
 
 // recordAnswered records that a runner answered a call that began at sentAt.
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -60,13 +60,13 @@
 			return view.RecordAnswer(p.run.To, true, 0)
 		})
 		if isClosedByPeer(err) {
-			p.fleet.recordBroken(p.job, p.run, p.runLife())
+			p.fleet.recordBroken(p.job.Traits, p.run.To, p.runLife())
 		}
 		return attempter.Broken{LastEvent: p.splitter.LastID(), Begun: p.headSent}
 	}
 	line.Msg("Answered")
 	if a.isSuccess() {
-		p.fleet.recordCompleted(p.job)
+		p.fleet.recordCompleted(p.job.Traits)
 	}
 	p.metrics.requests.WithLabelValues(string(p.route.Kind), "Answered").Inc()
 	p.metrics.answerTimes.WithLabelValues(string(p.route.Kind)).Observe(took.Seconds())
--- a/router/passage.go
+++ b/router/passage.go
@@ -11,6 +11,7 @@
 
 	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/driver"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/matcher"
 	"github.com/figtrack/figtrack/splitter"
@@ -211,11 +212,21 @@
 	handle, err := p.runners.Prefill(ctx, o.To, p.q, p.timeLeft())
 	p.recordCall(callPrefill, o.To, began, err)
 	if err != nil {
+		p.recordIfBroken(o.To, p.job.PrefillTraits, err)
 		return failedEvent(err)
 	}
+	p.fleet.recordCompleted(p.job.PrefillTraits)
 	return attempter.Prefilled{Handle: handle}
 }
 
+// recordIfBroken records that a runner closed the connection of a prefill or run
+// before its answer.
+func (p *proxiedRequest) recordIfBroken(by tracker.Runner, traits []isolator.Trait, err error) {
+	if driver.KindOf(err) == driver.KindUnknown && isClosedByPeer(err) {
+		p.fleet.recordBroken(traits, by, 0)
+	}
+}
+
 // send sends the request to its runner and waits for the head of the answer.
 func (p *proxiedRequest) send(ctx context.Context, o attempter.Run) attempter.Event {
 	p.run = o
@@ -233,9 +244,7 @@
 	if err != nil {
 		cancel()
 		p.removeLoad(o.To, load)
-		if driver.KindOf(err) == driver.KindUnknown && isClosedByPeer(err) {
-			p.fleet.recordBroken(p.job, o, 0)
-		}
+		p.recordIfBroken(o.To, p.job.Traits, err)
 		if o.Source != nil && driver.KindOf(err) == driver.KindFull {
 			p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
 				view.RecordDroppedHandle(now, o.Source.Runner)
--- a/router/router.go
+++ b/router/router.go
@@ -122,19 +122,21 @@
 		limit = q.Patience
 	}
 	pool := route.ChoosePool(rand.Float64())
+	traits := traitsOf(q)
 	return attempter.Job{
-		Request:      q.ID,
-		Pool:         pool,
-		IsRepeatable: route.IsRepeatable(),
-		IsStream:     route.Kind == matcher.KindStream,
-		NeedsEngine:  c.Pools[pool].HasEngines,
-		Traits:       traitsOf(q),
-		Input:        q.Prompt.Input,
-		Output:       outputEstimate(q.Prompt),
-		MaxAttempts:  max(route.MaxAttempts, 1),
-		Target:       route.Target,
-		Arrived:      q.Arrived,
-		Deadline:     q.Arrived.Add(limit),
+		Request:       q.ID,
+		Pool:          pool,
+		IsRepeatable:  route.IsRepeatable(),
+		IsStream:      route.Kind == matcher.KindStream,
+		NeedsEngine:   c.Pools[pool].HasEngines,
+		Traits:        traits,
+		PrefillTraits: prefillTraitsOf(traits),
+		Input:         q.Prompt.Input,
+		Output:        outputEstimate(q.Prompt),
+		MaxAttempts:   max(route.MaxAttempts, 1),
+		Target:        route.Target,
+		Arrived:       q.Arrived,
+		Deadline:      q.Arrived.Add(limit),
 	}
 }
 
