Quarantine calls to plain services that crash their instances

forwarder asks the quarantine before a call, before it is claimed and before each further try, and reports runs as relayer does. An instance of a plain service reports no incarnation: whether it has ended is told by a refused connection, and its processes are numbered by the deaths that the VMs know of; without that the second death of one instance counted as the first. A try that sent no byte is withdrawn, so that it is no suspect. Ruled out: one incarnation for all processes of an instance (6 runs of the call that may not be repeated). Bodies that are streamed can't be recognised.

--- a/faker/service.go
+++ b/faker/service.go
@@ -21,6 +21,9 @@
 	Delay time.Duration
 	// DieAfterRun closes the connection after the run, without a reply.
 	DieAfterRun bool
+	// CrashOn is the path of requests on which the service crashes: it closes all
+	// connections and refuses others until Restart; empty for none.
+	CrashOn string
 	// Leaving makes the service refuse new work with the status 503.
 	Leaving bool
 }
@@ -51,6 +54,9 @@
 	s.faults = faults
 }
 
+// Restart starts a service that has crashed at its former address.
+func (s *Service) Restart() error { return s.start() }
+
 // RunsWithKey returns the number of runs with an Idempotency-Key.
 func (s *Service) RunsWithKey(key string) int {
 	s.mu.Lock()
@@ -83,6 +89,9 @@
 		return
 	}
 	time.Sleep(faults.Delay)
+	if faults.CrashOn != "" && r.URL.Path == faults.CrashOn {
+		s.Close()
+	}
 	if faults.DieAfterRun {
 		panic(http.ErrAbortHandler)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
+	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -63,6 +64,7 @@
 type Forwarder struct {
 	registrar  *registrar.Registrar
 	claimer    Claimer
+	quarantine Quarantine
 	health     Health
 	transports Transports
 	// maxBodyBytes is the maximum size of a body that is read into memory, in
@@ -80,12 +82,13 @@
 // New returns a forwarder for the services in r's catalogue. Its maxBody is in
 // bytes; timeout bounds each call with all its tries.
 func New(
-	r *registrar.Registrar, c Claimer, h Health, t Transports,
+	r *registrar.Registrar, c Claimer, q Quarantine, h Health, t Transports,
 	maxBody int64, timeout time.Duration, log zerolog.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		registrar:    r,
 		claimer:      c,
+		quarantine:   q,
 		health:       h,
 		transports:   t,
 		maxBodyBytes: maxBody,
@@ -148,6 +151,12 @@
 	id identifier.Request
 	// body is the buffered body; nil if the body is streamed.
 	body []byte
+	// fingerprint identifies the content, if hasFingerprint is set.
+	fingerprint    quarantiner.Fingerprint
+	hasFingerprint bool
+	// isSuspect is set if the content may have crashed an instance. It must not run
+	// beside another suspect then.
+	isSuspect bool
 }
 
 // run sends the call to one instance after another until one handles it. It
@@ -163,8 +172,11 @@
 	instances := c.usableInstances(members)
 	instances = instances[:min(len(instances), maxTries)]
 	ran := outcomer.RanNo
-	for _, u := range instances {
-		result := c.sendTo(w, u)
+	for i, u := range instances {
+		if i > 0 && ran != outcomer.RanNo && c.checkQuarantine() != nil {
+			break
+		}
+		result := c.try(w, i, u)
 		c.recordTry(u, instances, result)
 		if result == tryNoAnswer {
 			ran = outcomer.RanUnknown
@@ -176,6 +188,20 @@
 	return tryNotSent.outcome(ran)
 }
 
+// try sends the call to an instance.
+func (c *call) try(w http.ResponseWriter, i int, u registrar.Upstream) tryResult {
+	if !c.hasFingerprint {
+		return c.sendTo(w, u)
+	}
+	run := c.runOf(i, u)
+	if !c.startRun(run) {
+		return tryNotSent
+	}
+	result := c.sendTo(w, u)
+	c.endRun(run, result)
+	return result
+}
+
 // mayRetry reports whether the call may be sent to another instance. A call that
 // was not sent may be; a call that was sent and not answered only if it is
 // repeatable. In both cases its body must be empty or buffered.
@@ -194,7 +220,8 @@
 }
 
 // prepare buffers the body if it must be hashed or is small enough to be sent
-// again, and claims a keyed call that is not repeatable.
+// again, and claims a keyed call that is not repeatable. It returns nil if the call
+// may run.
 func (c *call) prepare(repeatable bool) outcomer.Outcome {
 	claimed := !repeatable && c.key != ""
 	if claimed || c.r.ContentLength > 0 && c.r.ContentLength <= maxBufferedBodyBytes {
@@ -204,8 +231,9 @@
 		}
 		c.body = body
 	}
-	if !claimed {
-		return nil
+	c.fingerprintContent()
+	if out := c.checkQuarantine(); out != nil || !claimed {
+		return out
 	}
 	return c.claim()
 }
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -20,6 +20,7 @@
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/piper"
+	"github.com/figtrack/figtrack/quarantiner"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -67,7 +68,7 @@
 		r := registrar.New(nil)
 		r.Replace([]registrar.Pool{{ID: "order-desk", Prefix: "/orders", Repeatable: []string{"GET /stock"}}}, upstreams)
 		kept, fresh := &http.Transport{DialContext: s.network.Dial}, &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}
-		f := forwarder.New(r, &s.claims, &s.health, forwarder.Transports{KeepAlive: kept, NoKeepAlive: fresh}, maxBody, timeout, zerolog.Nop())
+		f := forwarder.New(r, &s.claims, noQuarantine{}, &s.health, forwarder.Transports{KeepAlive: kept, NoKeepAlive: fresh}, maxBody, timeout, zerolog.Nop())
 		s.url = "http://" + s.serve(instance{handler: f.ServeHTTP})
 		defer s.close()
 		defer kept.CloseIdleConnections()
@@ -141,6 +142,20 @@
 	return claimer.Result{Verdict: claimer.VerdictGranted}
 }
 
+// noQuarantine lets all calls run.
+type noQuarantine struct{}
+
+func (noQuarantine) Check(_ context.Context, id identifier.Request, _ quarantiner.Fingerprint) quarantiner.Verdict {
+	return quarantiner.Verdict{Request: id, Kind: quarantiner.KindRun}
+}
+
+func (noQuarantine) Start(context.Context, quarantiner.Run, quarantiner.Fingerprint, bool) bool {
+	return true
+}
+func (noQuarantine) End(quarantiner.Run, bool, bool)    {}
+func (noQuarantine) Withdraw(quarantiner.Run, bool)     {}
+func (noQuarantine) ConnectionLost(identifier.Upstream) {}
+
 // health counts the failures that the forwarder reports for upstreams.
 type health struct{ failures atomic.Int64 }
 
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -35,6 +35,9 @@
 	Completed bool
 }
 
+// Withdrawn reports that no byte of a started run was sent.
+type Withdrawn struct{ Run }
+
 // UpstreamLost reports that the connection to an upstream broke while a
 // request was in flight. UpstreamDied or UpstreamAlive should follow.
 type UpstreamLost struct{ Death Death }
@@ -79,6 +82,7 @@
 func (CheckAsked) event()    {}
 func (Started) event()       {}
 func (Ended) event()         {}
+func (Withdrawn) event()     {}
 func (UpstreamLost) event()  {}
 func (UpstreamDied) event()  {}
 func (UpstreamAlive) event() {}
--- a/quarantiner/guarding.go
+++ b/quarantiner/guarding.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -38,22 +39,42 @@
 		}
 	default:
 	}
-	engine, ok := s.engineOf(u)
+	prober, ok := s.proberOf(u)
 	if !ok {
 		return 0
 	}
-	load, err := engine.Load(ctx)
+	load, err := prober.Load(ctx)
 	if err != nil {
 		return 0
 	}
-	s.enqueue(func(time.Time) { s.incarnations[u] = load.Incarnation })
-	return load.Incarnation
+	found := make(chan identifier.Incarnation, 1)
+	s.runAndWait(ctx, func(time.Time) {
+		s.incarnations[u] = cmp.Or(load.Incarnation, s.incarnations[u], s.core.nextIncarnation(u))
+		found <- s.incarnations[u]
+	})
+	select {
+	case n := <-found:
+		return n
+	default:
+		return 0
+	}
 }
 
 // End records that a run has ended. The argument complete is true if its
 // request was answered completely, alone is the value that Start was called with.
 func (s *Shell) End(r Run, complete, alone bool) {
 	s.enqueue(func(now time.Time) { s.step(now, nil, Ended{Run: r, Completed: complete}) })
+	s.freeGuard(r, alone)
+}
+
+// Withdraw records that no byte of a run was sent after Start.
+func (s *Shell) Withdraw(r Run, alone bool) {
+	s.enqueue(func(now time.Time) { s.step(now, nil, Withdrawn{Run: r}) })
+	s.freeGuard(r, alone)
+}
+
+// freeGuard lets the next suspect run on an upstream, if r ran there alone.
+func (s *Shell) freeGuard(r Run, alone bool) {
 	if !alone {
 		return
 	}
@@ -107,13 +128,29 @@
 	}
 	asked, ok := e.(GuardAsked)
 	if !ok {
-		s.enqueue(func(now time.Time) { s.step(now, nil, e) })
+		s.enqueue(func(now time.Time) {
+			s.step(now, nil, e)
+			s.forgetDied(e)
+		})
 		return nil
 	}
 	answer := GuardAnswered{To: from, Run: asked.Run, Allowed: s.answerGuard(ctx, asked)}
 	return &wire.Envelope{Body: &wire.Envelope_RequestState{RequestState: Encode(answer)}}
 }
 
+// forgetDied forgets the incarnations that have died by the marks of another VM.
+func (s *Shell) forgetDied(e Event) {
+	received, ok := e.(MarksReceived)
+	if !ok {
+		return
+	}
+	for _, m := range received.Marks {
+		if m.State == StateDied && s.incarnations[m.Death.Upstream] == m.Death.Incarnation {
+			delete(s.incarnations, m.Death.Upstream)
+		}
+	}
+}
+
 // SendAllMarks sends all marks that this VM knows to a VM that has started.
 func (s *Shell) SendAllMarks(vm identifier.VM) {
 	s.enqueue(func(now time.Time) { s.step(now, nil, VMJoined{VM: vm}) })
@@ -161,15 +198,15 @@
 // probeUpstream returns UpstreamAlive or UpstreamDied, or nil if one call does
 // not show which of them holds.
 func (s *Shell) probeUpstream(ctx context.Context, death Death) Event {
-	engine, ok := s.engineOf(death.Upstream)
+	prober, ok := s.proberOf(death.Upstream)
 	if !ok {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	load, err := engine.Load(ctx)
+	load, err := prober.Load(ctx)
 	switch {
-	case err == nil && load.Incarnation == death.Incarnation:
+	case err == nil && (load.Incarnation == 0 || load.Incarnation == death.Incarnation):
 		return UpstreamAlive{Death: death}
 	case err == nil:
 		return UpstreamDied{Death: death}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -18,6 +18,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -127,6 +128,8 @@
 		c.addRun(e)
 	case Ended:
 		c.endRun(now, e)
+	case Withdrawn:
+		c.runs = slices.DeleteFunc(c.runs, func(r run) bool { return r.Run == e.Run && r.forgetAt.IsZero() })
 	case UpstreamLost:
 		c.markInFlight(now, e.Death, StateLost)
 	case UpstreamDied:
--- a/quarantiner/shell.go
+++ b/quarantiner/shell.go
@@ -23,8 +23,14 @@
 	probeInterval = 500 * time.Millisecond
 )
 
-// EngineLookup returns the client of a runner, or false if the runner is unknown.
-type EngineLookup func(u identifier.Upstream) (driver.Engine, bool)
+// Prober asks an upstream for its load, which has its incarnation; zero if it reports
+// none. An error of driver.KindNotRun shows that its process has ended.
+type Prober interface {
+	Load(ctx context.Context) (driver.Load, error)
+}
+
+// ProberLookup returns the prober of an upstream, or false if it is unknown.
+type ProberLookup func(u identifier.Upstream) (Prober, bool)
 
 // GuardLookup returns the VM that guards an upstream: the owner of its shard.
 type GuardLookup func(u identifier.Upstream) identifier.VM
@@ -32,7 +38,7 @@
 // Shell drives the core of one VM on one goroutine, the loop of Run.
 type Shell struct {
 	self     identifier.VM
-	engineOf EngineLookup
+	proberOf ProberLookup
 	guardOf  GuardLookup
 	liveVMs  func() []identifier.VM
 	sender   messenger.Sender
@@ -61,12 +67,12 @@
 
 // NewShell returns a shell. It processes inputs only while Run runs.
 func NewShell(
-	self identifier.VM, engines EngineLookup, guards GuardLookup, live func() []identifier.VM,
+	self identifier.VM, probers ProberLookup, guards GuardLookup, live func() []identifier.VM,
 	sender messenger.Sender, log zerolog.Logger,
 ) *Shell {
 	return &Shell{
 		self:         self,
-		engineOf:     engines,
+		proberOf:     probers,
 		guardOf:      guards,
 		liveVMs:      live,
 		sender:       sender,
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -149,6 +149,26 @@
 	c.sendMarks(now, marks)
 }
 
+// nextIncarnation returns a number for the current process of an upstream that reports
+// none. VMs that know of the same deaths return the same.
+func (c *Core) nextIncarnation(u identifier.Upstream) identifier.Incarnation {
+	last := identifier.Incarnation(0)
+	for _, d := range c.deaths {
+		if d.Upstream == u {
+			last = max(last, d.Incarnation)
+		}
+	}
+	for _, f := range c.suspects.Keys() {
+		s, _ := c.suspects.Peek(f)
+		for _, m := range s.marks {
+			if m.Death.Upstream == u && m.State == StateDied {
+				last = max(last, m.Death.Incarnation)
+			}
+		}
+	}
+	return last + 1
+}
+
 // fingerprintsWith returns the fingerprints whose mark for a death has the
 // given state, least recently used first.
 func (c *Core) fingerprintsWith(d Death, state State) []Fingerprint {
--- a/server/server.go
+++ b/server/server.go
@@ -151,7 +151,7 @@
 func (s *Server) initRequests() {
 	self := reclaimer.Start{VM: s.self.ID, Incarnation: s.Incarnation}
 	s.reclaimer = reclaimer.NewShell(self, s.engine, s.messenger, s.Log)
-	s.quarantiner = quarantiner.NewShell(s.self.ID, s.engine, s.guardOf, s.liveVMIDs, s.messenger, s.Log)
+	s.quarantiner = quarantiner.NewShell(s.self.ID, s.prober, s.guardOf, s.liveVMIDs, s.messenger, s.Log)
 	s.claims = claimer.NewShell(s.self.ID, s.Incarnation, s.Store, s.messenger, s.claimLeaders)
 	s.relayer = relayer.New(
 		s.self.ID, s.self.DataCentre, s.Incarnation,
@@ -166,7 +166,7 @@
 func (s *Server) initCallers(keepAlive *http.Transport) {
 	callers := s.Settings.Callers
 	transports := forwarder.Transports{KeepAlive: keepAlive, NoKeepAlive: s.newTransport(true)}
-	services := forwarder.New(s.registrar, s.claims, s.health, transports, callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
+	services := forwarder.New(s.registrar, s.claims, quarantine{s.quarantiner, s.ctx}, s.health, transports, callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
 	s.listener = listener.New(callers, s.deduper, s, services, s, metrics, s.Log)
 }
