--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -57,6 +57,9 @@
 // block of BlockTokens tokens.
 type Block uint64
 
+// Rate is a number of requests a second.
+type Rate float64
+
 // Tokens is a number of tokens.
 type Tokens int
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -452,6 +452,18 @@
 	f.logRunner(r).Str("Text", text).Msg("PauseNotUsable")
 }
 
+// HandleRate implements AnnouncementListener.
+func (f *Fleet) HandleRate(r tracker.Runner, rate identifier.Rate, _ time.Time) {
+	if rate > 0 {
+		f.logRunner(r).Float64("Rate", float64(rate)).Msg("RunnerLimited")
+	}
+}
+
+// HandleUnusableRate implements AnnouncementListener.
+func (f *Fleet) HandleUnusableRate(r tracker.Runner, text string) {
+	f.logRunner(r).Str("Text", text).Msg("RateNotUsable")
+}
+
 func (f *Fleet) recordArrival(now time.Time, job attempter.Job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/request.go
+++ b/router/request.go
@@ -181,4 +181,9 @@
 	HandlePause(r tracker.Runner, pause time.Duration)
 	// HandleUnusablePause is called if what it says of that time can't be used.
 	HandleUnusablePause(r tracker.Runner, text string)
+	// HandleRate is called with the rate that a runner takes from all VMs together, by
+	// its answer to a call that began at sentAt; zero if it names none.
+	HandleRate(r tracker.Runner, rate identifier.Rate, sentAt time.Time)
+	// HandleUnusableRate is called if what it says of that rate can't be used.
+	HandleUnusableRate(r tracker.Runner, text string)
 }
