--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -32,6 +32,9 @@
 	StaleTime = 15 * time.Second
 	// MaxLimits is the most limits that are kept.
 	MaxLimits = 1024
+	// EndAnswers is how many answers without a rate end a limit: a faulty runner may
+	// spoil one.
+	EndAnswers = 2
 	// rateTolerance is the relative difference up to which two rates count as the same:
 	// a rate that drifts would be written again and again.
 	rateTolerance = 0.1
@@ -154,12 +157,10 @@
 // the last change may be older than that.
 func (c *Core) handleNamed(now time.Time, e Named) {
 	l := c.limits[e.By]
-	switch {
-	case l == nil && e.Rate == 0, l != nil && isSame(l.rate, e.Rate):
+	if l == nil && (e.Rate == 0 || len(c.limits) >= MaxLimits) {
 		return
-	case l != nil && !e.SentAt.After(l.changedAt):
-		return
-	case l == nil && len(c.limits) >= MaxLimits:
+	}
+	if l != nil && !l.isChanged(e) {
 		return
 	}
 	c.setLimit(now, e.By, e.Rate)
@@ -180,7 +181,7 @@
 		l = &limit{filledAt: now}
 		c.limits[p] = l
 	}
-	l.rate, l.changedAt = rate, now
+	l.rate, l.changedAt, l.unnamed = rate, now, 0
 	l.divide(now, c.senders(p, rate))
 	if rate == 0 {
 		c.emit(Unlimited{p})
--- a/apportioner/limit.go
+++ b/apportioner/limit.go
@@ -26,6 +26,8 @@
 	rate identifier.Rate
 	// changedAt is when rate last changed.
 	changedAt time.Time
+	// unnamed counts the answers without a rate since the last one that named it.
+	unnamed int
 	// share is the part of rate that this VM has; zero if it isn't one of the senders.
 	// burst is the most requests that it may save up.
 	share identifier.Rate
@@ -47,6 +49,21 @@
 	l.saved = min(l.saved, l.burst)
 }
 
+// isChanged reports whether an answer shows that the limit has changed.
+func (l *limit) isChanged(e Named) bool {
+	if isSame(l.rate, e.Rate) {
+		l.unnamed = 0
+		return false
+	}
+	if !e.SentAt.After(l.changedAt) {
+		return false
+	}
+	if e.Rate == 0 {
+		l.unnamed++
+	}
+	return e.Rate > 0 || l.unnamed >= EndAnswers
+}
+
 func (l *limit) fill(now time.Time) {
 	l.saved = min(l.burst, l.saved+float64(l.share)*now.Sub(l.filledAt).Seconds())
 	l.filledAt = now
