Give back sends of a rate that aren't made

A refused reservation, a request that ends before its run and a look for a second runner each used up a part of the engine's rate, though nothing was sent: the rate of a full engine went on refusals.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -40,7 +40,8 @@
 	rateTolerance = 0.1
 )
 
-// Core is what one VM knows of limits. Only Step and TakeSend change it.
+// Core is what one VM knows of limits. Only Step, TakeSend and
+// ReturnSend change it.
 type Core struct {
 	random *rand.Rand
 	self   identifier.VM
@@ -106,13 +107,21 @@
 	return l.sendAfter(now)
 }
 
-// TakeSend reports whether this VM may send a process one more request now, which it
-// has to do then.
+// TakeSend reports whether this VM may send a process one more request now. It has to
+// do so then, or call ReturnSend.
 func (c *Core) TakeSend(now time.Time, p Process) bool {
 	l := c.limits[p]
 	return l == nil || l.rate == 0 || l.take(now)
 }
 
+// ReturnSend gives back what TakeSend took for a request that wasn't sent.
+func (c *Core) ReturnSend(now time.Time, p Process) {
+	if l := c.limits[p]; l != nil && l.rate > 0 {
+		l.fill(now)
+		l.saved = min(l.burst, l.saved+1)
+	}
+}
+
 // Step handles one event and returns the outcomes, in order.
 func (c *Core) Step(now time.Time, e Event) []Outcome {
 	c.outcomes = nil
--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -118,8 +118,10 @@
 	// RefusesNew reports whether a runner leaves, or asked for a pause that isn't over.
 	RefusesNew(now time.Time, r tracker.Runner) bool
 	// TakeSend reports whether a request may be sent to a runner by the rate that the
-	// runner takes. It has to be sent then. The methods that choose a runner do the same.
+	// runner takes. It has to be sent then, or given back by ReturnSend. The methods that
+	// choose a runner do the same.
 	TakeSend(now time.Time, r tracker.Runner) bool
+	ReturnSend(now time.Time, r tracker.Runner)
 	// RateLeft returns the time until a request may be sent to one of the pool's runners
 	// by their rates; zero unless all that aren't paused name one.
 	RateLeft(now time.Time, pool identifier.Pool) time.Duration
@@ -242,6 +244,9 @@
 	default:
 		panic(fmt.Sprintf("attempter: unknown event %T", e))
 	}
+	if c.phase == phaseEnded {
+		c.returnSend(now)
+	}
 	return c.outcomes
 }
 
@@ -253,6 +258,14 @@
 	c.emit(o)
 }
 
+// returnSend gives back a send that was taken and isn't made.
+func (c *Core) returnSend(now time.Time) {
+	if c.isTaken {
+		c.fleet.ReturnSend(now, c.runner)
+	}
+	c.isTaken = false
+}
+
 // releaseAll releases the hold and the KV cache that are kept for the request.
 func (c *Core) releaseAll() {
 	if c.hold != "" {
@@ -268,6 +281,7 @@
 	switch c.phase {
 	case phaseReserving:
 		c.isShrunk = false
+		c.returnSend(now)
 		if e.Kind != driver.KindFull {
 			c.excluded[c.runner.ID] = true
 		}
@@ -335,11 +349,15 @@
 	}
 	c.hasFailed = true
 	c.excluded[c.runner.ID] = true
+	var next tracker.Runner
 	var ok bool
 	if c.job.NeedsEngine {
-		_, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.excluded)
+		next, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.excluded)
 	} else {
-		_, ok = c.choosePlain(now)
+		next, ok = c.choosePlain(now)
+	}
+	if ok {
+		c.fleet.ReturnSend(now, next) // It is chosen again, or another one.
 	}
 	c.isCharged = ok && c.fleet.TryCharge(now, c.job.Pool)
 	return c.isCharged
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -27,6 +27,8 @@
 	empty, spent bool
 	// isRateReached is true if this VM may send nothing more by the rates of runners.
 	isRateReached bool
+	// taken counts the sends that were taken and not returned.
+	taken int
 	// hasOnePlain is true if there is only one plain service.
 	hasOnePlain bool
 	// blockedFrom is the time after the start from which blockedTrait is blocked;
@@ -52,27 +54,28 @@
 	return all
 }
 
-func firstOf(all []tracker.Runner) (tracker.Runner, bool) {
+func (f *fleet) takeFirst(all []tracker.Runner) (tracker.Runner, bool) {
 	if len(all) == 0 {
 		return tracker.Runner{}, false
 	}
+	f.taken++
 	return all[0], true
 }
 
 func (f *fleet) ChoosePlain(_ time.Time, _ identifier.Pool, without tracker.Without) (tracker.Runner, bool) {
 	if f.hasOnePlain {
-		return firstOf(f.usable(identifier.RolePlain, without, "s1"))
+		return f.takeFirst(f.usable(identifier.RolePlain, without, "s1"))
 	}
-	return firstOf(f.usable(identifier.RolePlain, without, "s1", "s2", "s3"))
+	return f.takeFirst(f.usable(identifier.RolePlain, without, "s1", "s2", "s3"))
 }
 
 func (f *fleet) ChoosePrefill(_ time.Time, _ identifier.Pool, _ identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
-	return firstOf(f.usable(identifier.RolePrefill, without, "p1", "p2"))
+	return f.takeFirst(f.usable(identifier.RolePrefill, without, "p1", "p2"))
 }
 
 func (f *fleet) ChooseDecode(now time.Time, _ identifier.Pool, _ identifier.Tokens, without tracker.Without) (tracker.Runner, bool) {
 	engines := f.usable(identifier.RoleDecode, without, "d1", "d2", "d3")
-	return firstOf(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.RefusesNew(now, r) }))
+	return f.takeFirst(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.RefusesNew(now, r) }))
 }
 
 func (f *fleet) TryCharge(time.Time, identifier.Pool) bool { return !f.spent }
@@ -91,7 +94,14 @@
 	return max(0, start.Add(f.pausedUntil).Sub(now))
 }
 
-func (f *fleet) TakeSend(time.Time, tracker.Runner) bool { return !f.isRateReached }
+func (f *fleet) TakeSend(time.Time, tracker.Runner) bool {
+	if !f.isRateReached {
+		f.taken++
+	}
+	return !f.isRateReached
+}
+
+func (f *fleet) ReturnSend(time.Time, tracker.Runner) { f.taken-- }
 
 func (f *fleet) RateLeft(time.Time, identifier.Pool) time.Duration {
 	if f.isRateReached {
@@ -277,11 +287,24 @@
 	for _, s := range scripts {
 		fmt.Fprintf(&w, "%s\n", s.name)
 		core := attempter.New(attempter.DefaultSettings(), s.job, &s.fleet)
+		sent, hasEnded := 0, false
 		for _, step := range s.steps {
 			fmt.Fprintf(&w, "  %6s %s\n", step.at, describe(step.e))
 			for _, o := range core.Step(start.Add(step.at), step.e) {
 				fmt.Fprintf(&w, "         -> %s\n", describe(o))
+				switch o.(type) {
+				case attempter.Run, attempter.Prefill:
+					sent++
+				case attempter.Refuse, attempter.Fail, attempter.Break:
+					hasEnded = true
+				}
 			}
+			if _, isAbandoned := step.e.(attempter.Abandoned); isAbandoned {
+				hasEnded = true
+			}
+		}
+		if hasEnded && s.fleet.taken != sent {
+			t.Errorf("%s: %d sends were taken, %d made", s.name, s.fleet.taken, sent)
 		}
 		fmt.Fprintln(&w)
 	}
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -104,6 +104,7 @@
 // replaceRunner looks for another runner, as the chosen one has asked for a pause, begun
 // to leave or got its rate in the meantime. The KV cache is kept for it.
 func (c *Core) replaceRunner(now time.Time) {
+	c.returnSend(now)
 	if c.hold != "" {
 		c.emit(Release{c.runner, c.hold})
 	}
@@ -124,7 +125,11 @@
 		return
 	}
 	r, ok := c.fleet.ChoosePrefill(now, c.job.Pool, c.runner.DataCentre, c.excludedPrefills)
-	if !ok || c.prefills > 0 && !c.fleet.TryCharge(now, c.job.Pool) {
+	if ok && c.prefills > 0 && !c.fleet.TryCharge(now, c.job.Pool) {
+		c.fleet.ReturnSend(now, r)
+		ok = false
+	}
+	if !ok {
 		// The decode engine computes the prefill itself, at half the speed.
 		c.run(now)
 		return
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -341,6 +341,9 @@
 // TakeSend implements attempter.Fleet. No trace has runners with a rate.
 func (r *routingPolicy) TakeSend(time.Time, tracker.Runner) bool { return true }
 
+// ReturnSend implements attempter.Fleet.
+func (r *routingPolicy) ReturnSend(time.Time, tracker.Runner) {}
+
 // RateLeft implements attempter.Fleet.
 func (r *routingPolicy) RateLeft(time.Time, identifier.Pool) time.Duration { return 0 }
 
--- a/router/rates.go
+++ b/router/rates.go
@@ -39,6 +39,13 @@
 	return f.rates.TakeSend(now, limitedProcess(r))
 }
 
+// ReturnSend implements attempter.Fleet.
+func (f *Fleet) ReturnSend(now time.Time, r tracker.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rates.ReturnSend(now, limitedProcess(r))
+}
+
 // RateLeft implements attempter.Fleet.
 func (f *Fleet) RateLeft(now time.Time, pool identifier.Pool) time.Duration {
 	f.mu.Lock()
