--- a/router/crashes.go
+++ b/router/crashes.go
@@ -68,7 +68,7 @@
 
 // recordBroken records that a runner closed the connection of a prefill or run early.
 func (f *Fleet) recordBroken(traits []isolator.Trait, by tracker.Runner, lived time.Duration) {
-	f.stepIsolation(isolator.RunBroken{Traits: traits, On: processOf(by), Lived: lived})
+	f.stepIsolation(isolator.RunBroken{Traits: traits, On: crashOf(by), Lived: lived})
 }
 
 // recordCompleted records that a prefill or run was answered whole.
@@ -78,15 +78,16 @@
 
 // recordAnswered records that a runner answered a call that began at sentAt.
 func (f *Fleet) recordAnswered(by tracker.Runner, sentAt time.Time) {
-	f.stepIsolation(isolator.EngineAnswered{By: processOf(by), SentAt: sentAt})
+	f.stepIsolation(isolator.EngineAnswered{By: crashOf(by), SentAt: sentAt})
 }
 
 // recordEnded records that a runner's process has ended.
 func (f *Fleet) recordEnded(by tracker.Runner) {
-	f.stepIsolation(isolator.EngineEnded{By: processOf(by)})
+	f.stepIsolation(isolator.EngineEnded{By: crashOf(by)})
 }
 
-func processOf(r tracker.Runner) isolator.Crash {
+// crashOf returns the crash of a runner's current process, if it is one.
+func crashOf(r tracker.Runner) isolator.Crash {
 	return isolator.Crash{Upstream: r.ID, Start: r.Start}
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -375,7 +375,7 @@
 		case tracker.Gone:
 			f.logRunner(c.Runner).Msg("RunnerGone")
 			f.runners.Forget(c.Runner)
-			f.stepRates(apportioner.Ended{Process: limitedProcess(c.Runner)})
+			f.stepRates(apportioner.Ended{Process: processOf(c.Runner)})
 		case tracker.Suspected:
 			f.metrics.suspicions.Inc()
 			f.logRunner(c.Runner).Time("Until", c.Until).Str("Reason", c.Reason).Msg("RunnerSuspected")
@@ -402,7 +402,7 @@
 func (f *Fleet) ChoosePlain(now time.Time, pool identifier.Pool, without tracker.Without) (tracker.Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.choose(now, without, func(without tracker.Without) (tracker.Runner, bool) { return f.view.Plain(now, pool, without) })
+	return f.chooseByRate(now, without, func(without tracker.Without) (tracker.Runner, bool) { return f.view.Plain(now, pool, without) })
 }
 
 // ChoosePrefill implements attempter.Fleet.
@@ -412,7 +412,7 @@
 	if !f.budget.CanRisk(now, pool) {
 		return tracker.Runner{}, false // A refused call is charged afterwards and would exceed the budget.
 	}
-	return f.choose(now, without, func(without tracker.Without) (tracker.Runner, bool) {
+	return f.chooseByRate(now, without, func(without tracker.Without) (tracker.Runner, bool) {
 		return f.view.Prefill(now, pool, near, without)
 	})
 }
@@ -421,7 +421,7 @@
 func (f *Fleet) ChooseDecode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, without tracker.Without) (tracker.Runner, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.choose(now, without, func(without tracker.Without) (tracker.Runner, bool) {
+	return f.chooseByRate(now, without, func(without tracker.Without) (tracker.Runner, bool) {
 		return f.view.Decode(now, pool, tokens, without)
 	})
 }
--- a/router/rates.go
+++ b/router/rates.go
@@ -19,7 +19,7 @@
 	isRelevant := rate > 0 || f.rates.HasLimits()
 	f.mu.Unlock()
 	if isRelevant {
-		f.stepRates(apportioner.Named{By: limitedProcess(r), Rate: rate, SentAt: sentAt})
+		f.stepRates(apportioner.Named{By: processOf(r), Rate: rate, SentAt: sentAt})
 	}
 }
 
@@ -28,7 +28,7 @@
 	f.logRunner(r).Str("Text", text).Msg("RateNotUsable")
 }
 
-func limitedProcess(r tracker.Runner) apportioner.Process {
+func processOf(r tracker.Runner) apportioner.Process {
 	return apportioner.Process{Upstream: r.ID, Start: r.Start}
 }
 
@@ -36,14 +36,14 @@
 func (f *Fleet) TakeSend(now time.Time, r tracker.Runner) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.rates.TakeSend(now, limitedProcess(r))
+	return f.rates.TakeSend(now, processOf(r))
 }
 
 // ReturnSend implements attempter.Fleet.
 func (f *Fleet) ReturnSend(now time.Time, r tracker.Runner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rates.ReturnSend(now, limitedProcess(r))
+	f.rates.ReturnSend(now, processOf(r))
 }
 
 // RateLeft implements attempter.Fleet.
@@ -58,7 +58,7 @@
 		if r.Role == identifier.RolePrefill || f.view.RefusesNew(now, r) {
 			continue
 		}
-		left := f.rates.SendAfter(now, limitedProcess(r))
+		left := f.rates.SendAfter(now, processOf(r))
 		if left == 0 {
 			return 0
 		}
@@ -69,9 +69,9 @@
 	return least
 }
 
-// choose chooses a runner to which this VM may send one more request now, and takes
+// chooseByRate chooses a runner to which this VM may send one more request now, and takes
 // that send. f.mu must be held.
-func (f *Fleet) choose(now time.Time, without tracker.Without, from func(tracker.Without) (tracker.Runner, bool)) (tracker.Runner, bool) {
+func (f *Fleet) chooseByRate(now time.Time, without tracker.Without, from func(tracker.Without) (tracker.Runner, bool)) (tracker.Runner, bool) {
 	if !f.rates.HasLimits() {
 		return from(without)
 	}
@@ -86,7 +86,7 @@
 		}
 	}
 	r, ok := from(all)
-	return r, ok && f.rates.TakeSend(now, limitedProcess(r))
+	return r, ok && f.rates.TakeSend(now, processOf(r))
 }
 
 // stepRates passes an event to the division of rates and performs its outcomes.
