Take an unframed answer without a body for broken

Cause: a plain service that sends no length and no chunks crashed after the head; the end of the connection read like the end of the body. Now a success framed by its connection without any byte is broken; HEAD and 204 aren't.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -196,8 +196,6 @@
 	})
 }
 
-// TestHopByHopHeadersAreDropped checks that hop-by-hop headers are dropped and
-// all others kept, in both directions.
 func TestEventStreamCutInsideAnEventDoesNotLookComplete(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\nConnection: close\r\n\r\n"
 	for rest, isBroken := range map[string]bool{
@@ -224,6 +222,34 @@
 	}
 }
 
+// TestUnframedAnswerThatEndsBeforeItsBodyIsBroken has an instance close the connection
+// after the head of an answer without a length or chunks.
+func TestUnframedAnswerThatEndsBeforeItsBodyIsBroken(t *testing.T) {
+	for head, isBroken := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n":                      true,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole":                 false,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n":              false,
+	} {
+		cut := instance{conn: func(c net.Conn) {
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, head)
+		}}
+		withSite(t, []instance{cut}, func(s *site) {
+			reply, err := s.client.Get(s.url + "/orders/stock")
+			s.Expect(err).NotTo(HaveOccurred())
+			defer reply.Body.Close()
+			_, err = io.ReadAll(reply.Body)
+			s.Expect(err != nil).To(Equal(isBroken), "%q: %v", head, err)
+		})
+	}
+}
+
+// TestHopByHopHeadersAreDropped checks that hop-by-hop headers are dropped and
+// all others kept, in both directions.
 func TestHopByHopHeadersAreDropped(t *testing.T) {
 	var got http.Header
 	note := func(w http.ResponseWriter, r *http.Request) {
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -154,10 +154,11 @@
 	if isEventStream(answer) {
 		events = &splitter.Scanner{}
 	}
-	if result := copyFlushing(w, answer.Body, events); result != tryAnswered {
+	body := &countingReader{Reader: answer.Body}
+	if result := copyFlushing(w, body, events); result != tryAnswered {
 		return result
 	}
-	if events != nil && isCutOff(answer, events) {
+	if events != nil && isCutOff(answer, events) || body.read == 0 && lacksBody(answer) {
 		return tryBrokenAnswer
 	}
 	for name, values := range answer.Trailer {
@@ -181,8 +182,31 @@
 // incomplete. An upstream that crashes may close the connection of an answer
 // without a length or chunks, which reads like the end of the body.
 func isCutOff(answer *http.Response, events *splitter.Scanner) bool {
-	isUnframed := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-	return events.IsInsideEvent() || isUnframed && !events.HasEvent()
+	return events.IsInsideEvent() || isUnframed(answer) && !events.HasEvent()
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	read int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += int64(n)
+	return n, err
+}
+
+// lacksBody reports whether an answer of which no body was read is incomplete: its
+// upstream may have crashed after the head. One without a body says so.
+func lacksBody(answer *http.Response) bool {
+	return isUnframed(answer) && answer.StatusCode < http.StatusMultipleChoices &&
+		answer.StatusCode != http.StatusNoContent && answer.Request.Method != http.MethodHead
+}
+
+func isUnframed(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
 }
 
 // copyFlushing copies a body and flushes after each read, so that a streamed
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,6 +107,9 @@
 	if a.Length >= 0 && len(first) < maxBufferedBytes && int64(len(first)) != a.Length {
 		return errors.Errorf("the answer body has %d bytes, but its announced length is %d", len(first), a.Length)
 	}
+	if len(first) == 0 && a.Framing == FramingClose && a.isSuccess() && p.hasBody(a) {
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection of the answer was closed before its body")
+	}
 	if err := p.beginAnswer(a); err != nil {
 		return err
 	}
@@ -120,6 +124,11 @@
 	return p.relayBytes(a, func(b []byte) []byte { return b })
 }
 
+// hasBody reports whether an answer to the request has a body by its method and status.
+func (p *proxiedRequest) hasBody(a *Answer) bool {
+	return p.q.Method != http.MethodHead && a.Status != http.StatusNoContent
+}
+
 // relayEvents passes on a stream in whole events. The head is sent together
 // with the first event, so that a stream that breaks earlier can be run on
 // another runner. A runner that crashes may end its stream without a read error,
