Write a rate within 0.3 s

The VMs that don't hear a new rate themselves go on with it for as long as its write takes. The tests of rates pass.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// MaxWriteDelay bounds the random time from a change of a limit to its write. Of the
-	// VMs that notice it at the same time, most then read it before they write it.
-	MaxWriteDelay = time.Second
+	// MaxWriteDelay bounds the random time from a change of a limit to its write, so
+	// that VMs that notice it at the same time don't all write it.
+	MaxWriteDelay = 300 * time.Millisecond
 	// RetryInterval is the time from a failed write to the next one.
 	RetryInterval = 250 * time.Millisecond
 	// StaleTime is how long the end of a limit is remembered, so that an earlier answer
