--- a/router/metrics.go
+++ b/router/metrics.go
@@ -37,6 +37,7 @@
 	blockedTraits     prometheus.Gauge
 	limitedRunners    prometheus.Gauge
 	takenUp           *prometheus.CounterVec
+	unmarkedRefusals  *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -64,10 +65,11 @@
 		suspectedTraits:   newCounter("suspected_traits_total", "Crashes of runners that this VM counted against a trait of requests: a part of their prompts or their whole content."),
 		takenUp:           newCounterVec("streams_taken_up_total", "Streams of which the caller has a part, by whether the version that began them is known.", "origin"),
 		limitedRunners:    newGauge("limited_runners", "Runners that take only a rate of requests from all VMs together."),
+		unmarkedRefusals:  newCounterVec("unmarked_refusals_total", "Answers of runners whose status says that the request has not run, without the runner's statement, by status.", "status"),
 		blockedTraits:     newGauge("blocked_traits", "Traits on which runners crash; requests with one are refused."),
 	}
 	registry.MustRegister(m.accepted, m.ended, m.requests, m.refusals, m.inFlight, m.firstByteTimes, m.answerTimes, m.calls, m.callTimes, m.retries,
-		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms, m.pauses, m.suspectedTraits, m.blockedTraits, m.limitedRunners, m.takenUp)
+		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms, m.pauses, m.suspectedTraits, m.blockedTraits, m.limitedRunners, m.takenUp, m.unmarkedRefusals)
 	return m
 }
 
--- a/router/passage.go
+++ b/router/passage.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -332,6 +333,9 @@
 		cancel()
 		p.removeLoad(o.To, load)
 	}}
+	if answer.IsUnmarkedRefusal {
+		p.metrics.unmarkedRefusals.WithLabelValues(strconv.Itoa(answer.Status)).Inc()
+	}
 	if p.headSent && answer.Status != http.StatusOK {
 		drainBody(answer)
 		return attempter.Failed{Kind: driver.KindUnknown}
--- a/router/request.go
+++ b/router/request.go
@@ -137,6 +137,9 @@
 // Answer is a runner's answer whose body is not read yet.
 type Answer struct {
 	Status int
+	// IsUnmarkedRefusal is true if callers would read Status as the statement that the
+	// request has not run and won't, which the runner has not made.
+	IsUnmarkedRefusal bool
 	// Header holds the fields that are passed on to the caller.
 	Header http.Header
 	// Length is the announced length of the body, which an answer to HEAD announces
