REFUSED: don't pass on a runner's refusal that it has not stated

Callers saw 408, 429 or 503 for requests that a runner had run: figtrack took the runner's status over, and with it the promise "not run, and never will be", which only X-Not-Executed or a 421 states. A caller repeats a payment then.

The core now gets Unmarked in place of Answered for these: a repeatable request runs once more as after a 5xx, all others end as unknown (502) without the runner's body, signature and Retry-After (docs/DECISIONS.md).

Ruled out: passing on with 503 and another body, as the status itself is the promise; 504, as no time has run out.

--- a/accounter/accounter.go
+++ b/accounter/accounter.go
@@ -181,7 +181,7 @@
 		return BudgetEmpty
 	case "NotReady", "OldView":
 		return ViewTooOld
-	case "AnswerLost":
+	case "AnswerLost", "UnmarkedRefusal":
 		return RunnerLost
 	case "Blocked":
 		return Blocked
--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -255,6 +255,9 @@
 	case Answered:
 		c.hold, c.source = "", nil
 		c.handleAnswered(now, e)
+	case Unmarked:
+		c.hold, c.source = "", nil
+		c.handleUnmarked(now)
 	case Overdue:
 		c.handleOverdue(now)
 	case Broken:
@@ -358,14 +361,32 @@
 
 func (c *Core) handleAnswered(now time.Time, e Answered) {
 	const firstServerError = 500
-	if e.Status < firstServerError || !c.job.IsRepeatable || !c.chargeRetry(now) {
-		c.phase = phaseDelivering
-		c.emit(Deliver{})
+	if e.Status >= firstServerError && c.repeatFailed(now) {
 		return
 	}
+	c.phase = phaseDelivering
+	c.emit(Deliver{})
+}
+
+// handleUnmarked handles an answer whose status is a promise that only the runner could
+// make. The request may have run, so the caller gets a failure that promises nothing.
+func (c *Core) handleUnmarked(now time.Time) {
+	if !c.repeatFailed(now) {
+		c.mayHaveRun = true
+		c.giveUp(now, ReasonUnmarked)
+	}
+}
+
+// repeatFailed runs a repeatable request once more after a runner answered it with a
+// failure. It reports whether it did, or ended the request as it couldn't.
+func (c *Core) repeatFailed(now time.Time) bool {
+	if !c.job.IsRepeatable || !c.chargeRetry(now) {
+		return false
+	}
 	c.mayHaveRun = true
 	c.excluded[c.runner.ID] = true
 	c.chooseRunner(now)
+	return true
 }
 
 // chargeRetry reports whether another run is allowed, has a runner and has
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -189,6 +189,8 @@
 	lost    = attempter.Failed{Kind: driver.KindUnknown}
 	ok      = attempter.Answered{Status: 200}
 	failing = attempter.Answered{Status: 500}
+
+	unmarked = attempter.Unmarked{Status: 429}
 )
 
 var scripts = []script{
@@ -297,6 +299,14 @@
 	}},
 	{"a refused payment is not sent again without a budget", plain(false), fleet{spent: true}, []step{{0, attempter.Begin{}}, {ms(1), full}}},
 	{"a failed payment is passed on", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), failing}}},
+	{"a payment with an unmarked refusal has an unknown outcome", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(30), unmarked}}},
+	{"a stream with an unmarked refusal has an unknown outcome", stream(false), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Prefilled{Handle: "k"}}, {ms(110), unmarked},
+	}},
+	{"a lookup with an unmarked refusal is run again, once", plain(true), fleet{}, []step{
+		{0, attempter.Begin{}}, {ms(30), unmarked}, {ms(60), unmarked},
+	}},
+	{"a lookup with an unmarked refusal is not run again without a budget", plain(true), fleet{spent: true}, []step{{0, attempter.Begin{}}, {ms(30), unmarked}}},
 	{"a payment in flight at its timeout has an unknown outcome", plain(false), fleet{}, []step{{0, attempter.Begin{}}, {ms(1200), attempter.Expired{}}}},
 	{"a lookup that failed is run again, once", plain(true), fleet{}, []step{
 		{0, attempter.Begin{}}, {ms(30), failing}, {ms(60), failing},
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -41,6 +41,10 @@
 // Answered reports that the head of a runner's answer has arrived.
 type Answered struct{ Status int }
 
+// Unmarked reports that the head of an answer has arrived by which callers would take the
+// request for not run, though the runner has not stated that.
+type Unmarked struct{ Status int }
+
 // Overdue reports that a run has no head of an answer after the Limit of its Run, or
 // after the For of the last Await.
 type Overdue struct{}
@@ -72,6 +76,7 @@
 func (Prefilled) event() {}
 func (Failed) event()    {}
 func (Answered) event()  {}
+func (Unmarked) event()  {}
 func (Overdue) event()   {}
 func (Broken) event()    {}
 func (Rested) event()    {}
@@ -194,6 +199,9 @@
 	ReasonAttempts Reason = "Attempts"
 	// ReasonLost means that the answer of a run was lost.
 	ReasonLost Reason = "AnswerLost"
+	// ReasonUnmarked means that the runner's answer has a status that promises callers
+	// that the request has not run, which the runner has not stated.
+	ReasonUnmarked Reason = "UnmarkedRefusal"
 	// ReasonBlocked means that engines crash on what the request has in common with
 	// others.
 	ReasonBlocked Reason = "Blocked"
--- a/router/passage.go
+++ b/router/passage.go
@@ -341,6 +341,9 @@
 		return attempter.Failed{Kind: driver.KindUnknown}
 	}
 	p.answer = answer
+	if answer.IsUnmarkedRefusal {
+		return attempter.Unmarked{Status: answer.Status}
+	}
 	return attempter.Answered{Status: answer.Status}
 }
 
