--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -68,11 +68,17 @@
 	return all[0], true
 }
 
-func (f *fleet) ChoosePlain(_ time.Time, _ identifier.Pool, from tracker.Choice) (tracker.Runner, bool) {
+func (f *fleet) ChoosePlain(now time.Time, _ identifier.Pool, from tracker.Choice) (tracker.Runner, bool) {
+	ids := []string{"s1", "s2", "s3"}
 	if f.hasOnePlain {
-		return f.takeFirst(f.usable(identifier.RolePlain, from.Without, "s1"))
+		ids = ids[:1]
 	}
-	return f.takeFirst(f.usable(identifier.RolePlain, from.Without, "s1", "s2", "s3"))
+	return f.takeFirst(f.accepting(now, f.usable(identifier.RolePlain, from.Without, ids...)))
+}
+
+// accepting removes the runners that take no new requests.
+func (f *fleet) accepting(now time.Time, all []tracker.Runner) []tracker.Runner {
+	return slices.DeleteFunc(all, func(r tracker.Runner) bool { return f.RefusesNew(now, r) })
 }
 
 func (f *fleet) ChoosePrefill(_ time.Time, _ identifier.Pool, _ identifier.DataCentre, without tracker.Without) (tracker.Runner, bool) {
@@ -80,8 +86,7 @@
 }
 
 func (f *fleet) ChooseDecode(now time.Time, _ identifier.Pool, _ identifier.Tokens, from tracker.Choice) (tracker.Runner, bool) {
-	engines := f.usable(identifier.RoleDecode, from.Without, "d1", "d2", "d3")
-	return f.takeFirst(slices.DeleteFunc(engines, func(r tracker.Runner) bool { return f.RefusesNew(now, r) }))
+	return f.takeFirst(f.accepting(now, f.usable(identifier.RoleDecode, from.Without, "d1", "d2", "d3")))
 }
 
 func (f *fleet) Serves(identifier.Pool, identifier.Software) bool { return !f.isSoftwareGone }
