forwarder: a plain service can't say for figtrack that a call has not run

The service's Figtrack headers are dropped now, in trailers too, and those statuses bear Figtrack-Ran: Unknown. The status goes on, as callers of a proxy expect (docs/DECISIONS.md). The list of the statuses moves to outcomer, as both interfaces need it.

Measured: TestRefusalOfAServiceIsNotTakenForFigtracks failed before (Figtrack-Ran "No" after 1 run, at the first of 4 statuses), passes now. Ruled out by reading: engines of the own protocol (409 and 503 count only with a valid Refusal).

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+// TestRefusalOfAServiceIsNotTakenForFigtracks lets a service run a call and answer as
+// figtrack answers one that has not run.
+func TestRefusalOfAServiceIsNotTakenForFigtracks(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		var s *site
+		refuse := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(outcomer.HeaderRan, string(outcomer.RanNo))
+			w.Header().Set(outcomer.HeaderRequest, "another")
+			w.Header().Set("Trailer", outcomer.HeaderRan)
+			w.WriteHeader(status)
+			w.Header().Set(outcomer.HeaderRan, string(outcomer.RanNo))
+		}
+		withSite(t, []instance{{handler: func(w http.ResponseWriter, r *http.Request) { s.countRuns(refuse)(w, r) }}}, func(made *site) {
+			s = made
+			answer := s.do(http.MethodPost, "/orders/kits", "7", nil)
+			_, err := io.Copy(io.Discard, answer.Body)
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(s.runs.Load()).To(Equal(int64(1)))
+			s.Expect(answer.StatusCode).To(Equal(status))
+			s.Expect(answer.Header.Values(outcomer.HeaderRan)).To(Equal([]string{string(outcomer.RanUnknown)}))
+			s.Expect(answer.Header.Values(outcomer.HeaderRequest)).To(And(HaveLen(1), Not(ContainElement("another"))))
+			s.Expect(answer.Trailer).NotTo(HaveKey(outcomer.HeaderRan))
+		})
+	}
+}
+
 // TestCallerDisconnectCancelsCall closes the caller's connection while the
 // service works. The service's request must be cancelled, the call not sent
 // again, and the instance not blamed.
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -5,6 +5,7 @@
 	"net/textproto"
 	"strings"
 
+	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 )
 
@@ -38,6 +39,12 @@
 	}
 }
 
+// dropOwnHeaders removes what only figtrack says of a call.
+func dropOwnHeaders(h http.Header) {
+	h.Del(outcomer.HeaderRan)
+	h.Del(outcomer.HeaderRequest)
+}
+
 // requestIdentity returns what must be equal in two calls with the same key:
 // method, URI and body.
 func requestIdentity(r *http.Request, body []byte) []byte {
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -139,10 +139,16 @@
 
 // copyAnswer copies the answer to the caller, including its trailers.
 func (c *call) copyAnswer(w http.ResponseWriter, answer *http.Response) tryResult {
-	addHeaders(w.Header(), endToEndHeaders(answer.Header))
+	dropOwnHeaders(answer.Trailer)
+	header := endToEndHeaders(answer.Header)
+	dropOwnHeaders(header)
+	addHeaders(w.Header(), header)
 	for name := range answer.Trailer {
 		w.Header().Add("Trailer", name)
 	}
+	if outcomer.MeansNotRun(answer.StatusCode) {
+		w.Header().Set(outcomer.HeaderRan, string(outcomer.RanUnknown))
+	}
 	// A service may answer while the caller still sends the body. Without full
 	// duplex the server closes the body at the first byte of the answer.
 	control := http.NewResponseController(w)
@@ -161,6 +167,7 @@
 	if events != nil && isCutOff(answer, events) || body.read == 0 && lacksBody(answer) {
 		return tryBrokenAnswer
 	}
+	dropOwnHeaders(answer.Trailer) // The transport fills it in at the end of the body.
 	for name, values := range answer.Trailer {
 		for _, v := range values {
 			w.Header().Add(http.TrailerPrefix+name, v)
--- a/outcomer/outcomer.go
+++ b/outcomer/outcomer.go
@@ -42,6 +42,17 @@
 	RanYes Ran = "Yes"
 )
 
+// MeansNotRun reports whether callers may read an HTTP status as the statement that their
+// request has not run and won't. An upstream may send it after it ran the request.
+func MeansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Row describes the reply to the caller for one outcome.
 type Row struct {
 	// Status is the HTTP status. It is sent only if no byte of an answer was
--- a/outcomer/outcomer_test.go
+++ b/outcomer/outcomer_test.go
@@ -27,7 +27,9 @@
 	fmt.Fprintf(&b, "Each reply that is no answer has the header `%s` and a JSON body\n", outcomer.HeaderRan)
 	b.WriteString("`{\"Error\":{\"Reason\",\"Ran\",\"Message\",\"Request\",\"RetryAfterSeconds\"}}`. `No` is said only where\n")
 	b.WriteString("it is proved; where an earlier attempt of the request may have run, any refusal says\n")
-	b.WriteString("`Unknown` or `Yes`. A stream that ends early has the same object as its last event.\n\n")
+	b.WriteString("`Unknown` or `Yes`. A stream that ends early has the same object as its last event.\n")
+	fmt.Fprintf(&b, "A plain service's own answer has `%s: Unknown` beside 408, 421, 429 and 503, by which callers\n", outcomer.HeaderRan)
+	b.WriteString("might take the call for not run, and none beside other statuses.\n\n")
 	b.WriteString("| Reason | Status | Ran | Retry-After | Meaning | What the caller should do |\n|---|---|---|---|---|---|\n")
 	for _, o := range outcomer.All() {
 		r := outcomer.Describe(o)
