isolator: a VM that has just started suspects no trait that requests share

For 3 s from its start a VM counts a crash against the whole content alone, and afterwards against the shared traits that had no whole answer by then: no crash is lost. A core that could not be rebuilt starts so, too. Ruled out: writing whole answers into the record of crashes, a write of the store for each.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -52,6 +52,10 @@
 	MaxSuspects = 128
 	// MaxCrashes is the most crashes of a suspect in the record.
 	MaxCrashes = 32
+	// LearnTime is how long a VM that has started waits for whole answers before it
+	// suspects what requests share: without them, a crash counts against all that ran on
+	// the engine.
+	LearnTime = 3 * time.Second
 	// maxBroken is the most broken runs that wait for the end of their engines.
 	maxBroken = 256
 	// maxSurvivors is the most traits that are remembered as survivors for one
@@ -74,6 +78,10 @@
 	// broken holds the broken runs on engines that may have ended, in the order of
 	// their reports.
 	broken []brokenRun
+	// learnUntil is the end of LearnTime; zero for a core that doesn't learn. unlearned
+	// holds the crashes since the start whose shared traits were not suspected yet.
+	learnUntil time.Time
+	unlearned  []RunBroken
 	// knownSince is when this VM first knew of each crash of a suspect; voided holds
 	// the crashes in shared that have turned out to be none.
 	knownSince map[Crash]time.Time
@@ -113,10 +121,18 @@
 	}
 }
 
+// NewStarting returns the core of a VM that starts now.
+func NewStarting(now time.Time) *Core {
+	c := New()
+	c.learnUntil = now.Add(LearnTime)
+	return c
+}
+
 // Rebuilt returns a core that has read no record, in place of one whose step was
 // interrupted by a panic. It knows which traits are sound and which crashes were none.
 func (c *Core) Rebuilt() *Core {
 	n := New()
+	n.learnUntil, n.unlearned = c.learnUntil, slices.Clone(c.unlearned)
 	maps.Copy(n.survivors, c.survivors)
 	n.formerSurvivors, n.survivorsSince = maps.Clone(c.formerSurvivors), c.survivorsSince
 	maps.Copy(n.knownSince, c.knownSince)
@@ -167,6 +183,7 @@
 	default:
 		panic(fmt.Sprintf("isolator: unknown event %T", e))
 	}
+	c.suspectUnlearned(now)
 	c.checkBroken(now)
 	if c.isChanged {
 		c.updateBlocked()
@@ -223,8 +240,13 @@
 // suspect adds a crash to the traits of a run.
 func (c *Core) suspect(now time.Time, e RunBroken) {
 	c.rotateSurvivors(now)
+	isLearning := now.Before(c.learnUntil)
+	if isLearning && len(c.unlearned) < maxBroken {
+		c.unlearned = append(c.unlearned, e)
+	}
 	for depth, t := range e.Traits {
-		if c.survivors[t] || c.formerSurvivors[t] {
+		isShared := depth < len(e.Traits)-1 // The last trait is the whole content.
+		if isLearning && isShared || c.survivors[t] || c.formerSurvivors[t] {
 			continue
 		}
 		known := c.effective(t)
@@ -240,6 +262,18 @@
 	}
 }
 
+// suspectUnlearned suspects, once the VM has learnt which traits are sound, the others for
+// the crashes since its start.
+func (c *Core) suspectUnlearned(now time.Time) {
+	if now.Before(c.learnUntil) {
+		return
+	}
+	for _, e := range c.unlearned {
+		c.suspect(now, e)
+	}
+	c.unlearned = nil
+}
+
 func (c *Core) handleCompleted(now time.Time, e RunCompleted) {
 	c.rotateSurvivors(now)
 	for _, t := range e.Traits {
@@ -265,6 +299,7 @@
 	delete(c.knownSince, e.By)
 	c.isChanged = true
 	c.voided[e.By] = true
+	c.unlearned = slices.DeleteFunc(c.unlearned, func(b RunBroken) bool { return b.On == e.By })
 	c.setShared(c.shared)
 }
 
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -303,7 +303,7 @@
 		g := NewWithT(t)
 		s := &simulated{rand: rand.New(rand.NewPCG(seed, 1)), inFlight: map[isolator.Crash][]simulatedRun{}, starts: make([]int, engines)}
 		for range 6 {
-			s.cores = append(s.cores, isolator.New())
+			s.cores = append(s.cores, isolator.NewStarting(start))
 		}
 		reached, blockedSound := 0, 0
 		badFrom := []int{0, 200}[seed%2]
@@ -375,3 +375,27 @@
 	_, _, isBlocked := core.FindBlocked([]isolator.Trait{"sound"})
 	g.Expect(isBlocked).To(BeFalse())
 }
+
+// TestStartingVMSuspectsNoSoundTrait guards against blocking a trait of sound requests while
+// a VM that has just started has seen none of them end, and against losing the crashes of
+// another trait meanwhile.
+func TestStartingVMSuspectsNoSoundTrait(t *testing.T) {
+	g := NewWithT(t)
+	core := isolator.NewStarting(start)
+	core.Step(start, missing(1))
+	isBlocked := func(t isolator.Trait) bool {
+		_, _, found := core.FindBlocked([]isolator.Trait{t})
+		return found
+	}
+	for engine := range 4 {
+		now := start.Add(time.Duration(engine*400) * time.Millisecond)
+		stepEnded(core, now, broken(engine, "sound", "crashing", isolator.Trait(fmt.Sprint("content ", engine))))
+		stepEnded(core, now, broken(engine+10, "sound", "repeated content"))
+		g.Expect(isBlocked("sound") || isBlocked("crashing")).To(BeFalse())
+	}
+	g.Expect(isBlocked("repeated content")).To(BeTrue())
+	core.Step(start.Add(isolator.LearnTime-time.Second), completed("sound"))
+	core.Step(start.Add(isolator.LearnTime), isolator.Wake{})
+	g.Expect(isBlocked("sound")).To(BeFalse())
+	g.Expect(isBlocked("crashing")).To(BeTrue())
+}
--- a/router/cores.go
+++ b/router/cores.go
@@ -178,12 +178,12 @@
 		}
 	}
 	if !f.steps.Call(coreIsolation, rebuildStep("Rebuilt"), func() { f.isolation = f.isolation.Rebuilt() }) {
-		f.isolation = isolator.New()
+		f.isolation = isolator.NewStarting(now)
 	}
 	var outcomes []isolator.Outcome
 	isComplete := f.steps.Call(coreIsolation, read, func() { outcomes = f.isolation.Step(now, read) })
 	if !isComplete {
-		f.isolation, outcomes = isolator.New(), nil
+		f.isolation, outcomes = isolator.NewStarting(now), nil
 	}
 	f.recordRebuild(coreIsolation, now, isComplete)
 	by := f.rebuildsOf(coreIsolation)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -106,7 +106,7 @@
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, versions *versioner.Core, steps *stepper.Stepper, metrics *Metrics, log zerolog.Logger) *Fleet {
 	f := &Fleet{
 		reader: reader, runners: runners, view: view, budget: budget, steps: steps, metrics: metrics, log: log, roster: newRoster(), registered: map[string]tracker.Runner{}, entries: map[string]keeper.Entry{}, rebuilds: map[stepper.Core]rebuildCount{}, incompleteSince: map[stepper.Core]time.Time{}, tokenMeans: map[identifier.Pool]*tokenMeans{},
-		isolation: isolator.New(), rates: apportioner.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		isolation: isolator.NewStarting(time.Now()), rates: apportioner.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		versions: versions, crashWrites: make(chan recordWrite, 1), rateWrites: make(chan recordWrite, 1),
 		versionWrites: make(chan recordWrite, 1), streamWrites: make(chan recordWrite, 1),
 	}
