--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -78,10 +78,10 @@
 	// broken holds the broken runs on engines that may have ended, in the order of
 	// their reports.
 	broken []brokenRun
-	// learnUntil is the end of LearnTime; zero for a core that doesn't learn. unlearned
+	// learnUntil is the end of LearnTime; zero for a core that does not learn. deferred
 	// holds the crashes since the start whose shared traits were not suspected yet.
 	learnUntil time.Time
-	unlearned  []RunBroken
+	deferred   []RunBroken
 	// knownSince is when this VM first knew of each crash of a suspect; voided holds
 	// the crashes in shared that have turned out to be none.
 	knownSince map[Crash]time.Time
@@ -132,7 +132,7 @@
 // interrupted by a panic. It knows which traits are sound and which crashes were none.
 func (c *Core) Rebuilt() *Core {
 	n := New()
-	n.learnUntil, n.unlearned = c.learnUntil, slices.Clone(c.unlearned)
+	n.learnUntil, n.deferred = c.learnUntil, slices.Clone(c.deferred)
 	maps.Copy(n.survivors, c.survivors)
 	n.formerSurvivors, n.survivorsSince = maps.Clone(c.formerSurvivors), c.survivorsSince
 	maps.Copy(n.knownSince, c.knownSince)
@@ -183,7 +183,7 @@
 	default:
 		panic(fmt.Sprintf("isolator: unknown event %T", e))
 	}
-	c.suspectUnlearned(now)
+	c.suspectDeferred(now)
 	c.checkBroken(now)
 	if c.isChanged {
 		c.updateBlocked()
@@ -241,8 +241,8 @@
 func (c *Core) suspect(now time.Time, e RunBroken) {
 	c.rotateSurvivors(now)
 	isLearning := now.Before(c.learnUntil)
-	if isLearning && len(c.unlearned) < maxBroken {
-		c.unlearned = append(c.unlearned, e)
+	if isLearning && len(c.deferred) < maxBroken {
+		c.deferred = append(c.deferred, e)
 	}
 	for depth, t := range e.Traits {
 		isShared := depth < len(e.Traits)-1 // The last trait is the whole content.
@@ -262,16 +262,16 @@
 	}
 }
 
-// suspectUnlearned suspects, once the VM has learnt which traits are sound, the others for
+// suspectDeferred suspects, once the VM has learnt which traits are sound, the others for
 // the crashes since its start.
-func (c *Core) suspectUnlearned(now time.Time) {
+func (c *Core) suspectDeferred(now time.Time) {
 	if now.Before(c.learnUntil) {
 		return
 	}
-	for _, e := range c.unlearned {
+	for _, e := range c.deferred {
 		c.suspect(now, e)
 	}
-	c.unlearned = nil
+	c.deferred = nil
 }
 
 func (c *Core) handleCompleted(now time.Time, e RunCompleted) {
@@ -299,7 +299,7 @@
 	delete(c.knownSince, e.By)
 	c.isChanged = true
 	c.voided[e.By] = true
-	c.unlearned = slices.DeleteFunc(c.unlearned, func(b RunBroken) bool { return b.On == e.By })
+	c.deferred = slices.DeleteFunc(c.deferred, func(b RunBroken) bool { return b.On == e.By })
 	c.setShared(c.shared)
 }
 
