forwarder: the service of the refusal test reads the call before it refuses

Traced: the service answered without reading the body, and as the call's connection isn't kept, it closed while the body was still being written; the call's answer was lost, which is a true 502. Every check is as it was.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -102,7 +102,8 @@
 func TestRefusalOfAServiceIsNotTakenForFigtracks(t *testing.T) {
 	for _, status := range []int{408, 421, 429, 503} {
 		var s *site
-		refuse := func(w http.ResponseWriter, _ *http.Request) {
+		refuse := func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // Else the connection may close before the call is written.
 			w.Header().Set(outcomer.HeaderRan, string(outcomer.RanNo))
 			w.Header().Set(outcomer.HeaderRequest, "another")
 			w.Header().Set("Trailer", outcomer.HeaderRan)
