--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -94,6 +94,8 @@
 	Input, Output identifier.Tokens
 	// MaxAttempts is the most runs of the request.
 	MaxAttempts int
+	// Priority ranks the request among those that wait; lower is more urgent.
+	Priority int
 	// Target is the time within which the answer, or its first event, is on
 	// time.
 	Target time.Duration
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -51,6 +51,8 @@
 	MaxAttempts int
 	// Priority ranks routes; 0 is the highest.
 	Priority int
+	// IsPublic is true if requests need no API key.
+	IsPublic bool
 	// Shares has at least one entry.
 	Shares []Share
 }
--- /dev/null
+++ b/router/access.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"time"
+
+	"github.com/figtrack/figtrack/authorizer"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/matcher"
+)
+
+// Credentials say who a request comes from.
+type Credentials struct {
+	// Key is the API key that the caller sent; zero for none.
+	Key authorizer.Key
+	// IsChecked is true once Key was checked against a configuration that names
+	// workspaces. What the caller says of its workspace, and its key, are kept from
+	// runners then.
+	IsChecked bool
+	// Workspace is the workspace of Key; empty if it isn't checked, or if the route is
+	// public and the key missing or unknown.
+	Workspace identifier.Workspace
+}
+
+// Unauthorized states that the route needs the key of a workspace, and that the request has
+// none or an unknown one.
+type Unauthorized struct{}
+
+func (Unauthorized) reply() {}
+
+// checkAccess sets the workspace of a request. It returns the reply to a request that may not
+// use its route; nil for one that may.
+func (r *Router) checkAccess(q *Request, route matcher.Route, c *Configuration) (authorizer.Workspace, Reply) {
+	if c.Workspaces == nil {
+		return authorizer.Workspace{}, nil
+	}
+	q.IsChecked = true
+	w, isKnown := c.Workspaces.Lookup(q.Key)
+	q.Workspace = w.ID
+	switch {
+	case isKnown || route.IsPublic:
+		return w, nil
+	case !r.fleet.IsCertain(time.Now()):
+		// A newer configuration may have the key.
+		return w, NotRun{Reason: reasonOldView, After: notReadyRetryAfter}
+	default:
+		return w, Unauthorized{}
+	}
+}
+
+// priorityOf returns the priority of a request: its workspace's if that has one, else its
+// route's.
+func priorityOf(w authorizer.Workspace, route matcher.Route) int {
+	if w.HasPriority {
+		return w.Priority
+	}
+	return route.Priority
+}
--- a/router/passage.go
+++ b/router/passage.go
@@ -234,7 +234,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	began := time.Now()
-	hold, err := p.runners.Reserve(ctx, o.To, o.Tokens, o.For)
+	hold, err := p.runners.Reserve(ctx, o.To, p.q, o.Tokens, o.For)
 	p.recordCall(callReserve, o.To, began, err)
 	if err != nil && driver.KindOf(err) == driver.KindFull {
 		p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
--- a/router/request.go
+++ b/router/request.go
@@ -70,6 +70,7 @@
 	// Resumes is the id of the request that brought the caller the first event of that
 	// stream; empty if it doesn't say.
 	Resumes identifier.Request
+	Credentials
 }
 
 // stream returns the id of the stream that the request begins or takes up: that of the
@@ -165,8 +166,8 @@
 // Runners makes the calls to upstreams. Errors are of type *driver.Error. Each
 // method that takes a context returns when it ends.
 type Runners interface {
-	// Reserve reserves memory and a slot on a decode engine for ttl.
-	Reserve(ctx context.Context, to tracker.Runner, tokens identifier.Tokens, ttl time.Duration) (attempter.Hold, error)
+	// Reserve reserves memory and a slot on a decode engine for a request, for ttl.
+	Reserve(ctx context.Context, to tracker.Runner, r *Request, tokens identifier.Tokens, ttl time.Duration) (attempter.Hold, error)
 	// Release releases a hold.
 	Release(ctx context.Context, to tracker.Runner, hold attempter.Hold) error
 	// Prefill makes a prefill engine compute the KV cache of the prompt and keep
--- a/router/router.go
+++ b/router/router.go
@@ -96,6 +96,11 @@
 		r.replyNoRoute(q, caller, configuration)
 		return
 	}
+	workspace, refused := r.checkAccess(q, route, configuration)
+	if refused != nil {
+		r.reply(q, caller, route.Kind, refused)
+		return
+	}
 	job, ok := r.newJob(ctx, q, route, configuration)
 	if !ok {
 		refusal := NotRun{Reason: reasonUnknownSoftware}
@@ -105,9 +110,11 @@
 		r.reply(q, caller, route.Kind, refusal)
 		return
 	}
+	job.Priority = priorityOf(workspace, route)
 	r.log.Info().
 		Str("Request", string(q.ID)).
 		Str("Route", route.Name).
+		Str("Workspace", string(q.Workspace)).
 		Str("Pool", string(job.Pool)).
 		Str("Software", string(job.Software)).
 		Uint64("Revision", uint64(configuration.Revision)).
@@ -222,6 +229,9 @@
 	case NoRoute:
 		outcome = "NoRoute"
 		line = line.Str("Reason", string(reasonNoRoute))
+	case Unauthorized:
+		outcome = "Unauthorized"
+		line = line.Bool("HasKey", !q.Key.IsZero())
 	case Broken:
 		outcome = "Broken"
 		line = line.Str("Reason", string(reply.Reason))
