keeper: entries print without their values

Cause: a core or reader that panics is logged with its event, and an event with the configuration's entry printed the API keys in it, as bytes.

Change: keeper.Entry prints its key, version, era and length only.

Measured: go test ./keeper passes.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,12 @@
 // Age returns the age of the entry.
 func (e Entry) Age() Age { return Age{e.Era, e.Version} }
 
+// String implements fmt.Stringer. It leaves out the value, which may hold API keys: events
+// with entries are logged when a core panics.
+func (e Entry) String() string {
+	return fmt.Sprintf("{Key:%s Version:%d Era:%d Bytes:%d}", e.Key, e.Version, e.Era, len(e.Value))
+}
+
 // Lease is the ID of a lease. Values that were written with a lease are deleted
 // when it expires; zero stands for no lease.
 type Lease int64
