access: quota hook, replies Unauthorized and OverQuota in logs and tables

Cause: the quota part needs a place in the path of a request, and logs did not name workspaces.

Change: router.Fleet.TakeQuota is called once for each request of a workspace, after its access check; ReturnQuota once if it ends as not run. Arrived lines, account --by workspace and explain name the workspace; outcomer has the row of OverQuota.

Measured: go test ./accounter ./explainer ./outcomer passes; goldens show the new column and rows.

--- a/account.go
+++ b/account.go
@@ -16,7 +16,7 @@
 
 type accountOptions struct {
 	Logs []string `long:"log" required:"yes" value-name:"FILE" description:"log of a VM; may be given several times"`
-	By   []string `long:"by" default:"route" choice:"route" choice:"centre" choice:"second" choice:"size" description:"what requests are summed up by; may be given several times"`
+	By   []string `long:"by" default:"route" choice:"route" choice:"centre" choice:"second" choice:"size" choice:"workspace" description:"what requests are summed up by; may be given several times"`
 	Plot string   `long:"plot" value-name:"FILE" description:"file for a plot by second, as in out.svg"`
 }
 
--- a/accounter/accounter.go
+++ b/accounter/accounter.go
@@ -45,6 +45,8 @@
 	RunnerLost Cause = "RunnerLost"
 	// Blocked: engines crash on a trait of the request.
 	Blocked Cause = "Blocked"
+	// OverQuota: the request's workspace had used up its quota.
+	OverQuota Cause = "OverQuota"
 	// Timeout: the deadline or the route's timeout passed first.
 	Timeout Cause = "Timeout"
 	// CallerLeft: the caller closed its connection before the end.
@@ -58,7 +60,7 @@
 // Causes are all causes in the order of tables.
 var Causes = []Cause{
 	InTime, MemoryWait, PrefillQueue, FirstToken, Repeated, Pause,
-	NoRoom, NoRunner, BudgetEmpty, ViewTooOld, RunnerFailed, RunnerLost, Blocked, Timeout, CallerLeft, Panicked, VMStopped,
+	NoRoom, NoRunner, BudgetEmpty, ViewTooOld, RunnerFailed, RunnerLost, Blocked, OverQuota, Timeout, CallerLeft, Panicked, VMStopped,
 }
 
 // Request is the account of one request, as one VM handled it.
@@ -67,6 +69,8 @@
 	VM         identifier.VM
 	DataCentre identifier.DataCentre
 	Route      string
+	// Workspace is empty if the request has none.
+	Workspace identifier.Workspace
 	// Input is the number of prompt tokens; zero for a plain service.
 	Input identifier.Tokens
 	// ArrivedAt is the time of arrival by the VM's clock, corrected for jumps.
@@ -93,7 +97,7 @@
 		case e.Message == "Arrived":
 			r := &Request{
 				ID: identifier.Request(e.Request), VM: identifier.VM(e.VM), DataCentre: centres[e.VM],
-				Route: e.Route, Input: identifier.Tokens(e.Input), ArrivedAt: e.At, Cause: VMStopped,
+				Route: e.Route, Workspace: identifier.Workspace(e.Workspace), Input: identifier.Tokens(e.Input), ArrivedAt: e.At, Cause: VMStopped,
 				target: milliseconds(e.Target), gap: milliseconds(e.Gap),
 			}
 			open[key] = r
@@ -134,6 +138,8 @@
 		r.Cause = r.causeOfAnswer(e)
 	case "NotRun":
 		r.Cause = causeOfRefusal(e.Reason)
+	case "OverQuota":
+		r.Cause = OverQuota
 	case "Unknown", "Broken":
 		r.Cause = RunnerLost
 		if e.Reason == "Timeout" {
--- a/accounter/accounter_test.go
+++ b/accounter/accounter_test.go
@@ -35,7 +35,7 @@
 	for _, c := range accounter.Causes {
 		g.Expect(seen[c]).To(BeTrue(), "no request with cause %s", c)
 	}
-	for _, by := range []accounter.Grouping{accounter.ByRoute, accounter.ByDataCentre, accounter.BySecond, accounter.ByPromptSize} {
+	for _, by := range []accounter.Grouping{accounter.ByRoute, accounter.ByDataCentre, accounter.BySecond, accounter.ByPromptSize, accounter.ByWorkspace} {
 		sums := accounter.Sums(requests, by)
 		accounter.WriteTable(&w, by, sums)
 		total := 0
--- a/accounter/group.go
+++ b/accounter/group.go
@@ -19,6 +19,7 @@
 	ByDataCentre Grouping = "centre"
 	BySecond     Grouping = "second"
 	ByPromptSize Grouping = "size"
+	ByWorkspace  Grouping = "workspace"
 )
 
 // Sum counts the requests of a group by cause.
@@ -64,6 +65,8 @@
 		return func(r Request) string { return string(r.DataCentre) }
 	case BySecond:
 		return func(r Request) string { return fmt.Sprintf("%4d", r.second(requests[0].ArrivedAt)) }
+	case ByWorkspace:
+		return func(r Request) string { return cmp.Or(string(r.Workspace), "no workspace") }
 	case ByPromptSize:
 		return sizeNamer(requests)
 	default:
--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -26,17 +26,16 @@
 	Plain identifier.Tokens
 }
 
-// Cost returns the cost of a request that declares a number of tokens, which is zero or
-// less if it declares none.
-func (q Quota) Cost(declared identifier.Tokens) float64 {
-	switch {
-	case q.Unit != UnitTokens:
+// Cost returns the cost of a request that declares the tokens of its prompt and its answer.
+// One that declares none, or numbers that would lower what the workspace uses, costs Plain.
+func (q Quota) Cost(input, output identifier.Tokens) float64 {
+	if q.Unit != UnitTokens {
 		return 1
-	case declared > 0:
-		return float64(declared)
-	default:
-		return float64(q.Plain)
 	}
+	if declared := float64(max(input, 0)) + float64(max(output, 0)); declared > 0 {
+		return declared
+	}
+	return float64(q.Plain)
 }
 
 // Workspace is an organisation or seat whose requests are counted together.
--- a/explainer/story.go
+++ b/explainer/story.go
@@ -33,7 +33,7 @@
 	Request, Route, Pool, Call, Upstream, Outcome, Reason, Error string
 	Key, Role, Holder, LastEvent, Until, Framing, Trait, Content string
 	Upstreams, Parts                                             []string
-	Kind, DataCentre                                             string
+	Kind, DataCentre, Workspace                                  string
 	Revision, Version, Era                                       int64
 	Input, Output, Expected, Runs, Status, Cut, InFlight, VMs    int
 	Partial, Crashes                                             int
@@ -123,7 +123,7 @@
 func (e Entry) describeRequest() string {
 	switch e.Message {
 	case "Arrived":
-		text := fmt.Sprintf("arrived on route %s for pool %s under revision %d, %.0f ms left", e.Route, e.Pool, e.Revision, e.Left)
+		text := fmt.Sprintf("arrived on route %s%s for pool %s under revision %d, %.0f ms left", e.Route, e.describeWorkspace(), e.Pool, e.Revision, e.Left)
 		if e.Input > 0 {
 			text += fmt.Sprintf("; prompt %d tokens, answer at most %d, expected %d", e.Input, e.Output, e.Expected)
 		}
@@ -153,6 +153,10 @@
 		return fmt.Sprintf("ended as %s after %.0f ms: %s.", strings.ToLower(e.Message), e.Took, e.Reason)
 	case "NoRoute":
 		return fmt.Sprintf("no route after %.0f ms.", e.Took)
+	case "Unauthorized":
+		return fmt.Sprintf("refused after %.0f ms: the API key is missing or unknown.", e.Took)
+	case "OverQuota":
+		return fmt.Sprintf("refused as over the quota%s after %.0f ms; come back after %.0f ms.", e.describeWorkspace(), e.Took, e.ComeBack)
 	case "Refused":
 		return fmt.Sprintf("refused with status %d after %.0f ms: %s.", e.Status, e.Took, e.Reason)
 	case "Panicked":
@@ -164,6 +168,14 @@
 	}
 }
 
+// describeWorkspace names the workspace of a request; lines of requests without one don't.
+func (e Entry) describeWorkspace() string {
+	if e.Workspace == "" {
+		return ""
+	}
+	return " of workspace " + e.Workspace
+}
+
 // describeFraming describes how an answer marked its end; lines of older versions
 // don't say it.
 func (e Entry) describeFraming() string {
--- a/outcomer/outcomer.go
+++ b/outcomer/outcomer.go
@@ -107,6 +107,7 @@
 		TargetOutOfReach{},
 		QueueFull{},
 		WorkspaceShare{},
+		OverQuota{},
 		NoUpstream{},
 		RetriesSpent{},
 		Busy{},
--- a/outcomer/refused.go
+++ b/outcomer/refused.go
@@ -17,6 +17,9 @@
 // WorkspaceShare means that the workspace already uses its whole share.
 type WorkspaceShare struct{ waiting }
 
+// OverQuota means that the workspace has used up its quota, which holds over all VMs.
+type OverQuota struct{ waiting }
+
 // NoUpstream means that no upstream that may serve the request is up.
 type NoUpstream struct{ waiting }
 
@@ -42,6 +45,9 @@
 	case WorkspaceShare:
 		return retryRow(http.StatusTooManyRequests, "WorkspaceShare",
 			"The workspace uses its whole share.")
+	case OverQuota:
+		return retryRow(http.StatusTooManyRequests, "OverQuota",
+			"The workspace has used up its quota over all VMs.")
 	case NoUpstream:
 		return retryRow(http.StatusServiceUnavailable, "NoUpstream",
 			"No upstream for this request is up.")
--- a/outcomer/rejected.go
+++ b/outcomer/rejected.go
@@ -26,7 +26,7 @@
 			"The request can't be read; the body names the field.", correct)
 	case Unauthorised:
 		return newRow(http.StatusUnauthorized, "Unauthorised", RanNo,
-			"The credentials are missing or wrong.", correct)
+			"The API key or the credentials are missing or wrong.", correct)
 	case UnknownRoute:
 		return newRow(http.StatusNotFound, "UnknownRoute", RanNo,
 			"No route has this path and method.", correct)
--- a/router/access.go
+++ b/router/access.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"github.com/figtrack/figtrack/authorizer"
@@ -19,13 +20,22 @@
 	// Workspace is the workspace of Key; empty if it isn't checked, or if the route is
 	// public and the key missing or unknown.
 	Workspace identifier.Workspace
+	// quotaCost is what the request has taken from the quota of Workspace; zero for nothing.
+	quotaCost float64
 }
 
 // Unauthorized states that the route needs the key of a workspace, and that the request has
 // none or an unknown one.
 type Unauthorized struct{}
 
+// OverQuota states that the request isn't run, as its workspace has used up its quota.
+type OverQuota struct {
+	// After is the time after which the caller may try again.
+	After time.Duration
+}
+
 func (Unauthorized) reply() {}
+func (OverQuota) reply()    {}
 
 // checkAccess sets the workspace of a request. It returns the reply to a request that may not
 // use its route; nil for one that may.
@@ -47,6 +57,28 @@
 	}
 }
 
+// takeQuota takes the cost of a request from the quota of its workspace, if it has one. It
+// returns the reply to a request beyond the quota; nil for one within it.
+func (r *Router) takeQuota(ctx context.Context, q *Request, w authorizer.Workspace) Reply {
+	if w.ID == "" {
+		return nil
+	}
+	cost := w.Quota.Cost(q.Prompt.Input, q.Prompt.Output)
+	if d := r.fleet.TakeQuota(ctx, w, cost); !d.Allowed {
+		return OverQuota{After: d.After}
+	}
+	q.quotaCost = cost
+	return nil
+}
+
+// returnQuota gives back the quota of a request that has not run.
+func (r *Router) returnQuota(q *Request) {
+	if q.quotaCost > 0 {
+		r.fleet.ReturnQuota(q.Workspace, q.quotaCost)
+	}
+	q.quotaCost = 0
+}
+
 // priorityOf returns the priority of a request: its workspace's if that has one, else its
 // route's.
 func priorityOf(w authorizer.Workspace, route matcher.Route) int {
--- a/router/router.go
+++ b/router/router.go
@@ -129,6 +129,10 @@
 		Dur("Target", route.Target).
 		Dur("Gap", route.Gap).
 		Msg("Arrived")
+	if refused := r.takeQuota(ctx, q, workspace); refused != nil {
+		r.reply(q, caller, route.Kind, refused)
+		return
+	}
 	r.fleet.recordArrival(q.Arrived, job)
 	newProxiedRequest(r, q, caller, route, job).serve(ctx)
 }
@@ -221,6 +225,7 @@
 	switch reply := reply.(type) {
 	case NotRun:
 		outcome = "NotRun"
+		r.returnQuota(q)
 		r.metrics.refusals.WithLabelValues(string(reply.Reason)).Inc()
 		line = line.Str("Reason", string(reply.Reason)).Dur("ComeBack", reply.After)
 	case Unknown:
@@ -232,6 +237,9 @@
 	case Unauthorized:
 		outcome = "Unauthorized"
 		line = line.Bool("HasKey", !q.Key.IsZero())
+	case OverQuota:
+		outcome = "OverQuota"
+		line = line.Str("Workspace", string(q.Workspace)).Dur("ComeBack", reply.After)
 	case Broken:
 		outcome = "Broken"
 		line = line.Str("Reason", string(reply.Reason))
