--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -75,10 +75,10 @@
 			if k.IsZero() {
 				return nil, errors.Errorf("key %d of workspace %q is empty", n+1, w.ID)
 			}
-			if other, ok := t.byKey[*k.digest]; ok && other != i {
+			if other, ok := t.byKey[**k.digest]; ok && other != i {
 				return nil, errors.Errorf("key %d of workspace %q is also a key of workspace %q", n+1, w.ID, t.all[other].ID)
 			}
-			t.byKey[*k.digest] = i
+			t.byKey[**k.digest] = i
 		}
 	}
 	return t, nil
@@ -98,7 +98,7 @@
 	if k.IsZero() {
 		return Workspace{}, false
 	}
-	i, ok := t.byKey[*k.digest]
+	i, ok := t.byKey[**k.digest]
 	if !ok {
 		return Workspace{}, false
 	}
--- a/authorizer/key.go
+++ b/authorizer/key.go
@@ -14,9 +14,9 @@
 // Key is the digest of an API key. The zero Key is that of a caller that sent none. It
 // prints as redacted in every form: digests of weak keys can be guessed.
 type Key struct {
-	// digest is nil in the zero Key. It is a pointer because fmt prints unexported fields
-	// of other structs without calling their methods, and doesn't follow pointers there.
-	digest *digest
+	// digest is nil in the zero Key. fmt prints unexported fields of other structs without
+	// calling their methods, and follows one pointer if the verb doesn't fit, but not two.
+	digest **digest
 }
 
 type digest [sha256.Size]byte
@@ -26,7 +26,7 @@
 	if text == "" {
 		return Key{}
 	}
-	d := digest(sha256.Sum256([]byte(text)))
+	d := new(digest(sha256.Sum256([]byte(text))))
 	return Key{&d}
 }
 
