launcher: the standard log quotes no bytes of answers

Cause: net/http logs the first bytes of an answer that comes on an idle connection. A copy of the store's answer may hold the configuration with its API keys, and VMs write the standard log into theirs.

Change: a line of the standard log ends before what it quotes.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -159,7 +159,7 @@
 // at each signal of hangups. It returns the number of answers that were cut.
 func (vm *VM) Run(stops, hangups <-chan os.Signal) (cut int, err error) {
 	debug.SetMemoryLimit(int64(float64(vm.cfg.Platform.MemoryMB) * memoryLimitRatio * bytesPerMegabyte))
-	stdlog.SetOutput(vm.log)
+	stdlog.SetOutput(unquotedWriter{vm.log})
 	stdlog.SetFlags(0)
 	callers, err := net.Listen("tcp", vm.cfg.Callers.Address)
 	if err != nil {
