--- a/names_test.go
+++ b/names_test.go
@@ -12,8 +12,8 @@
 
 // platformNamePattern matches names of the protocol of the users' platform. Only
 // its adapter, the package platform, may contain them.
-var platformNamePattern = regexp.MustCompile(`X-(Kv|Stage|Expect|Not-Executed|Response-Seal|Deadline-Ms|Token-Usage|Prompt-Prefix|Pin-Ms|Length-Hint|Weight-Versions|Request-Priority)` +
-	`|/-/(kv|hold|order|report|readiness)|op/config|"servers/|kvCapacity|fencingToken|backend"|sloMs|maxAttempts"|coldLeftMs|tombstone|createRev|asOf"`)
+var platformNamePattern = regexp.MustCompile(`X-(Tenant|Kv|Stage|Expect|Not-Executed|Response-Seal|Deadline-Ms|Token-Usage|Prompt-Prefix|Pin-Ms|Length-Hint|Weight-Versions|Request-Priority)` +
+	`|/-/(kv|hold|order|report|readiness)|op/config|"servers/|kvCapacity|fencingToken|backend"|sloMs|maxAttempts"|coldLeftMs|tombstone|createRev|asOf"|apiKeys|ratePerS|token_stream`)
 
 func TestPlatformsNamesStayInItsAdapter(t *testing.T) {
 	g := NewWithT(t)
