--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,492 @@
+// Package coordinator decides which VM coordinates the exchange between VMs, when a VM
+// reports to it, and which VMs count at it.
+//
+// Each VM counts at one coordinator at a time, so that shares of a quota that coordinators
+// derive from the VMs that count never add up to more than the quota. A coordinator counts
+// a VM for window after it sent a digest that the VM has confirmed. A VM that changes to
+// another coordinator counts there in full only when that time has passed by its own
+// clocks. No part of this depends on how long datagrams were under way.
+package coordinator
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figtrack/figtrack/clocker"
+	"github.com/figtrack/figtrack/identifier"
+)
+
+// Times of the exchange.
+const (
+	// tryInterval is the time after which an unanswered report is sent again. A round
+	// trip takes 1 to 10 ms.
+	tryInterval = 30 * time.Millisecond
+	// maxTries is how often a report is sent to one VM.
+	maxTries = 3
+	// unavailableFor is how long a VM that didn't answer isn't asked.
+	unavailableFor = time.Second
+	// staleAfter is the time after which the digest of a report isn't accepted, and
+	// without any digest the VM is isolated.
+	staleAfter = 150 * time.Millisecond
+	// window is how long a report or a confirmed digest counts. It is three times
+	// maxActiveInterval, so that the loss of one report doesn't matter.
+	window = 1500 * time.Millisecond
+	// intervalPerVM bounds what a coordinator has to answer to 250 reports a second.
+	intervalPerVM     = 4 * time.Millisecond
+	minInterval       = 100 * time.Millisecond
+	maxInterval       = time.Second
+	maxActiveInterval = 500 * time.Millisecond
+	// minReportGap bounds the reports that are sent on request.
+	minReportGap = 20 * time.Millisecond
+	// earlyShare is the share for which a VM counts at a new coordinator while it may
+	// still count at the former one, once in earlyInterval. It keeps most of the quota
+	// usable after the death of a coordinator, and the overlap of at most window then
+	// amounts to 0.6 s of the rate, below the 0.8 s that the tolerance of a limit allows
+	// in 8 s.
+	earlyShare    = 0.4
+	earlyInterval = 10 * time.Second
+)
+
+// Member is a VM of the roster.
+type Member struct {
+	VM          identifier.VM
+	Incarnation identifier.Incarnation
+	// IsReachable is false for a VM without an address. It never answers.
+	IsReachable bool
+}
+
+// Event is an input of Core.Step. Only this package implements it.
+type Event interface{ event() }
+
+// RosterChanged replaces the roster. Count is the number of VMs that share quotas; it may
+// exceed the number of members, as VMs that left count for some time.
+type RosterChanged struct {
+	Members []Member
+	Count   int
+}
+
+// Wake handles what has become due. IsActive is true if the VM has anything to exchange.
+type Wake struct{ IsActive bool }
+
+// Requested asks for a report soon.
+type Requested struct{}
+
+// ReportReceived reports a report of another VM, or of this one.
+type ReportReceived struct {
+	VM          identifier.VM
+	Incarnation identifier.Incarnation
+	Sequence    identifier.Sequence
+	// Accepted is the sequence of the report whose digest by this VM the sender accepted
+	// last, or zero. Share is the part for which it counts here.
+	Accepted identifier.Sequence
+	Share    float64
+}
+
+// DigestReceived reports the answer of a coordinator.
+type DigestReceived struct {
+	VM          identifier.VM
+	Incarnation identifier.Incarnation
+	Sequence    identifier.Sequence
+}
+
+func (RosterChanged) event()  {}
+func (Wake) event()           {}
+func (Requested) event()      {}
+func (ReportReceived) event() {}
+func (DigestReceived) event() {}
+
+// Outcome is an action for the shell. Only this package implements it.
+type Outcome interface{ outcome() }
+
+// SendReport makes a new report and sends it. A report to this VM itself is handled
+// without a datagram.
+type SendReport struct {
+	To       Member
+	Sequence identifier.Sequence
+	Accepted identifier.Sequence
+	Share    float64
+}
+
+// ResendReport sends the latest report again.
+type ResendReport struct{ To Member }
+
+// Collect takes in a report, and answers it.
+type Collect struct {
+	From     Member
+	Sequence identifier.Sequence
+}
+
+// ResendDigest sends the digest of the latest report of a VM again.
+type ResendDigest struct {
+	To       Member
+	Sequence identifier.Sequence
+}
+
+// Apply takes in a digest, the answer to the latest report.
+type Apply struct{}
+
+// Drop drops the message of the event.
+type Drop struct{ Reason Reason }
+
+// Lose tells the sections that no coordinator answers and that none counts this VM any
+// more.
+type Lose struct{ Since clocker.Moment }
+
+// Change reports that another VM coordinates. From is empty at first.
+type Change struct{ From, To identifier.VM }
+
+func (SendReport) outcome()   {}
+func (ResendReport) outcome() {}
+func (Collect) outcome()      {}
+func (ResendDigest) outcome() {}
+func (Apply) outcome()        {}
+func (Drop) outcome()         {}
+func (Lose) outcome()         {}
+func (Change) outcome()       {}
+
+// Reason tells why a message is dropped.
+type Reason string
+
+// Reasons to drop a message.
+const (
+	// UnknownSender: the sender's start isn't in the roster.
+	UnknownSender Reason = "UnknownSender"
+	// Outdated: a later report of the sender was received, or the digest isn't that of
+	// the latest report.
+	Outdated Reason = "Outdated"
+	// Late: the digest came more than staleAfter after the report was sent.
+	Late Reason = "Late"
+)
+
+// Core is the state machine of one VM. Only Step changes it.
+type Core struct {
+	self Member
+	// order holds the VMs that can be asked, the first one first.
+	order   []Member
+	members map[identifier.VM]Member
+	// count is the number of VMs by the roster; at least 1.
+	count int
+
+	// sequence is that of the latest report.
+	sequence identifier.Sequence
+	// pending is the latest report while it is unanswered; else nil.
+	pending *pendingReport
+	// reportedAt is when the latest report was made; zero before the first.
+	reportedAt clocker.Moment
+	// isRequested is true if a report was requested since the latest one.
+	isRequested bool
+	// unavailable holds when VMs that didn't answer were found so.
+	unavailable map[identifier.VM]clocker.Moment
+	// unansweredSince is when the first report after the latest accepted digest was made;
+	// zero without one.
+	unansweredSince clocker.Moment
+	isLost          bool
+	// accepted is the latest accepted digest. acceptedFrom holds the sequence of the latest
+	// one of each VM, sentTo that of the latest report to each.
+	accepted             digest
+	acceptedFrom, sentTo map[Member]identifier.Sequence
+	// claims holds at which VMs this one may count. Their shares, less one early share, add
+	// up to at most 1.
+	claims map[Member]claim
+	// earlyAt is when this VM last began to count with earlyShare, at earlyBy; zero before.
+	earlyAt clocker.Moment
+	earlyBy Member
+
+	// heard holds what this VM knows of those that reported to it.
+	heard map[identifier.VM]*reporter
+}
+
+type pendingReport struct {
+	to Member
+	// at is when the report was made, triedAt when it was sent last.
+	at, triedAt     clocker.Moment
+	tries, maxTries int
+}
+
+type digest struct {
+	by       Member
+	sequence identifier.Sequence
+	at       clocker.Moment
+}
+
+// claim is the share for which a VM counts at a coordinator until window after at.
+type claim struct {
+	share float64
+	at    clocker.Moment
+}
+
+// reporter is what a coordinator knows of a VM.
+type reporter struct {
+	member Member
+	// sequence is that of the latest report, which was answered first at at.
+	sequence identifier.Sequence
+	at       clocker.Moment
+	// confirmedAt is when the latest digest was sent that the VM confirmed; zero without
+	// one. share is the part for which it counts since.
+	confirmedAt clocker.Moment
+	share       float64
+}
+
+// New returns a core that has sent no report. Its first report has the sequence after
+// last; a core that replaces another one must not use its sequences again.
+func New(self Member, last identifier.Sequence) *Core {
+	c := &Core{self: self, sequence: last, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, heard: map[identifier.VM]*reporter{}}
+	c.setRoster(nil, 1)
+	return c
+}
+
+// Sequence returns the sequence of the latest report.
+func (c *Core) Sequence() identifier.Sequence { return c.sequence }
+
+// Step handles one event and returns what follows from it.
+func (c *Core) Step(now clocker.Moment, e Event) []Outcome {
+	switch e := e.(type) {
+	case RosterChanged:
+		c.setRoster(e.Members, e.Count)
+		return nil
+	case Wake:
+		return c.wake(now, e.IsActive)
+	case Requested:
+		c.isRequested = true
+		return nil
+	case ReportReceived:
+		return c.collect(now, e)
+	case DigestReceived:
+		return c.apply(now, e)
+	default:
+		panic(fmt.Sprintf("coordinator: event %T", e))
+	}
+}
+
+// setRoster sorts the members by a rendezvous hash. The hash includes the incarnation, so
+// that a VM that restarts often isn't always the coordinator.
+func (c *Core) setRoster(members []Member, count int) {
+	c.members = map[identifier.VM]Member{}
+	c.order = []Member{c.self}
+	for _, m := range members {
+		if m.VM == c.self.VM {
+			continue // An entry of an earlier start doesn't describe this one.
+		}
+		c.members[m.VM] = m
+		if m.IsReachable {
+			c.order = append(c.order, m)
+		}
+	}
+	c.members[c.self.VM] = c.self
+	slices.SortFunc(c.order, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
+	})
+	c.count = max(count, len(c.members))
+	for vm := range c.unavailable {
+		if _, ok := c.members[vm]; !ok {
+			delete(c.unavailable, vm)
+		}
+	}
+	hasLeft := func(m Member, _ identifier.Sequence) bool { return c.members[m.VM] != m }
+	maps.DeleteFunc(c.acceptedFrom, hasLeft)
+	maps.DeleteFunc(c.sentTo, hasLeft)
+	for vm, h := range c.heard {
+		if m, ok := c.members[vm]; ok && m.Incarnation != h.member.Incarnation {
+			delete(c.heard, vm)
+		}
+	}
+}
+
+func weight(m Member) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(string(m.VM))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(m.Incarnation)))
+	return h.Sum64()
+}
+
+func (c *Core) interval() time.Duration {
+	i := min(max(time.Duration(c.count)*intervalPerVM, minInterval), maxInterval)
+	return min(i, maxActiveInterval)
+}
+
+// NextWake returns the time until the next Wake has anything to do.
+func (c *Core) NextWake(now clocker.Moment) time.Duration {
+	if c.pending != nil {
+		return max(0, tryInterval-now.Longest(c.pending.triedAt))
+	}
+	if c.reportedAt.IsZero() {
+		return 0
+	}
+	gap := c.interval()
+	if c.isRequested {
+		gap = minReportGap
+	}
+	return max(0, gap-now.Longest(c.reportedAt))
+}
+
+func (c *Core) wake(now clocker.Moment, isActive bool) (outcomes []Outcome) {
+	if !isActive {
+		c.pending, c.isRequested, c.isLost, c.unansweredSince = nil, false, false, clocker.Moment{}
+		return nil
+	}
+	if p := c.pending; p != nil && now.Longest(p.triedAt) >= tryInterval {
+		if p.tries < p.maxTries && now.Longest(p.at) < staleAfter {
+			p.tries++
+			p.triedAt = now
+			outcomes = append(outcomes, ResendReport{p.to})
+		} else {
+			c.unavailable[p.to.VM] = now
+			c.pending = nil
+			c.isRequested = true
+			outcomes = append(outcomes, c.report(now)...)
+		}
+	} else if p == nil && c.NextWake(now) <= 0 {
+		outcomes = append(outcomes, c.report(now)...)
+	}
+	if !c.isLost && !c.unansweredSince.IsZero() && now.Longest(c.unansweredSince) >= staleAfter && c.countsNowhere(now) {
+		c.isLost = true
+		outcomes = append(outcomes, Lose{c.unansweredSince})
+	}
+	return outcomes
+}
+
+// report makes a report to the first VM that may answer.
+func (c *Core) report(now clocker.Moment) []Outcome {
+	to, tries, ok := c.choose(now)
+	if !ok {
+		return nil
+	}
+	c.sequence++
+	c.reportedAt, c.isRequested = now, false
+	c.pending = &pendingReport{to: to, at: now, triedAt: now, tries: 1, maxTries: tries}
+	o := SendReport{To: to, Sequence: c.sequence, Accepted: c.acceptedFrom[to]}
+	if c.accepted.by == to && c.sentTo[to] == c.acceptedFrom[to] {
+		o.Share = c.claim(now) // Else the way back may be cut, and this VM counts elsewhere.
+	}
+	c.sentTo[to] = c.sequence
+	if c.unansweredSince.IsZero() {
+		c.unansweredSince = now
+	}
+	return []Outcome{o}
+}
+
+// choose returns the VM to ask and how often. One that didn't answer before is tried once,
+// so that a dead VM that is still in the roster delays a report by only one try a second.
+func (c *Core) choose(now clocker.Moment) (to Member, tries int, ok bool) {
+	for _, m := range c.order {
+		at, wasUnavailable := c.unavailable[m.VM]
+		if !wasUnavailable {
+			return m, maxTries, true
+		}
+		if now.Longest(at) >= unavailableFor {
+			return m, 1, true
+		}
+	}
+	return Member{}, 0, false
+}
+
+// claim returns the share for which this VM counts at the VM whose digest it accepted
+// last: what it doesn't claim elsewhere.
+func (c *Core) claim(now clocker.Moment) float64 {
+	to := c.accepted.by
+	maps.DeleteFunc(c.claims, func(_ Member, held claim) bool { return now.Shortest(held.at) >= window })
+	share := 1.0
+	for by, held := range c.claims {
+		if by != to {
+			share -= held.share
+		}
+	}
+	share = max(0, share)
+	if share < earlyShare {
+		switch {
+		case c.earlyAt.IsZero() || now.Shortest(c.earlyAt) >= earlyInterval:
+			c.earlyAt, c.earlyBy, share = now, to, earlyShare
+		case c.earlyBy == to && now.Longest(c.earlyAt) <= window:
+			share = earlyShare
+		}
+	}
+	// The report may be lost, so that a greater share reported before still counts.
+	c.claims[to] = claim{max(share, c.claims[to].share), c.accepted.at}
+	return share
+}
+
+// countsNowhere reports whether no coordinator counts this VM.
+func (c *Core) countsNowhere(now clocker.Moment) bool {
+	for _, held := range c.claims {
+		if held.share > 0 && now.Shortest(held.at) < window {
+			return false
+		}
+	}
+	return true
+}
+
+// apply handles the digest that answers a report of this VM.
+func (c *Core) apply(now clocker.Moment, e DigestReceived) []Outcome {
+	p := c.pending
+	if p == nil || e.Sequence != c.sequence || e.VM != p.to.VM || e.Incarnation != p.to.Incarnation {
+		return []Outcome{Drop{Outdated}}
+	}
+	if now.Longest(p.at) > staleAfter {
+		return []Outcome{Drop{Late}}
+	}
+	c.pending, c.unansweredSince, c.isLost = nil, clocker.Moment{}, false
+	delete(c.unavailable, p.to.VM)
+	former := c.accepted.by
+	c.accepted = digest{by: p.to, sequence: e.Sequence, at: now}
+	c.acceptedFrom[p.to] = e.Sequence
+	outcomes := []Outcome{Apply{}}
+	if former != p.to {
+		c.isRequested = true // The VM counts from its second report on.
+		outcomes = append(outcomes, Change{From: former.VM, To: p.to.VM})
+	}
+	return outcomes
+}
+
+// collect handles a report to this VM.
+func (c *Core) collect(now clocker.Moment, e ReportReceived) []Outcome {
+	m, ok := c.members[e.VM]
+	if !ok || m.Incarnation != e.Incarnation {
+		return []Outcome{Drop{UnknownSender}}
+	}
+	h := c.heard[e.VM]
+	if h == nil {
+		h = &reporter{member: m}
+		c.heard[e.VM] = h
+	}
+	switch {
+	case e.Sequence < h.sequence:
+		return []Outcome{Drop{Outdated}}
+	case e.Sequence == h.sequence:
+		return []Outcome{ResendDigest{m, e.Sequence}}
+	}
+	h.share = 0
+	if e.Accepted == h.sequence && e.Accepted != 0 {
+		h.confirmedAt, h.share = h.at, e.Share
+	}
+	h.sequence, h.at = e.Sequence, now
+	return []Outcome{Collect{m, e.Sequence}}
+}
+
+// Reporting returns the number of VMs that reported to this one lately, and the sum of the
+// shares for which VMs count here. It counts itself while it is its own coordinator.
+func (c *Core) Reporting(now clocker.Moment) (reporting int, counting float64) {
+	for _, h := range c.heard {
+		if now.Longest(h.at) <= window {
+			reporting++
+		}
+		if !h.confirmedAt.IsZero() && now.Longest(h.confirmedAt) < window {
+			counting += h.share
+		}
+	}
+	return reporting, counting
+}
+
+// Members returns the number of VMs that share quotas by the roster, at least the number
+// that report.
+func (c *Core) Members(now clocker.Moment) int {
+	reporting, counting := c.Reporting(now)
+	return max(c.count, reporting, int(math.Ceil(counting)))
+}
