router, launcher: addresses of VMs in the roster, exchange started

Cause: VMs didn't know each other's addresses. Change: RosterValue takes the VM's address and secret; the fleet gives the members to the exchanger at each wake; the launcher opens VMs.Address. A VM that can't open it serves callers and counts as a member that never reports. A VM doesn't coordinate for 3 s after it read the roster, and a member that left the store's roster stays while it is heard. Measured: tests of exchanger, router and launcher pass.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,9 +35,16 @@
 	// staleAfter is the time after which the digest of a report isn't accepted, and
 	// without any digest the VM is isolated.
 	staleAfter = 150 * time.Millisecond
+	// Youth is the time in which a VM that has just read the roster neither answers others
+	// nor counts by itself. The roster of a VM is up to 3 s behind, and VMs that start
+	// together would each see a fleet of few VMs.
+	Youth = 3 * time.Second
 	// window is how long a report or a confirmed digest counts. It is three times
 	// maxActiveInterval, so that the loss of one report doesn't matter.
 	window = 1500 * time.Millisecond
+	// replayWindow is how long the sequence of a VM that left the roster is kept, against
+	// replayed reports should it come back.
+	replayWindow = 10 * time.Minute
 	// intervalPerVM bounds what a coordinator has to answer to 250 reports a second.
 	intervalPerVM     = 4 * time.Millisecond
 	minInterval       = 100 * time.Millisecond
@@ -161,6 +168,8 @@
 	// Outdated: a later report of the sender was received, or the digest isn't that of
 	// the latest report.
 	Outdated Reason = "Outdated"
+	// Young: this VM has read the roster too recently to coordinate.
+	Young Reason = "Young"
 	// Late: the digest came more than staleAfter after the report was sent.
 	Late Reason = "Late"
 )
@@ -171,8 +180,15 @@
 	// order holds the VMs that can be asked, the first one first.
 	order   []Member
 	members map[identifier.VM]Member
-	// count is the number of VMs by the roster; at least 1.
-	count int
+	// listed is the number of members in the roster, count the number of VMs that share
+	// quotas by it. retained holds the members that the roster lacks.
+	listed, count int
+	retained      []Member
+
+	// knownSince is when the roster was set first; zero before. youth is how long the VM is
+	// young from then on.
+	knownSince clocker.Moment
+	youth      time.Duration
 
 	// sequence is that of the latest report.
 	sequence identifier.Sequence
@@ -234,12 +250,11 @@
 	share       float64
 }
 
-// New returns a core that has sent no report. Its first report has the sequence after
-// last; a core that replaces another one must not use its sequences again.
-func New(self Member, last identifier.Sequence) *Core {
-	c := &Core{self: self, sequence: last, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, heard: map[identifier.VM]*reporter{}}
-	c.setRoster(nil, 1)
-	return c
+// New returns a core that has sent no report and knows no roster. It is young for youth
+// after it got one. Its first report has the sequence after last; a core that replaces
+// another one must not use its sequences again.
+func New(self Member, last identifier.Sequence, youth time.Duration) *Core {
+	return &Core{self: self, sequence: last, youth: youth, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, heard: map[identifier.VM]*reporter{}}
 }
 
 // Sequence returns the sequence of the latest report.
@@ -249,7 +264,7 @@
 func (c *Core) Step(now clocker.Moment, e Event) []Outcome {
 	switch e := e.(type) {
 	case RosterChanged:
-		c.setRoster(e.Members, e.Count)
+		c.setRoster(now, e.Members, e.Count)
 		return nil
 	case Wake:
 		return c.wake(now, e.IsActive)
@@ -265,40 +280,63 @@
 	}
 }
 
-// setRoster sorts the members by a rendezvous hash. The hash includes the incarnation, so
-// that a VM that restarts often isn't always the coordinator.
-func (c *Core) setRoster(members []Member, count int) {
+// setRoster replaces the members and sorts them by a rendezvous hash. The hash includes the
+// incarnation, so that a VM that restarts often isn't always the coordinator.
+//
+// A member that the store no longer lists stays while it is heard: it may be cut off from
+// the store alone, and would form a second fleet with the others that are.
+func (c *Core) setRoster(now clocker.Moment, members []Member, count int) {
+	if c.knownSince.IsZero() {
+		c.knownSince = now
+	}
+	former := c.members
 	c.members = map[identifier.VM]Member{}
-	c.order = []Member{c.self}
 	for _, m := range members {
-		if m.VM == c.self.VM {
-			continue // An entry of an earlier start doesn't describe this one.
-		}
 		c.members[m.VM] = m
+	}
+	c.members[c.self.VM] = c.self // An entry of an earlier start doesn't describe this one.
+	c.listed, c.retained = len(c.members), nil
+	for vm, m := range former {
+		if _, ok := c.members[vm]; !ok && c.isHeard(now, m) {
+			c.members[vm] = m
+			c.retained = append(c.retained, m)
+		}
+	}
+	c.order = nil
+	for _, m := range c.members {
 		if m.IsReachable {
 			c.order = append(c.order, m)
 		}
 	}
-	c.members[c.self.VM] = c.self
 	slices.SortFunc(c.order, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
 	})
-	c.count = max(count, len(c.members))
-	for vm := range c.unavailable {
-		if _, ok := c.members[vm]; !ok {
-			delete(c.unavailable, vm)
-		}
-	}
-	hasLeft := func(m Member, _ identifier.Sequence) bool { return c.members[m.VM] != m }
-	maps.DeleteFunc(c.acceptedFrom, hasLeft)
-	maps.DeleteFunc(c.sentTo, hasLeft)
-	for vm, h := range c.heard {
-		if m, ok := c.members[vm]; ok && m.Incarnation != h.member.Incarnation {
-			delete(c.heard, vm)
-		}
+	c.count = count
+	isMember := func(m Member) bool { return c.members[m.VM] == m }
+	maps.DeleteFunc(c.acceptedFrom, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
+	maps.DeleteFunc(c.sentTo, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
+	maps.DeleteFunc(c.unavailable, func(vm identifier.VM, _ clocker.Moment) bool { return c.members[vm].VM == "" })
+	maps.DeleteFunc(c.heard, func(_ identifier.VM, h *reporter) bool {
+		return !isMember(h.member) && now.Shortest(h.at) > replayWindow
+	})
+}
+
+// isHeard reports whether a VM reported to this one lately or answered it.
+func (c *Core) isHeard(now clocker.Moment, m Member) bool {
+	if c.accepted.by == m && now.Longest(c.accepted.at) <= window {
+		return true
 	}
+	h := c.heard[m.VM]
+	return h != nil && h.member == m && now.Longest(h.at) <= window
+}
+
+func (c *Core) isYoung(now clocker.Moment) bool {
+	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.youth
 }
 
+// Knows reports whether a VM is a member.
+func (c *Core) Knows(vm identifier.VM) bool { return c.members[vm].VM != "" }
+
 func weight(m Member) uint64 {
 	var h xxhash.Digest
 	h.Reset()
@@ -308,7 +346,7 @@
 }
 
 func (c *Core) interval() time.Duration {
-	i := min(max(time.Duration(c.count)*intervalPerVM, minInterval), maxInterval)
+	i := min(max(time.Duration(max(c.count, len(c.members)))*intervalPerVM, minInterval), maxInterval)
 	return min(i, maxActiveInterval)
 }
 
@@ -328,7 +366,7 @@
 }
 
 func (c *Core) wake(now clocker.Moment, isActive bool) (outcomes []Outcome) {
-	if !isActive {
+	if !isActive || c.knownSince.IsZero() {
 		c.pending, c.isRequested, c.isLost, c.unansweredSince = nil, false, false, clocker.Moment{}
 		return nil
 	}
@@ -346,7 +384,7 @@
 	} else if p == nil && c.NextWake(now) <= 0 {
 		outcomes = append(outcomes, c.report(now)...)
 	}
-	if !c.isLost && !c.unansweredSince.IsZero() && now.Longest(c.unansweredSince) >= staleAfter && c.countsNowhere(now) {
+	if !c.isLost && !c.unansweredSince.IsZero() && now.Longest(c.unansweredSince) >= staleAfter && c.countsNowhere(now) && !c.isYoung(now) {
 		c.isLost = true
 		outcomes = append(outcomes, Lose{c.unansweredSince})
 	}
@@ -377,6 +415,9 @@
 // so that a dead VM that is still in the roster delays a report by only one try a second.
 func (c *Core) choose(now clocker.Moment) (to Member, tries int, ok bool) {
 	for _, m := range c.order {
+		if m == c.self && c.isYoung(now) {
+			continue
+		}
 		at, wasUnavailable := c.unavailable[m.VM]
 		if !wasUnavailable {
 			return m, maxTries, true
@@ -451,8 +492,11 @@
 	if !ok || m.Incarnation != e.Incarnation {
 		return []Outcome{Drop{UnknownSender}}
 	}
+	if c.isYoung(now) {
+		return []Outcome{Drop{Young}}
+	}
 	h := c.heard[e.VM]
-	if h == nil {
+	if h == nil || h.member != m {
 		h = &reporter{member: m}
 		c.heard[e.VM] = h
 	}
@@ -488,5 +532,11 @@
 // that report.
 func (c *Core) Members(now clocker.Moment) int {
 	reporting, counting := c.Reporting(now)
-	return max(c.count, reporting, int(math.Ceil(counting)))
+	members := c.listed
+	for _, m := range c.retained {
+		if c.isHeard(now, m) {
+			members++
+		}
+	}
+	return max(c.count, members, reporting, int(math.Ceil(counting)))
 }
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -13,6 +13,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 
+	"github.com/figtrack/figtrack/coordinator"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/stepper"
 	"github.com/figtrack/figtrack/wire"
@@ -97,6 +98,7 @@
 		address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 		faulty := &counter{panics: true, collected: map[string]int{}, isIdle: isIdle}
 		v.shell = New(Self{v.name, 1, secret}, conn, []Section{faulty, v.counter}, stepper.New(registry, zerolog.Nop()), v.metrics, zerolog.Nop())
+		v.shell.core = coordinator.New(v.shell.self, 0, 0) // Not young.
 		roster.Peers = append(roster.Peers, Peer{v.name, 1, address, secret})
 		vms[i] = v
 	}
@@ -194,7 +196,10 @@
 			d[0] = byte(kindDigest)
 			return [][]byte{d}
 		}, "Unauthenticated", 0},
-		{"truncated", func(v *vm) [][]byte { d := sealed(v, report(v, 1)); return [][]byte{d[:len(d)-1], d[:headSize], d[:3], {}} }, "Unauthenticated", 0},
+		{"truncated", func(v *vm) [][]byte {
+			d := sealed(v, report(v, 1))
+			return [][]byte{d[:len(d)-1], d[:headSize], d[:3], {}}
+		}, "Unauthenticated", 0},
 		{"oversized", func(*vm) [][]byte { return [][]byte{make([]byte, MaxDatagram+1), make([]byte, 60_000)} }, "TooLarge", 0},
 		{"malformed", func(v *vm) [][]byte {
 			m := report(v, 1)
--- a/exchanger/shell.go
+++ b/exchanger/shell.go
@@ -93,14 +93,14 @@
 	datagram []byte
 }
 
-// New returns a shell that sends and receives on conn. Its sections are called by the
+// New returns a shell that sends and receives on conn once it has a roster. Its sections are called by the
 // goroutine of Run.
 func New(self Self, conn net.PacketConn, sections []Section, steps *stepper.Stepper, metrics *Metrics, log zerolog.Logger) *Shell {
 	member := coordinator.Member{VM: self.VM, Incarnation: self.Incarnation, IsReachable: true}
 	return &Shell{
 		self: member, secret: self.Secret, conn: conn, sections: sections, clock: clocker.New(time.Now()),
 		steps: steps, metrics: metrics, log: log, rosters: make(chan Roster, 1), requests: make(chan struct{}, 1),
-		received: make(chan []byte, maxQueued), core: coordinator.New(member, 0), members: coordinator.RosterChanged{Count: 1}, peers: map[identifier.VM]Peer{}, answers: map[identifier.VM]answer{},
+		received: make(chan []byte, maxQueued), core: coordinator.New(member, 0, coordinator.Youth), peers: map[identifier.VM]Peer{}, answers: map[identifier.VM]answer{},
 	}
 }
 
@@ -183,19 +183,25 @@
 }
 
 func (s *Shell) setRoster(r Roster) {
-	clear(s.peers)
+	former := s.peers
+	s.peers = map[identifier.VM]Peer{}
 	members := make([]coordinator.Member, 0, len(r.Peers))
 	for _, p := range r.Peers {
 		s.peers[p.VM] = p
 		members = append(members, coordinator.Member{VM: p.VM, Incarnation: p.Incarnation, IsReachable: p.Address.IsValid() && len(p.Secret) == SecretSize})
 	}
+	s.members = coordinator.RosterChanged{Members: members, Count: r.Count}
+	s.step(s.members)
+	for vm, p := range former {
+		if _, ok := s.peers[vm]; !ok && s.core.Knows(vm) {
+			s.peers[vm] = p
+		}
+	}
 	for vm := range s.answers {
-		if _, ok := s.peers[vm]; !ok && vm != s.self.VM {
+		if !s.core.Knows(vm) {
 			delete(s.answers, vm)
 		}
 	}
-	s.members = coordinator.RosterChanged{Members: members, Count: r.Count}
-	s.step(s.members)
 }
 
 // step calls a step of the core and performs its outcomes except those of a received
@@ -203,8 +209,8 @@
 func (s *Shell) step(e coordinator.Event) (received []coordinator.Outcome) {
 	var outcomes []coordinator.Outcome
 	if !s.steps.Call(coreExchange, e, func() { outcomes = s.core.Step(s.clock.At(time.Now()), e) }) {
-		s.core = coordinator.New(s.self, s.core.Sequence())
-		s.steps.Call(coreExchange, s.members, func() { s.core.Step(s.clock.At(time.Now()), s.members) })
+		s.core = coordinator.New(s.self, s.core.Sequence(), coordinator.Youth)
+		s.steps.Call(coreExchange, "Rebuilt", func() { s.core.Step(s.clock.At(time.Now()), s.members) })
 		return nil
 	}
 	for _, o := range outcomes {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -24,6 +24,7 @@
 	"github.com/figtrack/figtrack/budgeter"
 	"github.com/figtrack/figtrack/drainer"
 	"github.com/figtrack/figtrack/enroller"
+	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
@@ -100,6 +101,9 @@
 	records  []*router.RecordWriter
 	// drainer is nil after it has panicked, until the next step.
 	drainer *drainer.Core
+	// exchanger is nil if VMs.Address can't be used. self is this VM in the roster.
+	exchanger *exchanger.Shell
+	self      exchanger.Peer
 	// stoppingSince is when the VM began to stop; zero before.
 	stoppingSince time.Time
 	// isLeaving is set once the VM is stopping. The readiness check then fails.
@@ -135,7 +139,8 @@
 	start := identifier.Incarnation(time.Now().UnixMilli())
 	vm.orders = router.NewOrders(vm.fleet, runners, store, cfg.VM, start, log)
 	vm.records = router.NewRecordWriters(vm.fleet, store, cfg.VM, log)
-	entry, err := router.RosterValue(cfg.VM, cfg.DataCentre, start)
+	vm.openExchange(start)
+	entry, err := router.RosterValue(vm.self, cfg.DataCentre)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the roster entry")
 	}
@@ -177,6 +182,9 @@
 	for _, w := range vm.records {
 		go w.Run(ctx)
 	}
+	if vm.exchanger != nil {
+		go vm.exchanger.Run(ctx)
+	}
 	go vm.followSettings(ctx, hangups)
 	go vm.serveCallers(ctx, callers)
 	vm.log.Info().Str("DataCentre", string(vm.cfg.DataCentre)).Str("Callers", callers.Addr().String()).Str("Ready", ready).Str("Metrics", metrics).Msg("Started")
--- /dev/null
+++ b/router/exchange.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/figtrack/figtrack/exchanger"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// Exchange carries reports and digests between VMs. Its methods never block.
+type Exchange interface {
+	// SetRoster replaces the VMs that take part.
+	SetRoster(r exchanger.Roster)
+	// Request asks for a report soon.
+	Request()
+}
+
+// SetExchange sets the exchange, which gets the roster at each Wake.
+func (f *Fleet) SetExchange(e Exchange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exchange = e
+}
+
+// updateExchange gives the roster to the exchange once the store was read: before, this VM
+// would take the fleet for itself alone.
+func (f *Fleet) updateExchange() {
+	var e Exchange
+	var r exchanger.Roster
+	isDone := f.step(coreRoster, "Exchange", func() {
+		if f.isListed {
+			e = f.exchange
+		}
+		r.Count = f.roster.count(time.Now())
+		for _, vm := range slices.Sorted(maps.Keys(f.roster.peers)) {
+			r.Peers = append(r.Peers, f.roster.peers[vm])
+		}
+	})
+	if e != nil && isDone {
+		e.SetRoster(r)
+	}
+}
+
+// RequestExchange asks for a report of this VM soon.
+func (f *Fleet) RequestExchange() {
+	f.mu.Lock()
+	e := f.exchange
+	f.mu.Unlock()
+	if e != nil {
+		e.Request()
+	}
+}
+
+// peerOf returns the VM of an entry. An address or a secret that can't be used makes it a
+// VM without an address.
+func peerOf(vm identifier.VM, e *wire.RosterEntry) exchanger.Peer {
+	p := exchanger.Peer{VM: vm, Incarnation: identifier.Incarnation(e.GetIncarnation())}
+	address, err := netip.ParseAddrPort(e.GetAddress())
+	if err == nil && len(e.GetSecret()) == exchanger.SecretSize && address.Port() != 0 && !address.Addr().IsUnspecified() {
+		p.Address, p.Secret = address, e.GetSecret()
+	}
+	return p
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -85,6 +85,8 @@
 	// ownKey is this VM's key in the roster; enrolment keeps that entry.
 	ownKey    string
 	enrolment Enrolment
+	// exchange is nil without one.
+	exchange Exchange
 	// isolation counts crashes of engines against the traits of requests.
 	isolation *isolator.Core
 	// rates divides the rates of limited runners among the VMs, of which sharingVMs
@@ -424,6 +426,7 @@
 		func() { f.stepRates(apportioner.Wake{}) },
 		f.updateCapacities,
 		f.wakeVersions,
+		f.updateExchange,
 		func() { f.step(coreRoster, "Wake", func() { f.budget.SetVMs(f.roster.count(time.Now())) }) },
 	} {
 		f.steps.Call(coreWake, "Wake", duty)
--- a/router/roster.go
+++ b/router/roster.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/wire"
@@ -33,22 +34,29 @@
 // RosterKey returns the key of a VM's own entry.
 func RosterKey(vm identifier.VM) string { return rosterPrefix + string(vm) }
 
-// RosterValue returns the value of a VM's own entry.
-func RosterValue(vm identifier.VM, in identifier.DataCentre, start identifier.Incarnation) ([]byte, error) {
-	return proto.Marshal(&wire.RosterEntry{VM: string(vm), DataCentre: string(in), Incarnation: uint64(start)})
+// RosterValue returns the value of a VM's own entry. Without a valid address the VM takes
+// no datagrams of others.
+func RosterValue(self exchanger.Peer, in identifier.DataCentre) ([]byte, error) {
+	e := &wire.RosterEntry{VM: string(self.VM), DataCentre: string(in), Incarnation: uint64(self.Incarnation)}
+	if self.Address.IsValid() {
+		e.Address, e.Secret = self.Address.String(), self.Secret
+	}
+	return proto.Marshal(e)
 }
 
 // roster holds the VMs that have an entry in the store.
 type roster struct {
 	// members holds the incarnation of each VM in the roster.
 	members map[identifier.VM]identifier.Incarnation
+	// peers holds the same VMs as members.
+	peers map[identifier.VM]exchanger.Peer
 	// departed holds when each VM left that still counts. The time is in the
 	// future for a VM that has a valid lease although its entry is missing.
 	departed map[identifier.VM]time.Time
 }
 
 func newRoster() roster {
-	return roster{members: map[identifier.VM]identifier.Incarnation{}, departed: map[identifier.VM]time.Time{}}
+	return roster{members: map[identifier.VM]identifier.Incarnation{}, peers: map[identifier.VM]exchanger.Peer{}, departed: map[identifier.VM]time.Time{}}
 }
 
 // apply updates the roster with an entry below rosterPrefix.
@@ -63,6 +71,7 @@
 		return err
 	}
 	r.members[vm] = identifier.Incarnation(e.Incarnation)
+	r.peers[vm] = peerOf(vm, &e)
 	delete(r.departed, vm)
 	return nil
 }
@@ -81,6 +90,7 @@
 		r.departed[vm] = at
 	}
 	delete(r.members, vm)
+	delete(r.peers, vm)
 }
 
 // vms returns the VMs that count counts, sorted.
