--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -1,7 +1,12 @@
 // Package authorizer holds the workspaces of a configuration and their quotas.
 package authorizer
 
-import "github.com/figtrack/figtrack/identifier"
+import (
+	"iter"
+	"slices"
+
+	"github.com/figtrack/figtrack/identifier"
+)
 
 // Unit is what the quota of a workspace counts.
 type Unit string
@@ -22,3 +27,12 @@
 	HasPriority bool
 	Quota       Quota
 }
+
+// Table holds workspaces. It is immutable.
+type Table struct{ all []Workspace }
+
+// New returns a table of workspaces.
+func New(all []Workspace) (*Table, error) { return &Table{slices.Clone(all)}, nil }
+
+// All iterates over the workspaces.
+func (t *Table) All() iter.Seq[Workspace] { return slices.Values(t.all) }
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -18,8 +18,8 @@
 	// creditLifetime is how long credit is valid after the report that asked for it was
 	// sent.
 	creditLifetime = time.Second
-	// maxWait is the longest time that a request waits for credit.
-	maxWait = 100 * time.Millisecond
+	// MaxWait is the longest time that a request waits for credit.
+	MaxWait = 100 * time.Millisecond
 	// debtBudget is the sum of the debts, in tokens, that buckets with a part of the quota
 	// may be in without regard to chance. It is half of the 140,000 tokens by which a
 	// limit may be exceeded, the other half is for chance.
--- a/rationer/spender.go
+++ b/rationer/spender.go
@@ -258,7 +258,7 @@
 func (a *account) ask(now clocker.Moment) Ask {
 	after := time.Duration(0)
 	if a.knows(now) && a.levelAt(now) < 0 {
-		after = min(a.delay(-a.levelAt(now)), maxWait)
+		after = min(a.delay(-a.levelAt(now)), MaxWait)
 	}
 	return Ask{after}
 }
@@ -278,7 +278,7 @@
 	return b.delay(amount, 1)
 }
 
-// isHopeless reports whether a request would wait longer than maxWait, and when it could
+// isHopeless reports whether a request would wait longer than MaxWait, and when it could
 // be admitted. sum is the cost of those that wait up to it. A bucket goes into debt for the
 // last of them.
 func (s *Spender) isHopeless(now clocker.Moment, a *account, sum float64, r request) (after time.Duration, ok bool) {
@@ -291,7 +291,7 @@
 		return 0, false
 	}
 	after = a.delay(sum - r.cost - a.held() - a.levelAt(now))
-	return after, after > maxWait-now.Longest(r.at)
+	return after, after > MaxWait-now.Longest(r.at)
 }
 
 // ownFilled returns the filling of the own share.
@@ -374,6 +374,7 @@
 		return
 	}
 	a.unused += e.Cost
+	a.level += e.Cost
 	s.live[e.Workspace] = true
 }
 
@@ -466,7 +467,7 @@
 		sum := 0.0
 		for _, r := range a.waiting {
 			after, ok := s.isHopeless(now, a, sum+r.cost, r)
-			if ok || now.Longest(r.at) >= maxWait {
+			if ok || now.Longest(r.at) >= MaxWait {
 				outcomes = append(outcomes, s.refuse(now, a, r, after))
 				continue
 			}
@@ -483,10 +484,10 @@
 
 // NextWake returns the time until a request has waited too long; ok is false if none waits.
 func (s *Spender) NextWake(now clocker.Moment) (after time.Duration, ok bool) {
-	after = maxWait
+	after = MaxWait
 	for w := range s.live {
 		for _, r := range s.accounts[w].waiting {
-			after, ok = min(after, max(0, maxWait-now.Longest(r.at))), true
+			after, ok = min(after, max(0, MaxWait-now.Longest(r.at))), true
 		}
 	}
 	return after, ok
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figtrack/figtrack/authorizer"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
 	"github.com/figtrack/figtrack/matcher"
@@ -18,6 +19,8 @@
 	RouteCount int
 	Pools      map[identifier.Pool]Pool
 	Limits     Limits
+	// Workspaces is nil if the configuration has none.
+	Workspaces *authorizer.Table
 }
 
 // Pool holds the settings of one pool.
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -31,16 +31,21 @@
 func (f *Fleet) updateExchange() {
 	var e Exchange
 	var r exchanger.Roster
+	var place int
 	isDone := f.step(coreRoster, "Exchange", func() {
 		if f.isListed {
 			e = f.exchange
 		}
 		r.Count = f.roster.count(time.Now())
 		for _, vm := range slices.Sorted(maps.Keys(f.roster.peers)) {
+			if vm < f.ownVM() {
+				place++
+			}
 			r.Peers = append(r.Peers, f.roster.peers[vm])
 		}
 	})
 	if e != nil && isDone {
+		f.quotas.setMembers(r.Count, place)
 		e.SetRoster(r)
 	}
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -87,6 +87,7 @@
 	enrolment Enrolment
 	// exchange is nil without one.
 	exchange Exchange
+	quotas   *quotas
 	// isolation counts crashes of engines against the traits of requests.
 	isolation *isolator.Core
 	// rates divides the rates of limited runners among the VMs, of which sharingVMs
@@ -112,6 +113,7 @@
 		versions: versions, crashWrites: make(chan recordWrite, 1), rateWrites: make(chan recordWrite, 1),
 		versionWrites: make(chan recordWrite, 1), streamWrites: make(chan recordWrite, 1),
 	}
+	f.quotas = newQuotas(steps, metrics, log, f.RequestExchange)
 	runners.SetListener(f)
 	return f
 }
@@ -379,6 +381,7 @@
 		return
 	}
 	f.configuration.Store(c)
+	f.quotas.setLimits(c.Workspaces)
 	f.metrics.revision.Set(float64(c.Revision))
 	f.log.Info().Uint64("Revision", uint64(c.Revision)).Int("Routes", c.RouteCount).Int("Pools", len(c.Pools)).Msg("ConfigurationInForce")
 	if l := c.Limits; current == nil || l != current.Limits {
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -38,6 +38,8 @@
 	limitedRunners    prometheus.Gauge
 	takenUp           *prometheus.CounterVec
 	unmarkedRefusals  *prometheus.CounterVec
+	quotaDecisions    *prometheus.CounterVec
+	quotaWaits        prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -66,10 +68,12 @@
 		takenUp:           newCounterVec("streams_taken_up_total", "Streams of which the caller has a part, by whether the version that began them is known.", "origin"),
 		limitedRunners:    newGauge("limited_runners", "Runners that take only a rate of requests from all VMs together."),
 		unmarkedRefusals:  newCounterVec("unmarked_refusals_total", "Answers of runners whose status says that the request has not run, without the runner's statement, by status.", "status"),
+		quotaDecisions:    newCounterVec("quota_decisions_total", "Requests of workspaces with a limit, by verdict.", "verdict"),
+		quotaWaits:        newHistogram("quota_wait_seconds", "Time that allowed requests of workspaces with a limit waited for credit."),
 		blockedTraits:     newGauge("blocked_traits", "Traits on which runners crash; requests with one are refused."),
 	}
 	registry.MustRegister(m.accepted, m.ended, m.requests, m.refusals, m.inFlight, m.firstByteTimes, m.answerTimes, m.calls, m.callTimes, m.retries,
-		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms, m.pauses, m.suspectedTraits, m.blockedTraits, m.limitedRunners, m.takenUp, m.unmarkedRefusals)
+		m.memoryWaits, m.revision, m.upstreams, m.suspicions, m.unreadableEntries, m.storeUp, m.storeRestores, m.vms, m.pauses, m.suspectedTraits, m.blockedTraits, m.limitedRunners, m.takenUp, m.unmarkedRefusals, m.quotaDecisions, m.quotaWaits)
 	return m
 }
 
