--- a/router/access.go
+++ b/router/access.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	cost := w.Quota.Cost(q.Prompt.Input, q.Prompt.Output)
-	if d := r.fleet.TakeQuota(ctx, w, cost); !d.Allowed {
+	if d := r.fleet.TakeQuota(ctx, w, cost); !d.IsAllowed {
 		return OverQuota{After: d.After}
 	}
 	q.quotaCost = cost
