coordinator: VMs of a fleet that lost power exchange at once

Cause: a VM neither coordinates nor counts by itself for 3 s after it has read the roster, because VMs that start together would each see a fleet of few VMs. After a loss of power all VMs start together, and no request of a workspace with a quota was admitted for 3 s. The entries of the earlier starts are in the roster for 11 s at least, so its size is right from the start. A VM whose own earlier start is listed isn't young; it enrols after the first listing to see that.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -37,7 +37,8 @@
 	staleAfter = 150 * time.Millisecond
 	// Youth is the time in which a VM that has just read the roster neither answers others
 	// nor counts by itself. The roster of a VM is up to 3 s behind, and VMs that start
-	// together would each see a fleet of few VMs.
+	// together would each see a fleet of few VMs. A VM whose earlier start is still in the
+	// roster skips it: else a fleet that lost power would admit nothing for that time.
 	Youth = 3 * time.Second
 	// window is how long a report or a confirmed digest counts. It is three times
 	// maxActiveInterval, so that the loss of one report doesn't matter.
@@ -77,6 +78,9 @@
 type RosterChanged struct {
 	Members []Member
 	Count   int
+	// IsResumed is true if an earlier start of this VM was in the roster when it was read
+	// first. All VMs that shared quotas with that start are in it, too.
+	IsResumed bool
 }
 
 // Wake handles what has become due. IsActive is true if the VM has anything to exchange.
@@ -264,7 +268,7 @@
 func (c *Core) Step(now clocker.Moment, e Event) []Outcome {
 	switch e := e.(type) {
 	case RosterChanged:
-		c.setRoster(now, e.Members, e.Count)
+		c.setRoster(now, e)
 		return nil
 	case Wake:
 		return c.wake(now, e.IsActive)
@@ -285,13 +289,16 @@
 //
 // A member that the store no longer lists stays while it is heard: it may be cut off from
 // the store alone, and would form a second fleet with the others that are.
-func (c *Core) setRoster(now clocker.Moment, members []Member, count int) {
+func (c *Core) setRoster(now clocker.Moment, e RosterChanged) {
 	if c.knownSince.IsZero() {
 		c.knownSince = now
 	}
+	if e.IsResumed {
+		c.youth = 0
+	}
 	former := c.members
 	c.members = map[identifier.VM]Member{}
-	for _, m := range members {
+	for _, m := range e.Members {
 		c.members[m.VM] = m
 	}
 	c.members[c.self.VM] = c.self // An entry of an earlier start doesn't describe this one.
@@ -311,7 +318,7 @@
 	slices.SortFunc(c.order, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
 	})
-	c.count = count
+	c.count = e.Count
 	isMember := func(m Member) bool { return c.members[m.VM] == m }
 	maps.DeleteFunc(c.acceptedFrom, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
 	maps.DeleteFunc(c.sentTo, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -61,7 +61,7 @@
 	for i, m := range members {
 		v := &vm{f: f, place: i, core: New(m, 0, 0), collected: map[string]bool{}, answers: map[identifier.VM]DigestReceived{}}
 		f.vms = append(f.vms, v)
-		v.step(RosterChanged{members, n})
+		v.step(RosterChanged{Members: members, Count: n})
 	}
 	return f
 }
@@ -283,7 +283,7 @@
 			g := NewWithT(t)
 			now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
 			c0 := New(Member{"0", 1, true}, 0, Youth)
-			c0.Step(now, RosterChanged{[]Member{{"1", 1, true}, {"2", 1, false}}, 3})
+			c0.Step(now, RosterChanged{Members: []Member{{"1", 1, true}, {"2", 1, false}}, Count: 3})
 			sent := c0.Step(now, Wake{true})
 			g.Expect(sent).To(Equal([]Outcome{SendReport{To: Member{"1", 1, true}, Sequence: 1}}))
 			g.Expect(c0.Step(now.Add(c.after), c.e)).To(Equal(c.drop))
@@ -293,3 +293,22 @@
 		})
 	}
 }
+
+// TestResumedVMCoordinatesAtOnce guards against a fleet that lost power and then admits nothing
+// for the time in which VMs are young, and against a new VM that takes a fleet of few VMs for
+// the whole one.
+func TestResumedVMCoordinatesAtOnce(t *testing.T) {
+	for _, isResumed := range []bool{false, true} {
+		g := NewWithT(t)
+		now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
+		self, other := Member{"0", 2, true}, Member{"1", 1, true}
+		core := New(self, 0, Youth)
+		core.Step(now, RosterChanged{Members: []Member{self, other}, Count: 2, IsResumed: isResumed})
+		outcomes := core.Step(now, ReportReceived{VM: other.VM, Incarnation: other.Incarnation, Sequence: 1, Share: 1})
+		if isResumed {
+			g.Expect(outcomes).To(ContainElement(Collect{From: other, Sequence: 1}))
+		} else {
+			g.Expect(outcomes).To(Equal([]Outcome{Drop{Young}}))
+		}
+	}
+}
--- a/exchanger/shell.go
+++ b/exchanger/shell.go
@@ -48,6 +48,8 @@
 	Peers []Peer
 	// Count is the number of VMs that share quotas, at least that of Peers.
 	Count int
+	// IsResumed is that of coordinator.RosterChanged.
+	IsResumed bool
 }
 
 // Self describes this VM's own start.
@@ -190,7 +192,7 @@
 		s.peers[p.VM] = p
 		members = append(members, coordinator.Member{VM: p.VM, Incarnation: p.Incarnation, IsReachable: p.Address.IsValid() && len(p.Secret) == SecretSize})
 	}
-	s.members = coordinator.RosterChanged{Members: members, Count: r.Count}
+	s.members = coordinator.RosterChanged{Members: members, Count: r.Count, IsResumed: r.IsResumed}
 	s.step(s.members)
 	for vm, p := range former {
 		if _, ok := s.peers[vm]; !ok && s.core.Knows(vm) {
--- a/launcher/exchange.go
+++ b/launcher/exchange.go
@@ -1,13 +1,16 @@
 package launcher
 
 import (
+	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/looper"
 )
 
 // openExchange opens the socket of the exchange between VMs. A VM whose socket can't be
@@ -39,3 +42,12 @@
 	conn, err := net.ListenUDP("udp", at)
 	return conn, errors.Wrap(err, "VMs.Address can't be used; is another program on this port?")
 }
+
+// enrol keeps the VM's entry in the roster until ctx ends. It begins after the first listing,
+// or after firstViewTimeout: the listing shows whether an earlier start of the VM is enrolled.
+func (vm *VM) enrol(ctx context.Context) {
+	for until := time.Now().Add(firstViewTimeout); !vm.fleet.IsListed() && time.Now().Before(until); {
+		looper.Sleep(ctx, firstViewPollInterval)
+	}
+	vm.enroller.Run(ctx)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -177,7 +177,7 @@
 		return 0, err
 	}
 	go vm.follower.Run(ctx)
-	go vm.enroller.Run(ctx)
+	go vm.enrol(ctx)
 	go vm.orders.Run(ctx)
 	for _, w := range vm.records {
 		go w.Run(ctx)
--- a/router/cores.go
+++ b/router/cores.go
@@ -247,9 +247,9 @@
 
 // rebuildRoster reads the members from the entries of the store. f.mu must be held.
 func (f *Fleet) rebuildRoster(now time.Time) {
-	departed := f.roster.departed
+	former := f.roster
 	f.roster = newRoster()
-	f.roster.departed = departed
+	f.roster.departed, f.roster.isResumed = former.departed, former.isResumed
 	isComplete := true
 	for key, entry := range f.entries {
 		if strings.HasPrefix(key, rosterPrefix) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -36,7 +36,7 @@
 		if f.isListed {
 			e = f.exchange
 		}
-		r.Count = f.roster.count(time.Now())
+		r.Count, r.IsResumed = f.roster.count(time.Now()), f.roster.isResumed
 		for _, vm := range slices.Sorted(maps.Keys(f.roster.peers)) {
 			if vm < f.ownVM() {
 				place++
@@ -50,6 +50,23 @@
 	}
 }
 
+// takeListedRoster takes in that the VMs that a listing lacks have left. The first listing
+// shows whether an earlier start of this VM is still listed: the VM enrols afterwards. f.mu
+// must be held.
+func (f *Fleet) takeListedRoster(absentSince time.Time, listed map[identifier.VM]bool) {
+	f.roster.retain(absentSince, listed)
+	if !f.isListed {
+		f.roster.isResumed = listed[f.ownVM()]
+	}
+}
+
+// IsListed reports whether the store was read once.
+func (f *Fleet) IsListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isListed
+}
+
 // RequestExchange asks for a report of this VM soon.
 func (f *Fleet) RequestExchange() {
 	f.mu.Lock()
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -239,7 +239,7 @@
 	}
 	f.stepView(tracker.Listed{Runners: runners})
 	f.updateCapacities()
-	f.step(coreRoster, vms, func() { f.roster.retain(absentSince, vms) })
+	f.step(coreRoster, vms, func() { f.takeListedRoster(absentSince, vms) })
 	f.mu.Lock()
 	f.era, f.isListed, f.isRelisting = o.Era, true, false
 	f.mu.Unlock()
