tracker: choose engines by the room that all VMs leave

Each VM chose by its own load alone, so that it asked engines which others had filled. A view now takes in digests of the work of all VMs, estimates the room of each decode engine and chooses among those with room in proportion to it.

--- a/tracker/choose.go
+++ b/tracker/choose.go
@@ -47,6 +47,12 @@
 	// Software is the only version of the runners' software that is allowed; empty
 	// for any.
 	Software identifier.Software
+	// HasSlack is true if more memory is asked for than the request needs, for the growth
+	// of others. The estimate of an engine's room counts that growth: if there is one, no
+	// engine is chosen with slack.
+	HasSlack bool
+	// IsCheck is true if nothing is sent to the runner: only whether there is one counts.
+	IsCheck bool
 }
 
 func (c Choice) allows(u *upstream) bool { return c.Software == "" || u.Software == c.Software }
@@ -54,14 +60,16 @@
 // Plain chooses a runner for a call to a plain service. It returns false if there
 // is none.
 func (t *Tracker) Plain(now time.Time, pool identifier.Pool, from Choice) (Runner, bool) {
+	if t.usesDigest(now) {
+		if r, ok := t.plainByRoom(now, pool, from); ok {
+			return r, true
+		}
+	}
 	return t.cheapest(now, t.pools[pool], from.Without, func(u *upstream) (time.Duration, bool) {
 		if u.Role != identifier.RolePlain || !from.allows(u) {
 			return 0, false
 		}
-		mean := u.latency
-		if mean == 0 {
-			mean = defaultPlainLatency
-		}
+		mean := u.meanLatency()
 		queue := mean * time.Duration(u.calls) / time.Duration(max(u.Slots, 1))
 		if now.Before(u.fullUntil) {
 			queue += mean
@@ -97,9 +105,14 @@
 // suspected or change their role are left out, because a failed attempt uses up
 // part of the target.
 func (t *Tracker) Decode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, from Choice) (Runner, bool) {
+	if t.sizes[pool].Memory > 0 && t.usesDigest(now) {
+		if from.HasSlack {
+			return Runner{}, false
+		}
+		return t.decodeByRoom(now, pool, tokens, from)
+	}
 	return t.cheapest(now, t.pools[pool], from.Without, func(u *upstream) (time.Duration, bool) {
-		if u.Role != identifier.RoleDecode || !from.allows(u) || now.Before(u.fullUntil) && tokens >= u.smallestRefused ||
-			now.Before(u.roleChangeUntil) || now.Before(u.suspectUntil) {
+		if !u.canDecode(now, tokens, from) {
 			return 0, false
 		}
 		return time.Duration(u.decodeTokens)*heldTokenCost + t.baseCost(now, u), true
--- a/tracker/ledger.go
+++ b/tracker/ledger.go
@@ -131,6 +131,9 @@
 	if u == nil {
 		return
 	}
+	if tokens > 0 {
+		t.recordRefused(now, u, tokens)
+	}
 	if now.Before(u.fullUntil) {
 		tokens = min(tokens, u.smallestRefused)
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -89,6 +89,7 @@
 	// random breaks ties.
 	random *rand.Rand
 	out    []Change
+	shared
 }
 
 // departed is a removed runner with the pause that it asked for.
@@ -101,6 +102,7 @@
 type upstream struct {
 	Runner
 	ledger
+	occupancy
 	// roleChangeUntil is when an engine that changes its role can be used again.
 	roleChangeUntil time.Time
 	// missingUntil is when a missing runner counts as gone; zero while its entry
@@ -118,6 +120,7 @@
 		pools:      map[identifier.Pool][]*upstream{},
 		departed:   map[identifier.Upstream]departed{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
+		shared:     shared{counts: map[identifier.Pool]*counts{}},
 	}
 }
 
@@ -125,7 +128,7 @@
 // of one whose step was interrupted by a panic. What follows from that is computed anew.
 func (t *Tracker) Rebuilt() *Tracker {
 	n := t.Emptied()
-	n.graceUntil, n.copyUntil = t.graceUntil, t.copyUntil
+	n.graceUntil, n.copyUntil, n.digestAt = t.graceUntil, t.copyUntil, t.digestAt
 	maps.Copy(n.departed, t.departed)
 	for id, u := range t.upstreams {
 		if u == nil || u.ID != id {
@@ -141,7 +144,11 @@
 }
 
 // Emptied returns an empty view for the same VM.
-func (t *Tracker) Emptied() *Tracker { return New(t.dataCentre, rand.Uint64()) }
+func (t *Tracker) Emptied() *Tracker {
+	n := New(t.dataCentre, rand.Uint64())
+	n.sizes = t.sizes
+	return n
+}
 
 // Step applies one event and returns the changes of the view.
 func (t *Tracker) Step(now time.Time, e Event) []Change {
@@ -164,6 +171,10 @@
 		if u := t.upstreams[e.ID]; u != nil {
 			u.roleChangeUntil = e.Until
 		}
+	case Sized:
+		t.sizes = e.Pools
+	case Digested:
+		t.applyDigest(now, e)
 	case Wake:
 	default:
 		panic(fmt.Sprintf("tracker: event %T", e))
@@ -309,7 +320,7 @@
 
 // insert adds an upstream to the view and to its pool.
 func (t *Tracker) insert(u *upstream) {
-	t.upstreams[u.ID] = u
+	t.upstreams[u.ID], u.hash = u, HashOf(u.Runner)
 	pool := t.pools[u.Pool]
 	i, _ := slices.BinarySearchFunc(pool, u, byID)
 	t.pools[u.Pool] = slices.Insert(pool, i, u)
