router: report the load of a VM and use the digest of all

router.Loads is the section of the exchange for load: it reports the work at runners and the calls granted and refused by pool, sums up at the coordinator and hands digests to the view. Reservations count from the call that asks for them. Platform.ShareLoadFrom (default 16) is the number of VMs from which loads are shared. Requests to plain services that reject too many calls are refused as not run, with the reason Throttled.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -401,7 +401,7 @@
 	var next tracker.Runner
 	var ok bool
 	if c.job.NeedsEngine {
-		next, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.choice())
+		next, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.check())
 	} else {
 		next, ok = c.choosePlain(now)
 	}
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -193,6 +193,9 @@
 	// ReasonRate means that this VM has sent the pool's runners all that their rates
 	// allow.
 	ReasonRate Reason = "RateReached"
+	// ReasonThrottled means that the pool's plain services lately rejected too many calls,
+	// so that the request was not sent.
+	ReasonThrottled Reason = "Throttled"
 	// ReasonBudget means that the retry budget allows no further send.
 	ReasonBudget Reason = "RetryBudget"
 	// ReasonAttempts means that the route allows no further run.
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -63,7 +63,9 @@
 	}
 	c.reserveTries++
 	for {
-		r, ok := c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded()+c.slack, c.choice())
+		choice := c.choice()
+		choice.HasSlack = c.slack > 0
+		r, ok := c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded()+c.slack, choice)
 		if ok {
 			c.runner, c.isTaken, c.phase = r, true, phaseReserving
 			c.emit(Reserve{To: c.runner, Tokens: c.tokensNeeded() + c.slack, For: HoldTTL})
@@ -164,12 +166,19 @@
 	c.emit(Run{To: c.runner, Source: c.source, Hold: c.hold, After: c.lastEvent, Limit: c.headTimeout()})
 }
 
+// check returns which runners may be chosen if nothing is sent to them yet.
+func (c *Core) check() tracker.Choice {
+	choice := c.choice()
+	choice.IsCheck = true
+	return choice
+}
+
 // hasAnotherRunner reports whether a runner is usable that isn't excluded.
 func (c *Core) hasAnotherRunner(now time.Time) bool {
 	var next tracker.Runner
 	var ok bool
 	if c.job.NeedsEngine {
-		next, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.choice())
+		next, ok = c.fleet.ChooseDecode(now, c.job.Pool, c.tokensNeeded(), c.check())
 	} else {
 		next, ok = c.fleet.ChoosePlain(now, c.job.Pool, c.choice())
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -97,7 +97,9 @@
 	follower *follower.Shell
 	enroller *enroller.Shell
 	orders   *router.Orders
-	records  []*router.RecordWriter
+	// loads is the section of the exchange between VMs that shares their load.
+	loads   *router.Loads
+	records []*router.RecordWriter
 	// drainer is nil after it has panicked, until the next step.
 	drainer *drainer.Core
 	// stoppingSince is when the VM began to stop; zero before.
@@ -132,6 +134,7 @@
 		Parts:       platform.Parts(),
 		Spread:      rand.N(max(1, time.Duration(readSpreadShare*float64(p.ApplyWithin)))),
 	}, vm.fleet, vm.steps)
+	vm.loads = router.NewLoads(vm.fleet, p.SharesLoadFrom())
 	start := identifier.Incarnation(time.Now().UnixMilli())
 	vm.orders = router.NewOrders(vm.fleet, runners, store, cfg.VM, start, log)
 	vm.records = router.NewRecordWriters(vm.fleet, store, cfg.VM, log)
--- a/parser/page.go
+++ b/parser/page.go
@@ -27,7 +27,7 @@
 		switch {
 		case f.Type.Kind() == reflect.Struct:
 			writeRows(w, name+".", v.Field(i))
-		case f.Type.Kind() == reflect.Pointer:
+		case f.Type.Kind() == reflect.Pointer && f.Type.Elem().Kind() == reflect.Struct:
 			writeRows(w, name+".", reflect.Zero(f.Type.Elem()))
 		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
 			writeRows(w, name+"[].", reflect.Zero(f.Type.Elem()))
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -38,7 +38,9 @@
 	RetryRatio  float64       `yaml:"RetryRatio" validate:"min=0,max=1" doc:"Extra sends to runners allowed for each request, over the whole fleet."`
 	RetryWindow time.Duration `yaml:"RetryWindow" validate:"min=1s,max=10m" doc:"Time over which extra sends are counted."`
 	RetrySlack  float64       `yaml:"RetrySlack" validate:"min=0" doc:"Extra sends allowed in a window beside RetryRatio, over the whole fleet."`
-	MemoryMB    int           `yaml:"MemoryMB" validate:"min=32,max=1048576" doc:"Memory of this VM's process, in MB."`
+	// ShareLoadFrom is nil if it isn't given; see SharesLoadFrom.
+	ShareLoadFrom *int `yaml:"ShareLoadFrom" validate:"omitempty,min=0" doc:"Number of VMs from which they tell each other their load; 0 for never. 16 if not given: fewer VMs see most of it by themselves."`
+	MemoryMB      int  `yaml:"MemoryMB" validate:"min=32,max=1048576" doc:"Memory of this VM's process, in MB."`
 }
 
 // Callers holds the settings of the listener for callers.
@@ -115,3 +117,15 @@
 		Log:   Log{Level: "info"},
 	}
 }
+
+// defaultShareLoadFrom is the number of VMs from which each sees so little of the load by its
+// own calls that the exchange of it pays.
+const defaultShareLoadFrom = 16
+
+// SharesLoadFrom returns the number of VMs from which they share their load; zero for never.
+func (p *Platform) SharesLoadFrom() int {
+	if p.ShareLoadFrom == nil {
+		return defaultShareLoadFrom
+	}
+	return *p.ShareLoadFrom
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -82,6 +82,7 @@
 	orderHolder stager.Holder
 	// tokenMeans holds the mean lengths of requests by pool.
 	tokenMeans map[identifier.Pool]*tokenMeans
+	demands    demands
 	// ownKey is this VM's key in the roster; enrolment keeps that entry.
 	ownKey    string
 	enrolment Enrolment
@@ -114,17 +115,16 @@
 	return f
 }
 
-// Gauges returns the gauges of the view's age and of the remaining retry
-// budget.
+// Gauges returns the gauges of the view's age, of the remaining retry budget and of the
+// estimate of free memory.
 func (f *Fleet) Gauges() []prometheus.Collector {
-	return []prometheus.Collector{
+	return append(f.loadGauges(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "view_age_seconds", Help: "Time for which the store has not answered; 0 while it does.",
 		}, func() float64 { return f.ViewAge(time.Now()).Seconds() }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "retry_budget_left", Help: "Extra sends that this VM may make now, in the pool that has least.",
-		}, f.budgetLeft),
-	}
+		}, f.budgetLeft))
 }
 
 func (f *Fleet) budgetLeft() (left float64) {
@@ -377,6 +377,7 @@
 		return
 	}
 	f.configuration.Store(c)
+	f.stepView(sizesOf(c))
 	f.metrics.revision.Set(float64(c.Revision))
 	f.log.Info().Uint64("Revision", uint64(c.Revision)).Int("Routes", c.RouteCount).Int("Pools", len(c.Pools)).Msg("ConfigurationInForce")
 	if l := c.Limits; current == nil || l != current.Limits {
@@ -515,7 +516,8 @@
 func (f *Fleet) ChooseDecode(now time.Time, pool identifier.Pool, tokens identifier.Tokens, from tracker.Choice) (tracker.Runner, bool) {
 	return f.choose(pool, func() (tracker.Runner, bool) {
 		return f.chooseByRate(now, from.Without, func(without tracker.Without) (tracker.Runner, bool) {
-			return f.view.Decode(now, pool, tokens, tracker.Choice{Without: without, Software: from.Software})
+			from.Without = without
+			return f.view.Decode(now, pool, tokens, from)
 		})
 	})
 }
@@ -583,6 +585,7 @@
 }
 
 func (f *Fleet) recordArrival(now time.Time, job attempter.Job) {
+	f.recordDemand(now)
 	f.step(coreBudget, job.Request, func() {
 		f.budget.CountRequest(now, job.Pool)
 		if job.NeedsEngine {
--- /dev/null
+++ b/router/loads.go
@@ -0,0 +1,260 @@
+package router
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/figtrack/figtrack/aggregator"
+	"github.com/figtrack/figtrack/attempter"
+	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/matcher"
+	"github.com/figtrack/figtrack/stepper"
+	"github.com/figtrack/figtrack/throttler"
+	"github.com/figtrack/figtrack/tracker"
+	"github.com/figtrack/figtrack/wire"
+)
+
+// coreLoads is the core that adds up the reports of VMs.
+const coreLoads stepper.Core = "Loads"
+
+const (
+	// activeTime is how long a VM exchanges its load after its last request.
+	activeTime = time.Second
+	// maxDemandAge is the age from which the fleet's demand isn't used.
+	maxDemandAge = 2 * time.Second
+)
+
+// demands are the demand for each pool, of this VM and of the fleet.
+type demands struct {
+	// lastArrival is when a request was read last; nil before the first one.
+	lastArrival atomic.Pointer[time.Time]
+
+	mu sync.Mutex
+	// waiting holds this VM's waiting requests by pool and rank.
+	waiting map[identifier.Pool][]int
+	// fleet is the last digest's; it is replaced as a whole. It was asked for at fleetAt.
+	fleet   map[tracker.PoolHash]aggregator.Demand
+	fleetAt time.Time
+}
+
+// SetWaiting sets how many requests of this VM wait for room in a pool, by rank. The slice
+// must not be changed afterwards.
+func (f *Fleet) SetWaiting(pool identifier.Pool, waiting []int) {
+	f.demands.mu.Lock()
+	defer f.demands.mu.Unlock()
+	if f.demands.waiting == nil {
+		f.demands.waiting = map[identifier.Pool][]int{}
+	}
+	f.demands.waiting[pool] = waiting
+}
+
+// FleetDemand returns the demand of all VMs for a pool by the last digest, this VM's as of its
+// last report included. It returns false if that is too old or none was heard.
+func (f *Fleet) FleetDemand(now time.Time, pool identifier.Pool) (aggregator.Demand, bool) {
+	f.demands.mu.Lock()
+	defer f.demands.mu.Unlock()
+	if f.demands.fleet == nil || now.Sub(f.demands.fleetAt) >= maxDemandAge {
+		return aggregator.Demand{}, false
+	}
+	return f.demands.fleet[tracker.HashOfPool(pool)], true
+}
+
+// Loads is the section of the exchange that shares the work in flight at runners and the
+// demand for pools.
+type Loads struct {
+	fleet *Fleet
+	// shareFrom is the number of VMs from which loads are shared; zero for never.
+	shareFrom int
+	// sum is used by the goroutine of the exchange.
+	sum *aggregator.Core
+}
+
+// NewLoads returns the section of a fleet that shares loads from shareFrom VMs on; never for
+// zero.
+func NewLoads(f *Fleet, shareFrom int) *Loads {
+	return &Loads{fleet: f, shareFrom: shareFrom, sum: aggregator.New()}
+}
+
+// IsActive implements exchanger.Section.
+func (l *Loads) IsActive(now time.Time) bool {
+	if l.shareFrom <= 0 || l.fleet.VMs() < l.shareFrom {
+		return false
+	}
+	if at := l.fleet.demands.lastArrival.Load(); at != nil && now.Sub(*at) <= activeTime {
+		return true
+	}
+	hasWork := false
+	l.fleet.step(coreView, "HasWork", func() { hasWork = l.fleet.view.HasWork() })
+	return hasWork
+}
+
+// Report implements exchanger.Section.
+func (l *Loads) Report(now time.Time, to *wire.ExchangeReport) {
+	var loads map[tracker.RunnerHash]tracker.Occupied
+	var calls map[tracker.PoolHash]tracker.Calls
+	l.fleet.step(coreView, "Report", func() { loads, calls = l.fleet.view.Report(), l.fleet.view.PoolCalls(now) })
+	for _, hash := range slices.Sorted(maps.Keys(loads)) {
+		o := loads[hash]
+		to.Loads = append(to.Loads, &wire.RunnerLoad{Runner: uint32(hash), Calls: uint32(max(0, o.Calls)), Tokens: uint32(max(0, o.Tokens))})
+	}
+	waiting := l.fleet.waitingByHash()
+	for hash := range calls {
+		if _, ok := waiting[hash]; !ok {
+			waiting[hash] = nil
+		}
+	}
+	for _, hash := range slices.Sorted(maps.Keys(waiting)) {
+		c := calls[hash]
+		d := &wire.PoolDemand{Pool: uint32(hash), Granted: uint32(c.Granted), Refused: uint32(c.Refused), IntervalMs: uint32(throttler.Window.Milliseconds())}
+		for _, n := range waiting[hash] {
+			d.Waiting = append(d.Waiting, uint32(max(0, n)))
+		}
+		to.Demands = append(to.Demands, d)
+	}
+}
+
+// waitingByHash returns the waiting requests of this VM in the pools that have any.
+func (f *Fleet) waitingByHash() map[tracker.PoolHash][]int {
+	f.demands.mu.Lock()
+	defer f.demands.mu.Unlock()
+	all := map[tracker.PoolHash][]int{}
+	for pool, waiting := range f.demands.waiting {
+		if slices.ContainsFunc(waiting, func(n int) bool { return n > 0 }) {
+			all[tracker.HashOfPool(pool)] = waiting
+		}
+	}
+	return all
+}
+
+// Collect implements exchanger.Section. A sum that panics is begun anew: VMs report again
+// within a second.
+func (l *Loads) Collect(now time.Time, from *wire.ExchangeReport, answer *wire.ExchangeDigest) {
+	if !l.fleet.steps.Call(coreLoads, from, func() { l.sum.Collect(now, from, answer) }) {
+		l.sum = aggregator.New()
+	}
+}
+
+// Apply implements exchanger.Section.
+func (l *Loads) Apply(_, sentAt time.Time, digest *wire.ExchangeDigest) {
+	e := tracker.Digested{
+		SentAt: sentAt, All: make(map[tracker.RunnerHash]tracker.Occupied, len(digest.Loads)),
+		Calls: map[tracker.PoolHash]tracker.Calls{}, Reporting: int(digest.Reporting),
+	}
+	for _, one := range digest.Loads {
+		e.All[tracker.RunnerHash(one.GetRunner())] = tracker.Occupied{Calls: int(one.GetCalls()), Tokens: identifier.Tokens(one.GetTokens())}
+	}
+	fleet := map[tracker.PoolHash]aggregator.Demand{}
+	for _, one := range digest.Demands {
+		hash, interval := tracker.PoolHash(one.GetPool()), time.Duration(max(one.GetIntervalMs(), 1))*time.Millisecond
+		d := aggregator.Demand{Granted: float64(one.GetGranted()) / interval.Seconds(), Refused: float64(one.GetRefused()) / interval.Seconds()}
+		for _, n := range one.GetWaiting() {
+			d.Waiting = append(d.Waiting, int(n))
+		}
+		fleet[hash] = d
+		window := throttler.Window.Seconds()
+		e.Calls[hash] = tracker.Calls{Granted: d.Granted * window, Refused: d.Refused * window}
+	}
+	l.fleet.demands.mu.Lock()
+	l.fleet.demands.fleet, l.fleet.demands.fleetAt = fleet, sentAt
+	l.fleet.demands.mu.Unlock()
+	l.fleet.stepView(e)
+}
+
+// Lost implements exchanger.Section. What is known ages.
+func (l *Loads) Lost(time.Time) {}
+
+// recordDemand notes that a request has arrived.
+func (f *Fleet) recordDemand(now time.Time) { f.demands.lastArrival.Store(&now) }
+
+// sizesOf returns the capacities of the decode engines in a configuration.
+func sizesOf(c *Configuration) tracker.Sized {
+	e := tracker.Sized{Pools: map[identifier.Pool]tracker.Size{}}
+	for id, pool := range c.Pools {
+		if pool.HasEngines {
+			e.Pools[id] = tracker.Size{Memory: pool.Memory, Slots: pool.Slots}
+		}
+	}
+	return e
+}
+
+// loadGauges returns the gauges of the estimate of free memory.
+func (f *Fleet) loadGauges() []prometheus.Collector {
+	gauge := func(name, help string, value func(s tracker.State) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, func() float64 {
+			var s tracker.State
+			f.step(coreView, name, func() { s = f.view.State(time.Now()) })
+			return value(s)
+		})
+	}
+	return []prometheus.Collector{
+		gauge("estimated_free_tokens", "Free memory of all decode engines by this VM's estimate.", func(s tracker.State) float64 { return float64(s.Free) }),
+		gauge("load_digest_age_seconds", "Age of the last digest of the work of all VMs; 0 before the first. From 2 s on it isn't used.", func(s tracker.State) float64 { return s.DigestAge.Seconds() }),
+		gauge("refused_reservations_per_granted", "Reservations of this VM that engines refused in the last 2 s, for each granted one; all of them if none was granted.", func(s tracker.State) float64 {
+			return s.Calls.Refused / max(s.Calls.Granted, 1)
+		}),
+	}
+}
+
+// heldLoad is the reservation of a request that no call uses yet.
+type heldLoad struct {
+	at     tracker.Runner
+	tokens identifier.Tokens
+	// isCounted is true until endHold.
+	isCounted bool
+}
+
+// beginHold counts a reservation that is asked of an engine, in place of an earlier one.
+func (p *proxiedRequest) beginHold(o attempter.Reserve) {
+	p.endHold()
+	p.held = heldLoad{o.To, o.Tokens, true}
+	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+		view.BeginTrial(now, o.To)
+		view.BeginHold(o.To, o.Tokens)
+		return nil
+	})
+}
+
+// endHold ends what beginHold has counted: the reservation was refused, released or forgotten,
+// or a call uses it.
+func (p *proxiedRequest) endHold() {
+	held := p.held
+	if p.held = (heldLoad{}); !held.isCounted {
+		return
+	}
+	p.fleet.updateView(func(_ time.Time, view *tracker.Tracker) []tracker.Change {
+		view.EndHold(held.at, held.tokens)
+		return nil
+	})
+}
+
+// recordReserved counts a reservation that an engine has granted.
+func (p *proxiedRequest) recordReserved(o attempter.Reserve, e attempter.Event) attempter.Event {
+	if _, ok := e.(attempter.Reserved); ok {
+		p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
+			view.RecordGranted(now, o.To)
+			return nil
+		})
+	}
+	return e
+}
+
+// refuseThrottled refuses a new request if its pool's plain services reject too many calls, and
+// reports whether it did. A stream that goes on is always tried.
+func (r *Router) refuseThrottled(q *Request, caller Caller, kind matcher.Kind, job attempter.Job) bool {
+	if job.NeedsEngine || job.IsTakenUp {
+		return false
+	}
+	now, isThrottled := time.Now(), false
+	r.fleet.step(coreView, job.Pool, func() { isThrottled = r.fleet.view.Throttles(now, job.Pool) })
+	if isThrottled {
+		after := min(defaultRetryAfter+rand.N(maxPauseSpread), job.Deadline.Sub(now)/3)
+		r.reply(q, caller, kind, NotRun{Reason: attempter.ReasonThrottled, After: max(0, after)})
+	}
+	return isThrottled
+}
--- a/router/passage.go
+++ b/router/passage.go
@@ -71,6 +71,7 @@
 	// hold and cache are what engines keep for the request and no run has used; nil if
 	// there is none.
 	hold     *attempter.Release
+	held     heldLoad
 	cache    *attempter.Discard
 	splitter splitter.Splitter
 	// timeToFirstByte is the time from the arrival to the first byte of an
@@ -86,6 +87,7 @@
 
 // serve performs the outcomes of the core until the request ends.
 func (p *proxiedRequest) serve(parent context.Context) {
+	defer p.endHold()
 	if !p.fleet.steps.Call(coreRequest, p.q.ID, func() { p.serveSteps(parent) }) {
 		p.endAfterPanic()
 	}
@@ -191,7 +193,7 @@
 		}
 		switch o := o.(type) {
 		case attempter.Reserve:
-			next = p.reserve(ctx, o)
+			next = p.recordReserved(o, p.reserve(ctx, o))
 		case attempter.Shrink:
 			next = p.shrink(ctx, o)
 		case attempter.Prefill:
@@ -227,10 +229,7 @@
 
 func (p *proxiedRequest) reserve(ctx context.Context, o attempter.Reserve) attempter.Event {
 	p.reservedAt = o.To
-	p.fleet.updateView(func(now time.Time, view *tracker.Tracker) []tracker.Change {
-		view.BeginTrial(now, o.To)
-		return nil
-	})
+	p.beginHold(o)
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	began := time.Now()
@@ -243,6 +242,7 @@
 		})
 	}
 	if err != nil {
+		p.endHold()
 		return failedEvent(err)
 	}
 	p.metrics.memoryWaits.Observe(time.Since(p.q.Arrived).Seconds())
@@ -304,6 +304,7 @@
 	}
 	load := tracker.Load{DecodeTokens: p.job.Input + p.job.Output}
 	ctx, cancel := context.WithCancel(ctx)
+	p.endHold()
 	p.addLoad(o.To, load)
 	couldHaveRun := p.mayHaveRun
 	p.mayHaveRun = true
@@ -434,6 +435,7 @@
 // without an answer doesn't make the runner suspect.
 func applyCallResult(now time.Time, view *tracker.Tracker, to tracker.Runner, mayBeLong bool, err error, took time.Duration) []tracker.Change {
 	if err == nil {
+		view.RecordCalled(now, to, true)
 		return append(view.RecordAccepted(now, to), view.RecordAnswer(to, false, took)...)
 	}
 	if errors.Is(err, context.Canceled) {
@@ -443,6 +445,7 @@
 	case driver.KindFull:
 		if mayBeLong {
 			view.RecordFull(now, to, 0)
+			view.RecordCalled(now, to, false)
 		}
 		return view.RecordAnswer(to, false, 0)
 	case driver.KindLeaving:
@@ -457,6 +460,7 @@
 // keeps soon.
 func (p *proxiedRequest) release(o attempter.Release) {
 	p.hold = nil
+	p.endHold()
 	if p.fleet.isPaused(time.Now(), o.To) {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -122,6 +122,9 @@
 		Dur("Target", route.Target).
 		Dur("Gap", route.Gap).
 		Msg("Arrived")
+	if r.refuseThrottled(q, caller, route.Kind, job) {
+		return
+	}
 	r.fleet.recordArrival(q.Arrived, job)
 	newProxiedRequest(r, q, caller, route, job).serve(ctx)
 }
--- a/tracker/room.go
+++ b/tracker/room.go
@@ -179,7 +179,7 @@
 }
 
 // applyDigest takes in the work of all VMs. Runners that the digest doesn't name have none.
-func (t *Tracker) applyDigest(now time.Time, e Digested) {
+func (t *Tracker) applyDigest(e Digested) {
 	weight := 1.0
 	if !t.digestAt.IsZero() {
 		weight = min(1, e.SentAt.Sub(t.digestAt).Seconds()/meanCallsTime.Seconds())
@@ -281,7 +281,8 @@
 	if !t.digestAt.IsZero() && now.Sub(t.digestAt) < maxDigestAge {
 		acceptance = t.fleetCalls[c.hash].acceptance()
 	}
-	return t.random.Float64() < c.throttle.Share(now, plainRatio, acceptance)
+	share := c.throttle.Share(now, plainRatio, acceptance)
+	return share > 0 && t.random.Float64() < share
 }
 
 // HasWork reports whether this VM has work at a runner whose load it reports.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -174,7 +174,7 @@
 	case Sized:
 		t.sizes = e.Pools
 	case Digested:
-		t.applyDigest(now, e)
+		t.applyDigest(e)
 	case Wake:
 	default:
 		panic(fmt.Sprintf("tracker: event %T", e))
