tracker: tests of the estimate, its faults and equal digests

A digest of a new coordinator that has heard few VMs is left out, and a service that rejects its calls no longer looks free.

--- a/tracker/room.go
+++ b/tracker/room.go
@@ -75,6 +75,8 @@
 	// fullTrust is the age of a digest up to which it decides alone: a fleet of 300 VMs
 	// gets one each second. Up to maxDigestAge it decides ever fewer choices.
 	fullTrust = 1100 * time.Millisecond
+	// completeShare is the share of the VMs in the last digest that have to be in the next.
+	completeShare = 0.75
 	// maxDigestAge is the age from which a digest isn't used.
 	maxDigestAge = 2 * time.Second
 )
@@ -180,11 +182,16 @@
 
 // applyDigest takes in the work of all VMs. Runners that the digest doesn't name have none.
 func (t *Tracker) applyDigest(e Digested) {
+	if e.SentAt.Sub(t.digestAt) < fullTrust && float64(e.Reporting) < completeShare*float64(t.reporting) {
+		return // A new coordinator hasn't heard most VMs yet. What is known is better.
+	}
 	weight := 1.0
 	if !t.digestAt.IsZero() {
 		weight = min(1, e.SentAt.Sub(t.digestAt).Seconds()/meanCallsTime.Seconds())
 	}
-	t.digestInterval = min(maxDigestAge, e.SentAt.Sub(t.digestAt))
+	if t.digestInterval = 0; !t.digestAt.IsZero() {
+		t.digestInterval = min(maxDigestAge, e.SentAt.Sub(t.digestAt))
+	}
 	t.digestAt, t.fleetCalls, t.reporting = e.SentAt, e.Calls, e.Reporting
 	for _, u := range t.upstreams {
 		all := e.All[u.hash]
--- a/tracker/share.go
+++ b/tracker/share.go
@@ -151,7 +151,7 @@
 		all.add(t.random.Float64(), u, weight)
 		if u.DataCentre == t.dataCentre {
 			near.add(t.random.Float64(), u, weight)
-			nearFree += max(0, free)
+			nearFree += accepting * max(0, free)
 			nearSlots += slots
 		}
 	}
--- a/tracker/share_test.go
+++ b/tracker/share_test.go
@@ -30,6 +30,8 @@
 	isDeaf bool
 	// isOneSided is true if all VMs are in the data centre with the fewer plain services.
 	isOneSided bool
+	// fault strikes a second after warmUp.
+	fault func(w *world)
 }
 
 const (
@@ -58,6 +60,9 @@
 	running map[identifier.Upstream][]*request
 	calls   map[identifier.Upstream]int
 	isDeaf  bool
+	// isMute holds the VMs that neither report nor hear digests, gone those that get no
+	// requests.
+	isMute, gone map[int]bool
 	// plain and extra count requests to plain services and their sends after the first.
 	plain, extra float64
 	result       result
@@ -109,7 +114,7 @@
 }
 
 func newWorld(c load) *world {
-	w := &world{isDeaf: c.isDeaf, now: start, random: rand.New(rand.NewPCG(7, 7)), arrivals: rand.New(rand.NewPCG(8, 8)), sum: aggregator.New(), running: map[identifier.Upstream][]*request{}, calls: map[identifier.Upstream]int{}}
+	w := &world{isMute: map[int]bool{}, gone: map[int]bool{}, isDeaf: c.isDeaf, now: start, random: rand.New(rand.NewPCG(7, 7)), arrivals: rand.New(rand.NewPCG(8, 8)), sum: aggregator.New(), running: map[identifier.Upstream][]*request{}, calls: map[identifier.Upstream]int{}}
 	var runners []tracker.Runner
 	centres := []identifier.DataCentre{"east", "west"}
 	for i := range engineCount {
@@ -146,6 +151,9 @@
 
 // report sends the report of a VM and hands it the digest. One in fifty digests is lost.
 func (w *world) report(vm int, interval time.Duration, sequence uint64) {
+	if w.isMute[vm] {
+		return
+	}
 	r := &wire.ExchangeReport{VM: fmt.Sprint(vm), Sequence: sequence}
 	for hash, o := range w.vms[vm].Report() {
 		r.Loads = append(r.Loads, &wire.RunnerLoad{Runner: uint32(hash), Calls: uint32(o.Calls), Tokens: uint32(o.Tokens)})
@@ -272,7 +280,13 @@
 	}
 }
 
-func (w *world) anyVM() *tracker.Tracker { return w.vms[w.random.IntN(len(w.vms))] }
+func (w *world) anyVM() *tracker.Tracker {
+	for {
+		if i := w.random.IntN(len(w.vms)); !w.gone[i] {
+			return w.vms[i]
+		}
+	}
+}
 
 // call sends a request to a plain service, and again to two others if that is full and the
 // retry budget allows it.
@@ -336,6 +350,11 @@
 		w.after(500*time.Millisecond, sample)
 	}
 	w.after(warmUp, sample)
+	w.after(warmUp+time.Second, func() {
+		if c.fault != nil {
+			c.fault(w)
+		}
+	})
 	w.run(start.Add(warmUp + measured))
 	return w.result
 }
@@ -379,3 +398,36 @@
 	}
 	goldie.New(t).Assert(t, "load", []byte(out.String()))
 }
+
+// TestSharedLoadUnderFaults guards against an estimate that a failure leaves wrong for long:
+// refusals then rise, or requests find no place though engines have room.
+func TestSharedLoadUnderFaults(t *testing.T) {
+	for name, fault := range map[string]func(w *world){
+		"a quarter of the VMs dies": func(w *world) {
+			for i := range len(w.vms) / 4 {
+				w.isMute[i], w.gone[i] = true, true
+			}
+		},
+		"a VM hears no digests": func(w *world) { w.isMute[5] = true },
+		"the coordinator dies":  func(w *world) { w.sum = aggregator.New() },
+		"an engine crashes and returns": func(w *world) {
+			delete(w.running, "d00")
+			again := changed(runner("d00", identifier.RoleDecode, "east"), func(r *tracker.Runner) { r.Start, r.Sequence = 2, 1 })
+			for _, view := range w.vms {
+				view.Step(w.now, tracker.EntryWritten{Runner: again})
+			}
+		},
+		"an engine changes its role": func(w *world) {
+			for _, view := range w.vms {
+				view.Step(w.now, tracker.RoleOrdered{ID: "d00", Until: w.now.Add(time.Minute)})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := simulate(load{vms: 64, offered: 0.8, fault: fault})
+			g.Expect(float64(r.refused)/float64(r.granted)).To(BeNumerically("<=", 1), "refused reservations for each granted one")
+			g.Expect(r.lost).To(BeNumerically("<=", r.placed/100), "requests without a place")
+		})
+	}
+}
