wire: rejected calls of a pool beside the refused requests; Waiting as the interface to admission

PoolDemand counts requests; a VM limits its reservations by those that engines rejected, of which there may be several for one request. Counts refer to 10 s, as a VM of a large fleet has less than one request in a second.

--- a/accounter/accounter.go
+++ b/accounter/accounter.go
@@ -173,7 +173,7 @@
 
 func causeOfRefusal(reason string) Cause {
 	switch reason {
-	case "NoMemory", "Busy":
+	case "NoMemory", "Busy", "Throttled":
 		return NoRoom
 	case "NoRunner", "Paused", "RateReached", "SoftwareGone":
 		return NoRunner
--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -43,8 +43,8 @@
 
 type demand struct {
 	waiting [maxRanks]int64
-	// granted and refused are rates in units of 1/rateScale in ratePeriod.
-	granted, refused int64
+	// granted, refused and rejected are rates in units of 1/rateScale in RatePeriod.
+	granted, refused, rejected int64
 }
 
 // New returns a core without reports.
@@ -78,7 +78,8 @@
 		r.loads[l.GetRunner()] = load{int64(l.GetCalls()), int64(l.GetTokens())}
 	}
 	for _, d := range from.Demands {
-		sum := demand{granted: rate(d.GetGranted(), d.GetIntervalMs()), refused: rate(d.GetRefused(), d.GetIntervalMs())}
+		ms := d.GetIntervalMs()
+		sum := demand{granted: rate(d.GetGranted(), ms), refused: rate(d.GetRefused(), ms), rejected: rate(d.GetRejected(), ms)}
 		for rank, n := range d.GetWaiting() {
 			sum.waiting[min(rank, maxRanks-1)] += int64(n)
 		}
@@ -87,16 +88,16 @@
 	return r
 }
 
-// ratePeriod is the time to which the counts of digests refer: a VM of a large fleet may have
-// less than one request in a second.
-const ratePeriod = 10 * time.Second
+// RatePeriod is the time to which the counts of reports and digests refer: a VM of a large
+// fleet may have less than one request in a second.
+const RatePeriod = 10 * time.Second
 
 // rateScale is how much finer the sums are than the counts of digests.
 const rateScale = 1000
 
 // rate converts a count within an interval, as VMs may count over different ones.
 func rate(n, intervalMs uint32) int64 {
-	return int64(n) * rateScale * ratePeriod.Milliseconds() / max(int64(intervalMs), 1)
+	return int64(n) * rateScale * RatePeriod.Milliseconds() / max(int64(intervalMs), 1)
 }
 
 func (c *Core) remove(vm identifier.VM) {
@@ -121,6 +122,7 @@
 		}
 		sum.granted += sign * d.granted
 		sum.refused += sign * d.refused
+		sum.rejected += sign * d.rejected
 		setOrDelete(c.demands, pool, sum)
 	}
 }
@@ -142,7 +144,10 @@
 	}
 	for _, pool := range slices.Sorted(maps.Keys(c.demands)) {
 		d := c.demands[pool]
-		sum := &wire.PoolDemand{Pool: pool, Granted: clamp(d.granted / rateScale), Refused: clamp(d.refused / rateScale), IntervalMs: uint32(ratePeriod.Milliseconds())}
+		sum := &wire.PoolDemand{
+			Pool: pool, Granted: clamp(d.granted / rateScale), Refused: clamp(d.refused / rateScale),
+			Rejected: clamp(d.rejected / rateScale), IntervalMs: uint32(RatePeriod.Milliseconds()),
+		}
 		last := len(d.waiting)
 		for last > 0 && d.waiting[last-1] == 0 {
 			last--
--- a/router/loads.go
+++ b/router/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,28 +31,25 @@
 	maxDemandAge = 2 * time.Second
 )
 
-// demands are the demand for each pool, of this VM and of the fleet.
+// demands are the demand for each pool in the fleet.
 type demands struct {
 	// lastArrival is when a request was read last; nil before the first one.
 	lastArrival atomic.Pointer[time.Time]
 
 	mu sync.Mutex
-	// waiting holds this VM's waiting requests by pool and rank.
-	waiting map[identifier.Pool][]int
 	// fleet is the last digest's; it is replaced as a whole. It was asked for at fleetAt.
 	fleet   map[tracker.PoolHash]aggregator.Demand
 	fleetAt time.Time
 }
 
-// SetWaiting sets how many requests of this VM wait for room in a pool, by rank. The slice
-// must not be changed afterwards.
-func (f *Fleet) SetWaiting(pool identifier.Pool, waiting []int) {
-	f.demands.mu.Lock()
-	defer f.demands.mu.Unlock()
-	if f.demands.waiting == nil {
-		f.demands.waiting = map[identifier.Pool][]int{}
-	}
-	f.demands.waiting[pool] = waiting
+// Waiting is the part of a VM that holds the requests that wait for room. Its methods are
+// called by the goroutine of the exchange and don't block.
+type Waiting interface {
+	// Demands returns this VM's demand for each pool that has any. Granted and Rejected are
+	// not used, as the view counts them.
+	Demands(now time.Time) map[identifier.Pool]aggregator.Demand
+	// ApplyDemand takes in the demand of all VMs for a pool, as it was at a time.
+	ApplyDemand(at time.Time, pool identifier.Pool, d aggregator.Demand)
 }
 
 // FleetDemand returns the demand of all VMs for a pool by the last digest, this VM's as of its
@@ -71,14 +69,16 @@
 	fleet *Fleet
 	// shareFrom is the number of VMs from which loads are shared; zero for never.
 	shareFrom int
+	// waiting is nil if no requests wait by rank.
+	waiting Waiting
 	// sum is used by the goroutine of the exchange.
 	sum *aggregator.Core
 }
 
 // NewLoads returns the section of a fleet that shares loads from shareFrom VMs on; never for
-// zero.
-func NewLoads(f *Fleet, shareFrom int) *Loads {
-	return &Loads{fleet: f, shareFrom: shareFrom, sum: aggregator.New()}
+// zero. waiting may be nil.
+func NewLoads(f *Fleet, shareFrom int, waiting Waiting) *Loads {
+	return &Loads{fleet: f, shareFrom: shareFrom, waiting: waiting, sum: aggregator.New()}
 }
 
 // IsActive implements exchanger.Section.
@@ -103,33 +103,41 @@
 		o := loads[hash]
 		to.Loads = append(to.Loads, &wire.RunnerLoad{Runner: uint32(hash), Calls: uint32(max(0, o.Calls)), Tokens: uint32(max(0, o.Tokens))})
 	}
-	waiting := l.fleet.waitingByHash()
-	for hash := range calls {
-		if _, ok := waiting[hash]; !ok {
-			waiting[hash] = nil
+	demands := map[tracker.PoolHash]aggregator.Demand{}
+	if l.waiting != nil {
+		for pool, d := range l.waiting.Demands(now) {
+			demands[tracker.HashOfPool(pool)] = d
 		}
 	}
-	for _, hash := range slices.Sorted(maps.Keys(waiting)) {
-		c := calls[hash]
-		d := &wire.PoolDemand{Pool: uint32(hash), Granted: uint32(c.Granted), Refused: uint32(c.Refused), IntervalMs: uint32(throttler.Window.Milliseconds())}
-		for _, n := range waiting[hash] {
-			d.Waiting = append(d.Waiting, uint32(max(0, n)))
-		}
-		to.Demands = append(to.Demands, d)
+	for hash, c := range calls {
+		d := demands[hash]
+		d.Granted, d.Rejected = c.Granted/throttler.Window.Seconds(), c.Rejected/throttler.Window.Seconds()
+		demands[hash] = d
+	}
+	for _, hash := range slices.Sorted(maps.Keys(demands)) {
+		to.Demands = append(to.Demands, encodeDemand(hash, demands[hash]))
 	}
 }
 
-// waitingByHash returns the waiting requests of this VM in the pools that have any.
-func (f *Fleet) waitingByHash() map[tracker.PoolHash][]int {
-	f.demands.mu.Lock()
-	defer f.demands.mu.Unlock()
-	all := map[tracker.PoolHash][]int{}
-	for pool, waiting := range f.demands.waiting {
-		if slices.ContainsFunc(waiting, func(n int) bool { return n > 0 }) {
-			all[tracker.HashOfPool(pool)] = waiting
-		}
+func encodeDemand(pool tracker.PoolHash, d aggregator.Demand) *wire.PoolDemand {
+	count := func(rate float64) uint32 { return uint32(math.Round(max(0, rate) * aggregator.RatePeriod.Seconds())) }
+	e := &wire.PoolDemand{
+		Pool: uint32(pool), Granted: count(d.Granted), Refused: count(d.Refused), Rejected: count(d.Rejected),
+		IntervalMs: uint32(aggregator.RatePeriod.Milliseconds()),
 	}
-	return all
+	for _, n := range d.Waiting {
+		e.Waiting = append(e.Waiting, uint32(max(0, n)))
+	}
+	return e
+}
+
+func decodeDemand(e *wire.PoolDemand) aggregator.Demand {
+	seconds := max(float64(e.GetIntervalMs()), 1) / 1000
+	d := aggregator.Demand{Granted: float64(e.GetGranted()) / seconds, Refused: float64(e.GetRefused()) / seconds, Rejected: float64(e.GetRejected()) / seconds}
+	for _, n := range e.GetWaiting() {
+		d.Waiting = append(d.Waiting, int(n))
+	}
+	return d
 }
 
 // Collect implements exchanger.Section. A sum that panics is begun anew: VMs report again
@@ -151,19 +159,19 @@
 	}
 	fleet := map[tracker.PoolHash]aggregator.Demand{}
 	for _, one := range digest.Demands {
-		hash, interval := tracker.PoolHash(one.GetPool()), time.Duration(max(one.GetIntervalMs(), 1))*time.Millisecond
-		d := aggregator.Demand{Granted: float64(one.GetGranted()) / interval.Seconds(), Refused: float64(one.GetRefused()) / interval.Seconds()}
-		for _, n := range one.GetWaiting() {
-			d.Waiting = append(d.Waiting, int(n))
-		}
+		hash, d, window := tracker.PoolHash(one.GetPool()), decodeDemand(one), throttler.Window.Seconds()
 		fleet[hash] = d
-		window := throttler.Window.Seconds()
-		e.Calls[hash] = tracker.Calls{Granted: d.Granted * window, Refused: d.Refused * window}
+		e.Calls[hash] = tracker.Calls{Granted: d.Granted * window, Rejected: d.Rejected * window}
 	}
 	l.fleet.demands.mu.Lock()
 	l.fleet.demands.fleet, l.fleet.demands.fleetAt = fleet, sentAt
 	l.fleet.demands.mu.Unlock()
 	l.fleet.stepView(e)
+	if c := l.fleet.configuration.Load(); c != nil && l.waiting != nil {
+		for pool := range c.Pools {
+			l.waiting.ApplyDemand(sentAt, pool, fleet[tracker.HashOfPool(pool)])
+		}
+	}
 }
 
 // Lost implements exchanger.Section. What is known ages.
@@ -196,7 +204,7 @@
 		gauge("estimated_free_tokens", "Free memory of all decode engines by this VM's estimate.", func(s tracker.State) float64 { return float64(s.Free) }),
 		gauge("load_digest_age_seconds", "Age of the last digest of the work of all VMs; 0 before the first. From 2 s on it isn't used.", func(s tracker.State) float64 { return s.DigestAge.Seconds() }),
 		gauge("refused_reservations_per_granted", "Reservations of this VM that engines refused in the last 2 s, for each granted one; all of them if none was granted.", func(s tracker.State) float64 {
-			return s.Calls.Refused / max(s.Calls.Granted, 1)
+			return s.Calls.Rejected / max(s.Calls.Granted, 1)
 		}),
 	}
 }
--- a/router/loads_test.go
+++ b/router/loads_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/figtrack/figtrack/aggregator"
 	"github.com/figtrack/figtrack/budgeter"
 	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/follower"
@@ -36,18 +37,31 @@
 
 // vmWithLoads is a VM whose work comes from calls to its view.
 type vmWithLoads struct {
-	fleet *router.Fleet
-	view  *tracker.Tracker
-	loads *router.Loads
+	fleet   *router.Fleet
+	view    *tracker.Tracker
+	loads   *router.Loads
+	waiting *waiting
 }
 
+// waiting has three requests of the second rank and holds what was applied.
+type waiting struct{ applied aggregator.Demand }
+
+// Demands implements router.Waiting.
+func (*waiting) Demands(time.Time) map[identifier.Pool]aggregator.Demand {
+	return map[identifier.Pool]aggregator.Demand{"desk": {Waiting: []int{0, 3}, Refused: 2}}
+}
+
+// ApplyDemand implements router.Waiting.
+func (w *waiting) ApplyDemand(_ time.Time, _ identifier.Pool, d aggregator.Demand) { w.applied = d }
+
 func newVMWithLoads(shareFrom int) vmWithLoads {
 	registry := prometheus.NewRegistry()
 	budget := budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second}, 1, time.Now())
 	view := tracker.New("east", 1)
 	fleet := router.NewFleet(loadsReader{}, platform.NewRunners(platform.NewDial()), view, budget, versioner.New(versioner.Settings{Lag: time.Second}), stepper.New(registry, zerolog.Nop()), router.NewMetrics(registry), zerolog.Nop())
 	fleet.TakeAll(follower.TakeAll{Entries: []keeper.Entry{{Key: "pools"}, {Key: "d0"}}})
-	return vmWithLoads{fleet, view, router.NewLoads(fleet, shareFrom)}
+	w := &waiting{}
+	return vmWithLoads{fleet, view, router.NewLoads(fleet, shareFrom, w), w}
 }
 
 // TestLoadOfOneVMReachesAnother checks what two VMs tell a coordinator and what each makes of
@@ -60,7 +74,6 @@
 	g.Expect(vms["a"].loads.IsActive(now)).To(BeFalse(), "no work and no requests")
 	vms["a"].view.BeginHold(d0, 6000)
 	vms["a"].view.RecordGranted(now, d0)
-	vms["a"].fleet.SetWaiting("desk", []int{0, 3})
 	g.Expect(vms["a"].loads.IsActive(now)).To(BeTrue())
 	g.Expect(newVMWithLoads(0).loads.IsActive(now)).To(BeFalse())
 	coordinator := newVMWithLoads(1).loads
@@ -73,8 +86,8 @@
 	}
 	demand, ok := vms["b"].fleet.FleetDemand(now, "desk")
 	g.Expect(ok).To(BeTrue())
-	g.Expect(demand.Waiting).To(Equal([]int{0, 3}))
-	g.Expect(demand.Granted).To(BeNumerically("~", 0.5, 0.01), "one in the throttler's window")
+	g.Expect(demand).To(Equal(aggregator.Demand{Waiting: []int{0, 6}, Granted: 0.5, Refused: 4}), "one granted in the throttler's window")
+	g.Expect(vms["b"].waiting.applied).To(Equal(demand))
 	for _, name := range []string{"a", "b"} {
 		_, ok = vms[name].view.Decode(now, "desk", 2000, tracker.Choice{})
 		g.Expect(ok).To(BeTrue(), name)
--- a/tracker/room.go
+++ b/tracker/room.go
@@ -43,7 +43,7 @@
 type Digested struct {
 	SentAt time.Time
 	All    map[RunnerHash]Occupied
-	// Calls holds how many calls the runners of each pool took and refused within
+	// Calls holds how many calls the runners of each pool took and rejected within
 	// throttler.Window.
 	Calls map[PoolHash]Calls
 	// Reporting is the number of VMs that All and Calls are of.
@@ -56,16 +56,16 @@
 // HashOfPool returns the hash of a pool.
 func HashOfPool(pool identifier.Pool) PoolHash { return PoolHash(xxhash.Sum64String(string(pool))) }
 
-// Calls counts what runners did with calls: with reservations in pools with engines, else with
-// requests.
-type Calls struct{ Granted, Refused float64 }
+// Calls counts what runners did within throttler.Window with calls: with reservations in pools
+// with engines, else with requests.
+type Calls struct{ Granted, Rejected float64 }
 
 // acceptance returns the share of calls that were granted; 1 without any.
 func (c Calls) acceptance() float64 {
-	if c.Granted+c.Refused == 0 {
+	if c.Granted+c.Rejected == 0 {
 		return 1
 	}
-	return c.Granted / (c.Granted + c.Refused)
+	return c.Granted / (c.Granted + c.Rejected)
 }
 
 func (Sized) event()    {}
@@ -248,7 +248,7 @@
 	all := map[PoolHash]Calls{}
 	for _, c := range t.counts {
 		if n, accepted := c.throttle.Counts(now); n > 0 {
-			all[c.hash] = Calls{Granted: accepted, Refused: n - accepted}
+			all[c.hash] = Calls{Granted: accepted, Rejected: n - accepted}
 		}
 	}
 	return all
@@ -263,7 +263,7 @@
 	if c.throttle.Allows(now, reserveRatio, fleet.Granted/float64(max(t.reporting, 1))) {
 		return true
 	}
-	return t.random.Float64() < 1-fleet.Refused/((reserveRatio-1)*max(fleet.Granted, 1))
+	return t.random.Float64() < 1-fleet.Rejected/((reserveRatio-1)*max(fleet.Granted, 1))
 }
 
 // RecordCalled records whether a plain service has accepted a call or rejected it for lack of
@@ -329,7 +329,7 @@
 		if c := t.counts[pool]; c != nil {
 			n, accepted := c.throttle.Counts(now)
 			s.Calls.Granted += accepted
-			s.Calls.Refused += n - accepted
+			s.Calls.Rejected += n - accepted
 		}
 	}
 	return s
--- a/tracker/share_test.go
+++ b/tracker/share_test.go
@@ -159,7 +159,7 @@
 		r.Loads = append(r.Loads, &wire.RunnerLoad{Runner: uint32(hash), Calls: uint32(o.Calls), Tokens: uint32(o.Tokens)})
 	}
 	for hash, c := range w.vms[vm].PoolCalls(w.now) {
-		r.Demands = append(r.Demands, &wire.PoolDemand{Pool: uint32(hash), Granted: uint32(c.Granted), Refused: uint32(c.Refused), IntervalMs: 2000})
+		r.Demands = append(r.Demands, &wire.PoolDemand{Pool: uint32(hash), Granted: uint32(c.Granted), Rejected: uint32(c.Rejected), IntervalMs: 2000})
 	}
 	var d wire.ExchangeDigest
 	w.sum.Collect(w.now, r, &d)
@@ -169,7 +169,7 @@
 	}
 	calls := map[tracker.PoolHash]tracker.Calls{}
 	for _, c := range d.Demands {
-		calls[tracker.PoolHash(c.Pool)] = tracker.Calls{Granted: float64(c.Granted) / 5, Refused: float64(c.Refused) / 5}
+		calls[tracker.PoolHash(c.Pool)] = tracker.Calls{Granted: float64(c.Granted) / 5, Rejected: float64(c.Rejected) / 5}
 	}
 	if w.random.IntN(50) > 0 {
 		w.vms[vm].Step(w.now, tracker.Digested{SentAt: w.now, All: all, Calls: calls, Reporting: len(w.vms)})
