--- a/router/loads_test.go
+++ b/router/loads_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,11 +10,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figtrack/figtrack/aggregator"
+	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/budgeter"
 	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/follower"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/matcher"
 	"github.com/figtrack/figtrack/platform"
 	"github.com/figtrack/figtrack/router"
 	"github.com/figtrack/figtrack/stepper"
@@ -30,7 +33,11 @@
 // Read implements router.Reader.
 func (loadsReader) Read(entry keeper.Entry) (router.Document, error) {
 	if entry.Key == "pools" {
-		return router.Configured{Configuration: &router.Configuration{Revision: 1, Pools: map[identifier.Pool]router.Pool{"desk": {HasEngines: true, Memory: 8000, Slots: 4}}}}, nil
+		routes := matcher.New([]matcher.Route{{Host: "h", Prefix: "/", Kind: matcher.KindRepeatable, Timeout: time.Second, Shares: []matcher.Share{{Pool: "orders", Weight: 1}}}})
+		return router.Configured{Configuration: &router.Configuration{Revision: 1, Routes: routes, Pools: map[identifier.Pool]router.Pool{"desk": {HasEngines: true, Memory: 8000, Slots: 4}}}}, nil
+	}
+	if entry.Key == "s0" {
+		return router.Registered{Runner: tracker.Runner{ID: "s0", Start: 1, Pool: "orders", Role: identifier.RolePlain, Slots: 4}}, nil
 	}
 	return router.Registered{Runner: tracker.Runner{ID: "d0", Start: 1, Pool: "desk", Role: identifier.RoleDecode, Slots: 4}}, nil
 }
@@ -41,6 +48,7 @@
 	view    *tracker.Tracker
 	loads   *router.Loads
 	waiting *waiting
+	router  *router.Router
 }
 
 // waiting has three requests of the second rank and holds what was applied.
@@ -58,10 +66,11 @@
 	registry := prometheus.NewRegistry()
 	budget := budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second}, 1, time.Now())
 	view := tracker.New("east", 1)
-	fleet := router.NewFleet(loadsReader{}, platform.NewRunners(platform.NewDial()), view, budget, versioner.New(versioner.Settings{Lag: time.Second}), stepper.New(registry, zerolog.Nop()), router.NewMetrics(registry), zerolog.Nop())
-	fleet.TakeAll(follower.TakeAll{Entries: []keeper.Entry{{Key: "pools"}, {Key: "d0"}}})
+	metrics, runners := router.NewMetrics(registry), platform.NewRunners(platform.NewDial())
+	fleet := router.NewFleet(loadsReader{}, runners, view, budget, versioner.New(versioner.Settings{Lag: time.Second}), stepper.New(registry, zerolog.Nop()), metrics, zerolog.Nop())
+	fleet.TakeAll(follower.TakeAll{Entries: []keeper.Entry{{Key: "pools"}, {Key: "d0"}, {Key: "s0"}}})
 	w := &waiting{}
-	return vmWithLoads{fleet, view, router.NewLoads(fleet, shareFrom, w), w}
+	return vmWithLoads{fleet, view, router.NewLoads(fleet, shareFrom, w), w, router.New(fleet, runners, metrics, zerolog.Nop())}
 }
 
 // TestLoadOfOneVMReachesAnother checks what two VMs tell a coordinator and what each makes of
@@ -96,3 +105,39 @@
 	_, ok = vms["b"].fleet.FleetDemand(now.Add(2*time.Second), "desk")
 	g.Expect(ok).To(BeFalse(), "too old")
 }
+
+// caller keeps the last reply.
+type caller struct{ reply router.Reply }
+
+// Begin implements router.Caller.
+func (*caller) Begin(int, http.Header, int64) error { return nil }
+
+// Write implements router.Caller.
+func (*caller) Write([]byte) error { return nil }
+
+// Reply implements router.Caller.
+func (c *caller) Reply(r router.Reply) { c.reply = r }
+
+// TestRejectedCallsThrottleNewRequests guards against requests that are sent only to be rejected,
+// and against a refusal that doesn't say that the request has not run, or when to come back.
+func TestRejectedCallsThrottleNewRequests(t *testing.T) {
+	g := NewWithT(t)
+	vm := newVMWithLoads(1)
+	s0, _ := vm.fleet.Runner("s0")
+	send := func() (throttled int) {
+		for range 40 {
+			var c caller
+			vm.router.Serve(t.Context(), &router.Request{ID: "r", Method: "GET", Host: "h", Target: "/", Arrived: time.Now()}, &c)
+			if r, ok := c.reply.(router.NotRun); ok && r.Reason == attempter.ReasonThrottled {
+				g.Expect(r.After).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second/3)))
+				throttled++
+			}
+		}
+		return throttled
+	}
+	g.Expect(send()).To(BeZero())
+	for range 50 {
+		vm.view.RecordCalled(time.Now(), s0, false)
+	}
+	g.Expect(send()).To(BeNumerically("~", 31, 8), "a share of 0.78")
+}
