--- a/launcher/exchange.go
+++ b/launcher/exchange.go
@@ -26,7 +26,7 @@
 	at := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	vm.self.Address, vm.self.Secret = netip.AddrPortFrom(at.Addr().Unmap(), at.Port()), exchanger.NewSecret()
 	self := exchanger.Self{VM: vm.cfg.VM, Incarnation: start, Secret: vm.self.Secret}
-	vm.exchanger = exchanger.New(self, conn, vm.fleet.Sections(), vm.steps, metrics, vm.log)
+	vm.exchanger = exchanger.New(self, conn, append(vm.fleet.Sections(), vm.loads), vm.steps, metrics, vm.log)
 	vm.fleet.SetExchange(vm.exchanger)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -129,6 +129,9 @@
 		Dur("Target", route.Target).
 		Dur("Gap", route.Gap).
 		Msg("Arrived")
+	if r.refuseThrottled(q, caller, route.Kind, job) {
+		return
+	}
 	if refused := r.takeQuota(ctx, q, workspace); refused != nil {
 		r.reply(q, caller, route.Kind, refused)
 		return
