shedder: Retry-After grows under overload and is spread out

All refused callers were told exactly 300 ms, so they came back together, met the same burst, and displaced first tries. Package shedder counts per pool what this VM granted and refused for lack of room in the last two seconds. While at least an eighth is refused, callers are told a quarter of the time that they have left or the backlog over the rate, if that is longer, with a jitter of a quarter either way and at most a third of the time left: 2.6 to 4.4 s for streams with 14 s, 0.6 to 1 s for plain calls with 3 s, by shedder/testdata/retry_after.golden. Otherwise they are told 0.3 to 0.5 s.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -14,6 +14,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/isolator"
+	"github.com/figtrack/figtrack/shedder"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -138,8 +139,11 @@
 	// PauseLeft returns the time until one of the pool's runners may be used again;
 	// zero unless all of them asked for a pause.
 	PauseLeft(now time.Time, pool identifier.Pool) time.Duration
-	// RetryAfter estimates how long it takes until the pool has room again.
-	RetryAfter(now time.Time, pool identifier.Pool) time.Duration
+	// RetryAfter estimates how long it takes until the pool has room again for a caller
+	// that has some time left.
+	RetryAfter(now time.Time, pool identifier.Pool, left time.Duration) time.Duration
+	// UpdateWaiting calls update with the core that orders the waiting requests of a pool.
+	UpdateWaiting(now time.Time, pool identifier.Pool, update func(c *shedder.Core))
 }
 
 // phase is the call or pause whose event the core expects next.
@@ -365,6 +369,9 @@
 		return
 	}
 	c.phase = phaseDelivering
+	if !c.job.NeedsEngine {
+		c.recordGranted(now)
+	}
 	c.emit(Deliver{})
 }
 
@@ -455,6 +462,7 @@
 	case reason == ReasonSoftware && c.job.IsTakenUp:
 		c.end(Refuse{Reason: reason}) // The stream can't go on later either.
 	default:
+		c.recordRefused(now, reason)
 		c.end(Refuse{reason, c.retryAfter(now)})
 	}
 }
@@ -478,7 +486,7 @@
 // most a third of the time that the caller still waits.
 func (c *Core) retryAfter(now time.Time) time.Duration {
 	left := c.job.Deadline.Sub(now)
-	return max(0, min(c.fleet.RetryAfter(now, c.job.Pool), left/3))
+	return max(0, min(c.fleet.RetryAfter(now, c.job.Pool, left), left/3))
 }
 
 func (c *Core) handleExpired(e Expired) {
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/figtrack/figtrack/driver"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/isolator"
+	"github.com/figtrack/figtrack/shedder"
 	"github.com/figtrack/figtrack/tracker"
 )
 
@@ -22,6 +24,7 @@
 // fleet is a fake fleet of two prefill engines, three decode engines and three
 // plain services without load.
 type fleet struct {
+	waiting *shedder.Core
 	// empty is true if no runner is usable, spent if the retry budget is used
 	// up.
 	empty, spent bool
@@ -132,7 +135,16 @@
 	return 0
 }
 
-func (f *fleet) RetryAfter(time.Time, identifier.Pool) time.Duration { return 300 * time.Millisecond }
+func (f *fleet) RetryAfter(time.Time, identifier.Pool, time.Duration) time.Duration {
+	return 300 * time.Millisecond
+}
+
+func (f *fleet) UpdateWaiting(now time.Time, _ identifier.Pool, update func(c *shedder.Core)) {
+	if f.waiting == nil {
+		f.waiting = shedder.New(now, rand.New(rand.NewPCG(1, 1)))
+	}
+	update(f.waiting)
+}
 
 // step is an event at a time after the start.
 type step struct {
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -98,6 +98,7 @@
 		return
 	}
 	c.hold = hold
+	c.recordGranted(now)
 	if c.source != nil {
 		c.run(now)
 		return
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -1,6 +1,7 @@
 package replayer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/figtrack/figtrack/admitter"
@@ -9,6 +10,7 @@
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/shedder"
 	"github.com/figtrack/figtrack/tracer"
 	"github.com/figtrack/figtrack/tracker"
 )
@@ -19,6 +21,9 @@
 type routingPolicy struct {
 	cfg  attempter.Settings
 	view *tracker.Tracker
+	seed uint64
+	// shedder is nil before the first request.
+	shedder *shedder.Core
 	// memory is shared by all VMs of a replay and decides on reservations.
 	memory   *engineMemory
 	classes  map[identifier.Class]admitter.Class
@@ -69,7 +74,7 @@
 		memory := newEngineMemory(h)
 		return func(seed uint64) Policy {
 			return &routingPolicy{
-				cfg: cfg, view: tracker.New("", seed), memory: memory,
+				cfg: cfg, seed: seed, view: tracker.New("", seed), memory: memory,
 				classes: map[identifier.Class]admitter.Class{}, requests: map[admitter.Key]*proxiedRequest{},
 			}
 		}
@@ -361,6 +366,14 @@
 func (r *routingPolicy) PauseLeft(time.Time, identifier.Pool) time.Duration { return 0 }
 
 // RetryAfter implements attempter.Fleet.
-func (r *routingPolicy) RetryAfter(time.Time, identifier.Pool) time.Duration {
+func (r *routingPolicy) RetryAfter(time.Time, identifier.Pool, time.Duration) time.Duration {
 	return routingRetryAfter
 }
+
+// UpdateWaiting implements attempter.Fleet.
+func (r *routingPolicy) UpdateWaiting(now time.Time, _ identifier.Pool, update func(c *shedder.Core)) {
+	if r.shedder == nil {
+		r.shedder = shedder.New(now, rand.New(rand.NewPCG(r.seed, 1)))
+	}
+	update(r.shedder)
+}
--- a/router/cores.go
+++ b/router/cores.go
@@ -118,6 +118,8 @@
 		perform = append(f.rebuildView(now), f.rebuildRates(now)...)
 	case coreRoster:
 		f.rebuildRoster(now)
+	case coreWaiting:
+		clear(f.waiting)
 	}
 	return perform
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -82,6 +82,8 @@
 	orderHolder stager.Holder
 	// tokenMeans holds the mean lengths of requests by pool.
 	tokenMeans map[identifier.Pool]*tokenMeans
+	// waiting orders the requests that wait for room.
+	waiting waiting
 	// ownKey is this VM's key in the roster; enrolment keeps that entry.
 	ownKey    string
 	enrolment Enrolment
@@ -105,7 +107,7 @@
 // NewFleet returns a fleet without a configuration or any upstreams.
 func NewFleet(reader Reader, runners Runners, view *tracker.Tracker, budget *budgeter.Budget, versions *versioner.Core, steps *stepper.Stepper, metrics *Metrics, log zerolog.Logger) *Fleet {
 	f := &Fleet{
-		reader: reader, runners: runners, view: view, budget: budget, steps: steps, metrics: metrics, log: log, roster: newRoster(), registered: map[string]tracker.Runner{}, entries: map[string]keeper.Entry{}, rebuilds: map[stepper.Core]rebuildCount{}, incompleteSince: map[stepper.Core]time.Time{}, tokenMeans: map[identifier.Pool]*tokenMeans{},
+		reader: reader, runners: runners, view: view, budget: budget, steps: steps, metrics: metrics, log: log, roster: newRoster(), registered: map[string]tracker.Runner{}, entries: map[string]keeper.Entry{}, rebuilds: map[stepper.Core]rebuildCount{}, incompleteSince: map[stepper.Core]time.Time{}, tokenMeans: map[identifier.Pool]*tokenMeans{}, waiting: waiting{},
 		isolation: isolator.NewStarting(time.Now()), rates: apportioner.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		versions: versions, crashWrites: make(chan recordWrite, 1), rateWrites: make(chan recordWrite, 1),
 		versionWrites: make(chan recordWrite, 1), streamWrites: make(chan recordWrite, 1),
@@ -543,18 +545,6 @@
 	f.metrics.retries.WithLabelValues("Counted").Inc()
 }
 
-// RetryAfter implements attempter.Fleet. Callers that are refused during a pause of
-// all runners, or beyond the rates of all, come back spread over maxPauseSpread.
-func (f *Fleet) RetryAfter(now time.Time, pool identifier.Pool) time.Duration {
-	if left := f.PauseLeft(now, pool); left > 0 {
-		return left + rand.N(maxPauseSpread)
-	}
-	if f.RateLeft(now, pool) > 0 {
-		return defaultRetryAfter + rand.N(maxPauseSpread) // Another VM may send sooner.
-	}
-	return defaultRetryAfter
-}
-
 // PauseLeft implements attempter.Fleet.
 func (f *Fleet) PauseLeft(now time.Time, pool identifier.Pool) (left time.Duration) {
 	f.step(coreView, pool, func() { left = f.view.PauseLeft(now, pool) })
