router: report loads at intervals, not with each request for quota

Cause: each report was answered with the loads of all runners, and a workspace beyond its limit makes each VM report up to 50 times a second.

--- a/router/loads.go
+++ b/router/loads.go
@@ -29,6 +29,9 @@
 	activeTime = time.Second
 	// maxDemandAge is the age from which the fleet's demand isn't used.
 	maxDemandAge = 2 * time.Second
+	// loadIntervalPerVM is the least time between two reports of a VM that have loads, for
+	// each VM of the fleet: a coordinator answers at most 285 of them a second.
+	loadIntervalPerVM = 3500 * time.Microsecond
 )
 
 // demands are the demand for each pool in the fleet.
@@ -71,8 +74,10 @@
 	shareFrom int
 	// waiting is nil if no requests wait by rank.
 	waiting Waiting
-	// sum is used by the goroutine of the exchange.
-	sum *aggregator.Core
+	// sum and reportedAt, the time of the latest report with loads, are used by the goroutine
+	// of the exchange.
+	sum        *aggregator.Core
+	reportedAt time.Time
 }
 
 // NewLoads returns the section of a fleet that shares loads from shareFrom VMs on; never for
@@ -96,6 +101,12 @@
 
 // Report implements exchanger.Section.
 func (l *Loads) Report(now time.Time, to *wire.ExchangeReport) {
+	// Requests that wait for quota cause up to 50 reports a second. Digests with the loads of
+	// all runners would fill the coordinator's link then.
+	if now.Sub(l.reportedAt) < time.Duration(l.fleet.VMs())*loadIntervalPerVM {
+		return
+	}
+	l.reportedAt, to.HasLoads = now, true
 	var loads map[tracker.RunnerHash]tracker.Occupied
 	var calls map[tracker.PoolHash]tracker.Calls
 	l.fleet.step(coreView, "Report", func() { loads, calls = l.fleet.view.Report(), l.fleet.view.PoolCalls(now) })
@@ -143,6 +154,10 @@
 // Collect implements exchanger.Section. A sum that panics is begun anew: VMs report again
 // within a second.
 func (l *Loads) Collect(now time.Time, from *wire.ExchangeReport, answer *wire.ExchangeDigest) {
+	if !from.GetHasLoads() {
+		return
+	}
+	answer.HasLoads = true
 	if !l.fleet.steps.Call(coreLoads, from, func() { l.sum.Collect(now, from, answer) }) {
 		l.sum = aggregator.New()
 	}
@@ -150,6 +165,9 @@
 
 // Apply implements exchanger.Section.
 func (l *Loads) Apply(_, sentAt time.Time, digest *wire.ExchangeDigest) {
+	if !digest.GetHasLoads() {
+		return
+	}
 	e := tracker.Digested{
 		SentAt: sentAt, All: make(map[tracker.RunnerHash]tracker.Occupied, len(digest.Loads)),
 		Calls: map[tracker.PoolHash]tracker.Calls{}, Reporting: int(digest.Reporting),
--- a/router/loads_test.go
+++ b/router/loads_test.go
@@ -141,3 +141,24 @@
 	}
 	g.Expect(send()).To(BeNumerically("~", 31, 8), "a share of 0.78")
 }
+
+// TestLoadsAreReportedAtIntervals guards against digests with the loads of all runners in
+// answer to each request for quota, which filled the link of a coordinator.
+func TestLoadsAreReportedAtIntervals(t *testing.T) {
+	g := NewWithT(t)
+	vm := newVMWithLoads(1)
+	now := time.Now()
+	withLoads := 0
+	for i := range 100 {
+		var report wire.ExchangeReport
+		vm.loads.Report(now.Add(time.Duration(i)*time.Millisecond/10), &report)
+		var digest wire.ExchangeDigest
+		vm.loads.Collect(now, &report, &digest)
+		g.Expect(digest.HasLoads).To(Equal(report.HasLoads))
+		g.Expect(len(digest.Demands) > 0).To(Equal(report.HasLoads))
+		if report.HasLoads {
+			withLoads++
+		}
+	}
+	g.Expect(withLoads).To(Equal(3), "a fleet of one VM in 10 ms")
+}
