rationer: a VM that has just started waits longer for its first credit

They wait up to 500 ms until the first answer, also for the VM's own share, and callers beyond their quota come back after 0.5 s at least.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -20,6 +20,9 @@
 	creditLifetime = time.Second
 	// MaxWait is the longest time that a request waits for credit.
 	MaxWait = 100 * time.Millisecond
+	// StartWait is that time on a VM that has not heard from a coordinator since its start:
+	// after a loss of power the VMs find a coordinator within half a second.
+	StartWait = 500 * time.Millisecond
 	// debtBudget is the sum of the debts, in tokens, that buckets with a part of the quota
 	// may be in without regard to chance. It is half of the 140,000 tokens by which a
 	// limit may be exceeded, the other half is for chance.
--- a/rationer/spender.go
+++ b/rationer/spender.go
@@ -25,6 +25,9 @@
 	maxWorkspaces = 64
 	// maxWaiting bounds the requests of a workspace that wait on this VM.
 	maxWaiting = 4096
+	// ownInterval is the interval at which a VM that has only its own share looks whether it
+	// suffices for the requests that wait.
+	ownInterval = 25 * time.Millisecond
 	// leastUse is the use in units a second below which a workspace counts as unused.
 	leastUse = 0.01
 )
@@ -121,6 +124,16 @@
 	isIsolated bool
 	// ownSince is when that began.
 	ownSince clocker.Moment
+	// hasAnswer is true once a coordinator has answered.
+	hasAnswer bool
+}
+
+// maxWait returns the longest time that a request waits for credit.
+func (s *Spender) maxWait() time.Duration {
+	if s.hasAnswer {
+		return MaxWait
+	}
+	return StartWait
 }
 
 // account is what a VM has of a workspace's quota.
@@ -285,13 +298,13 @@
 	if s.isIsolated {
 		a.own.fill(now, s.ownFilled(now), s.part())
 		after = a.own.delay(sum-r.cost+a.own.threshold(r.cost, s.part())-a.own.level, s.part())
-		return after, true
+		return after, s.hasAnswer || after > s.maxWait()-now.Longest(r.at)
 	}
 	if !a.knows(now) {
 		return 0, false
 	}
 	after = a.delay(sum - r.cost - a.held() - a.levelAt(now))
-	return after, after > MaxWait-now.Longest(r.at)
+	return after, after > s.maxWait()-now.Longest(r.at)
 }
 
 // ownFilled returns the filling of the own share.
@@ -433,6 +446,7 @@
 }
 
 func (s *Spender) answered(now clocker.Moment, e Answered) []Outcome {
+	s.hasAnswer = true
 	s.isIsolated = false
 	for _, g := range e.Grants {
 		a := s.accounts[g.Workspace]
@@ -467,7 +481,7 @@
 		sum := 0.0
 		for _, r := range a.waiting {
 			after, ok := s.isHopeless(now, a, sum+r.cost, r)
-			if ok || now.Longest(r.at) >= MaxWait {
+			if ok || now.Longest(r.at) >= s.maxWait() {
 				outcomes = append(outcomes, s.refuse(now, a, r, after))
 				continue
 			}
@@ -485,9 +499,12 @@
 // NextWake returns the time until a request has waited too long; ok is false if none waits.
 func (s *Spender) NextWake(now clocker.Moment) (after time.Duration, ok bool) {
 	after = MaxWait
+	if s.isIsolated {
+		after = ownInterval
+	}
 	for w := range s.live {
 		for _, r := range s.accounts[w].waiting {
-			after, ok = min(after, max(0, MaxWait-now.Longest(r.at))), true
+			after, ok = min(after, max(0, s.maxWait()-now.Longest(r.at))), true
 		}
 	}
 	return after, ok
--- a/router/quota.go
+++ b/router/quota.go
@@ -27,8 +27,11 @@
 
 const (
 	// minQuotaRetry is the least time after which a caller beyond its quota is asked to
-	// come back.
-	minQuotaRetry = 100 * time.Millisecond
+	// come back. Callers come back once: others wait for the next tokens, too.
+	minQuotaRetry = 500 * time.Millisecond
+	// quotaPollInterval is the interval at which a request that has waited for MaxWait looks
+	// for its decision.
+	quotaPollInterval = 10 * time.Millisecond
 	// quotaRetrySpread is the part of that time over which callers are spread beyond it.
 	quotaRetrySpread = 0.5
 )
@@ -138,7 +141,7 @@
 			return q.leave(ticket, decided, w, cost)
 		case <-timer.C:
 			q.spend(rationer.Wake{})
-			timer.Reset(time.Millisecond) // The clock of the decision may be behind the timer.
+			timer.Reset(quotaPollInterval) // A VM that has just started waits longer.
 		}
 	}
 }
