coordinator: a fleet that lost power waits for its roster to settle

Cause: after a loss of power each VM first reports to VMs by the entries of their earlier starts, which don't answer, and counts them as unavailable for a second; then it changes the coordinator with each new entry, and counts for two fifths at each new one. Now a VM whose earlier start is listed has its own share for 0.7 s and reports then; another start of an unavailable VM is available.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,6 +40,10 @@
 	// together would each see a fleet of few VMs. A VM whose earlier start is still in the
 	// roster skips it: else a fleet that lost power would admit nothing for that time.
 	Youth = 3 * time.Second
+	// settleTime is the time in which a VM whose earlier start is in the roster has its own
+	// share before its first report. Entries of VMs that started with it arrive within it: it
+	// can't reach them by those of earlier starts, and would change the coordinator with each.
+	settleTime = 700 * time.Millisecond
 	// window is how long a report or a confirmed digest counts. It is three times
 	// maxActiveInterval, so that the loss of one report doesn't matter.
 	window = 1500 * time.Millisecond
@@ -194,6 +198,8 @@
 	// young from then on.
 	knownSince clocker.Moment
 	youth      time.Duration
+	// isResumed is that of RosterChanged.
+	isResumed bool
 
 	// sequence is that of the latest report.
 	sequence identifier.Sequence
@@ -295,12 +301,15 @@
 		c.knownSince = now
 	}
 	if e.IsResumed {
-		c.youth = 0
+		c.youth, c.isResumed = 0, true
 	}
 	former := c.members
 	c.members = map[identifier.VM]Member{}
 	for _, m := range e.Members {
 		c.members[m.VM] = m
+		if former[m.VM] != m {
+			delete(c.unavailable, m.VM) // That was an earlier start.
+		}
 	}
 	c.members[c.self.VM] = c.self // An entry of an earlier start doesn't describe this one.
 	c.listed, c.retained = len(c.members), nil
@@ -342,6 +351,11 @@
 	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.youth
 }
 
+// isSettling reports whether this VM waits for the entries of others that started with it.
+func (c *Core) isSettling(now clocker.Moment) bool {
+	return c.isResumed && now.Shortest(c.knownSince) < settleTime
+}
+
 // Knows reports whether a VM is a member.
 func (c *Core) Knows(vm identifier.VM) bool { return c.members[vm].VM != "" }
 
@@ -378,6 +392,13 @@
 		c.pending, c.isRequested, c.isLost, c.unansweredSince = nil, false, false, clocker.Moment{}
 		return nil
 	}
+	if c.isSettling(now) {
+		if c.isLost {
+			return nil
+		}
+		c.isLost = true
+		return []Outcome{Lose{now}}
+	}
 	if p := c.pending; p != nil && now.Longest(p.triedAt) >= tryInterval {
 		if p.tries < p.maxTries && now.Longest(p.at) < staleAfter {
 			p.tries++
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -312,3 +312,20 @@
 		}
 	}
 }
+
+// TestResumedVMReportsOnceTheRosterHasSettled guards against VMs of a fleet that lost power
+// which change the coordinator with each entry that arrives, and count for a part of their
+// share meanwhile.
+func TestResumedVMReportsOnceTheRosterHasSettled(t *testing.T) {
+	g := NewWithT(t)
+	now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
+	self, former, other := Member{"0", 2, true}, Member{"1", 1, true}, Member{"1", 2, true}
+	core := New(self, 0, Youth)
+	core.Step(now, RosterChanged{Members: []Member{self, former}, Count: 2, IsResumed: true})
+	g.Expect(core.Step(now, Wake{true})).To(Equal([]Outcome{Lose{now}}))
+	core.unavailable[other.VM] = now
+	core.Step(now, RosterChanged{Members: []Member{self, other}, Count: 2, IsResumed: true})
+	g.Expect(core.unavailable).To(BeEmpty(), "another start of the VM may answer")
+	g.Expect(core.Step(now.Add(settleTime-time.Millisecond), Wake{true})).To(BeEmpty())
+	g.Expect(core.Step(now.Add(settleTime), Wake{true})).To(ContainElement(BeAssignableToTypeOf(SendReport{})))
+}
