wire: loads of runners in arrays; calls of pools in a message of their own

A digest of 140 runners took about 1,820 bytes with one message for each runner, more than a datagram of an Ethernet frame; in arrays at most 1,000.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -1,5 +1,5 @@
 // Package aggregator adds up at the coordinator what the VMs of a fleet report of their load:
-// the work in flight at each runner and the demand for each pool.
+// the work in flight at each runner, and the calls that runners granted and rejected.
 //
 // A Core is pure: it has no clock and does no I/O.
 package aggregator
@@ -22,9 +22,9 @@
 // Core holds the newest report of each VM and the sums of them.
 type Core struct {
 	reports map[identifier.VM]*report
-	// loads and demands are the sums over reports. An entry that falls to zero is removed.
-	loads   map[uint32]load
-	demands map[uint32]demand
+	// loads and calls are the sums over reports. An entry that falls to zero is removed.
+	loads map[uint32]load
+	calls map[uint32]calls
 }
 
 // report is the newest report of a VM.
@@ -33,23 +33,16 @@
 	sequence    uint64
 	at          time.Time
 	loads       map[uint32]load
-	demands     map[uint32]demand
+	calls       map[uint32]calls
 }
 
-type load struct{ calls, tokens int64 }
+type load struct{ calls, blocks int64 }
 
-// maxRanks bounds the ranks of a demand. Requests of a higher rank count with the last one.
-const maxRanks = 16
-
-type demand struct {
-	waiting [maxRanks]int64
-	// granted, refused and rejected are rates in units of 1/rateScale in RatePeriod.
-	granted, refused, rejected int64
-}
+type calls struct{ granted, rejected int64 }
 
 // New returns a core without reports.
 func New() *Core {
-	return &Core{reports: map[identifier.VM]*report{}, loads: map[uint32]load{}, demands: map[uint32]demand{}}
+	return &Core{reports: map[identifier.VM]*report{}, loads: map[uint32]load{}, calls: map[uint32]calls{}}
 }
 
 // Collect takes in a report and adds the sums over the VMs that reported within ReportTTL to
@@ -60,7 +53,7 @@
 			c.remove(vm)
 		}
 	}
-	vm, next := identifier.VM(from.VM), newReport(now, from)
+	vm, next := identifier.VM(from.GetVM()), newReport(now, from)
 	if known := c.reports[vm]; known == nil || cmp.Or(cmp.Compare(next.incarnation, known.incarnation), cmp.Compare(next.sequence, known.sequence)) >= 0 {
 		c.remove(vm)
 		c.reports[vm] = next
@@ -69,37 +62,22 @@
 	c.write(answer)
 }
 
+// newReport copies a report. Arrays of different lengths count up to the shortest.
 func newReport(now time.Time, from *wire.ExchangeReport) *report {
 	r := &report{
-		incarnation: identifier.Incarnation(from.Incarnation), sequence: from.Sequence, at: now,
-		loads: make(map[uint32]load, len(from.Loads)), demands: make(map[uint32]demand, len(from.Demands)),
+		incarnation: identifier.Incarnation(from.GetIncarnation()), sequence: from.GetSequence(), at: now,
+		loads: map[uint32]load{}, calls: map[uint32]calls{},
 	}
-	for _, l := range from.Loads {
-		r.loads[l.GetRunner()] = load{int64(l.GetCalls()), int64(l.GetTokens())}
+	l := from.GetLoads()
+	for i := range min(len(l.GetRunners()), len(l.GetCalls()), len(l.GetBlocks())) {
+		r.loads[l.GetRunners()[i]] = load{int64(l.GetCalls()[i]), int64(l.GetBlocks()[i])}
 	}
-	for _, d := range from.Demands {
-		ms := d.GetIntervalMs()
-		sum := demand{granted: rate(d.GetGranted(), ms), refused: rate(d.GetRefused(), ms), rejected: rate(d.GetRejected(), ms)}
-		for rank, n := range d.GetWaiting() {
-			sum.waiting[min(rank, maxRanks-1)] += int64(n)
-		}
-		r.demands[d.GetPool()] = sum
+	for _, one := range from.GetCalls() {
+		r.calls[one.GetPool()] = calls{int64(one.GetGranted()), int64(one.GetRejected())}
 	}
 	return r
 }
 
-// RatePeriod is the time to which the counts of reports and digests refer: a VM of a large
-// fleet may have less than one request in a second.
-const RatePeriod = 10 * time.Second
-
-// rateScale is how much finer the sums are than the counts of digests.
-const rateScale = 1000
-
-// rate converts a count within an interval, as VMs may count over different ones.
-func rate(n, intervalMs uint32) int64 {
-	return int64(n) * rateScale * RatePeriod.Milliseconds() / max(int64(intervalMs), 1)
-}
-
 func (c *Core) remove(vm identifier.VM) {
 	if r := c.reports[vm]; r != nil {
 		c.add(r, -1)
@@ -111,19 +89,11 @@
 func (c *Core) add(r *report, sign int64) {
 	for runner, l := range r.loads {
 		sum := c.loads[runner]
-		sum.calls += sign * l.calls
-		sum.tokens += sign * l.tokens
-		setOrDelete(c.loads, runner, sum)
+		setOrDelete(c.loads, runner, load{sum.calls + sign*l.calls, sum.blocks + sign*l.blocks})
 	}
-	for pool, d := range r.demands {
-		sum := c.demands[pool]
-		for rank, n := range d.waiting {
-			sum.waiting[rank] += sign * n
-		}
-		sum.granted += sign * d.granted
-		sum.refused += sign * d.refused
-		sum.rejected += sign * d.rejected
-		setOrDelete(c.demands, pool, sum)
+	for pool, n := range r.calls {
+		sum := c.calls[pool]
+		setOrDelete(c.calls, pool, calls{sum.granted + sign*n.granted, sum.rejected + sign*n.rejected})
 	}
 }
 
@@ -138,24 +108,17 @@
 
 // write adds the sums to a digest, ordered so that equal sums give equal bytes.
 func (c *Core) write(answer *wire.ExchangeDigest) {
+	all := &wire.RunnerLoads{}
 	for _, runner := range slices.Sorted(maps.Keys(c.loads)) {
 		l := c.loads[runner]
-		answer.Loads = append(answer.Loads, &wire.RunnerLoad{Runner: runner, Calls: clamp(l.calls), Tokens: clamp(l.tokens)})
+		all.Runners = append(all.Runners, runner)
+		all.Calls = append(all.Calls, clamp(l.calls))
+		all.Blocks = append(all.Blocks, clamp(l.blocks))
 	}
-	for _, pool := range slices.Sorted(maps.Keys(c.demands)) {
-		d := c.demands[pool]
-		sum := &wire.PoolDemand{
-			Pool: pool, Granted: clamp(d.granted / rateScale), Refused: clamp(d.refused / rateScale),
-			Rejected: clamp(d.rejected / rateScale), IntervalMs: uint32(RatePeriod.Milliseconds()),
-		}
-		last := len(d.waiting)
-		for last > 0 && d.waiting[last-1] == 0 {
-			last--
-		}
-		for _, n := range d.waiting[:last] {
-			sum.Waiting = append(sum.Waiting, clamp(n))
-		}
-		answer.Demands = append(answer.Demands, sum)
+	answer.Loads = all
+	for _, pool := range slices.Sorted(maps.Keys(c.calls)) {
+		n := c.calls[pool]
+		answer.Calls = append(answer.Calls, &wire.PoolCalls{Pool: pool, Granted: clamp(n.granted), Rejected: clamp(n.rejected)})
 	}
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -134,7 +134,7 @@
 		Parts:       platform.Parts(),
 		Spread:      rand.N(max(1, time.Duration(readSpreadShare*float64(p.ApplyWithin)))),
 	}, vm.fleet, vm.steps)
-	vm.loads = router.NewLoads(vm.fleet, p.SharesLoadFrom(), nil)
+	vm.loads = router.NewLoads(vm.fleet, p.SharesLoadFrom())
 	start := identifier.Incarnation(time.Now().UnixMilli())
 	vm.orders = router.NewOrders(vm.fleet, runners, store, cfg.VM, start, log)
 	vm.records = router.NewRecordWriters(vm.fleet, store, cfg.VM, log)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -82,7 +82,8 @@
 	orderHolder stager.Holder
 	// tokenMeans holds the mean lengths of requests by pool.
 	tokenMeans map[identifier.Pool]*tokenMeans
-	demands    demands
+	// lastArrival is when a request was read last; nil before the first one.
+	lastArrival atomic.Pointer[time.Time]
 	// ownKey is this VM's key in the roster; enrolment keeps that entry.
 	ownKey    string
 	enrolment Enrolment
@@ -585,7 +586,7 @@
 }
 
 func (f *Fleet) recordArrival(now time.Time, job attempter.Job) {
-	f.recordDemand(now)
+	f.lastArrival.Store(&now)
 	f.step(coreBudget, job.Request, func() {
 		f.budget.CountRequest(now, job.Pool)
 		if job.NeedsEngine {
--- a/router/loads.go
+++ b/router/loads.go
@@ -1,12 +1,7 @@
 package router
 
 import (
-	"maps"
-	"math"
 	"math/rand/v2"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,7 +11,6 @@
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/matcher"
 	"github.com/figtrack/figtrack/stepper"
-	"github.com/figtrack/figtrack/throttler"
 	"github.com/figtrack/figtrack/tracker"
 	"github.com/figtrack/figtrack/wire"
 )
@@ -24,61 +18,23 @@
 // coreLoads is the core that adds up the reports of VMs.
 const coreLoads stepper.Core = "Loads"
 
-const (
-	// activeTime is how long a VM exchanges its load after its last request.
-	activeTime = time.Second
-	// maxDemandAge is the age from which the fleet's demand isn't used.
-	maxDemandAge = 2 * time.Second
-)
-
-// demands are the demand for each pool in the fleet.
-type demands struct {
-	// lastArrival is when a request was read last; nil before the first one.
-	lastArrival atomic.Pointer[time.Time]
-
-	mu sync.Mutex
-	// fleet is the last digest's; it is replaced as a whole. It was asked for at fleetAt.
-	fleet   map[tracker.PoolHash]aggregator.Demand
-	fleetAt time.Time
-}
-
-// Waiting is the part of a VM that holds the requests that wait for room. Its methods are
-// called by the goroutine of the exchange and don't block.
-type Waiting interface {
-	// Demands returns this VM's demand for each pool that has any. Granted and Rejected are
-	// not used, as the view counts them.
-	Demands(now time.Time) map[identifier.Pool]aggregator.Demand
-	// ApplyDemand takes in the demand of all VMs for a pool, as it was at a time.
-	ApplyDemand(at time.Time, pool identifier.Pool, d aggregator.Demand)
-}
-
-// FleetDemand returns the demand of all VMs for a pool by the last digest, this VM's as of its
-// last report included. It returns false if that is too old or none was heard.
-func (f *Fleet) FleetDemand(now time.Time, pool identifier.Pool) (aggregator.Demand, bool) {
-	f.demands.mu.Lock()
-	defer f.demands.mu.Unlock()
-	if f.demands.fleet == nil || now.Sub(f.demands.fleetAt) >= maxDemandAge {
-		return aggregator.Demand{}, false
-	}
-	return f.demands.fleet[tracker.HashOfPool(pool)], true
-}
+// activeTime is how long a VM exchanges its load after its last request.
+const activeTime = time.Second
 
-// Loads is the section of the exchange that shares the work in flight at runners and the
-// demand for pools.
+// Loads is the section of the exchange that shares the work in flight at runners, and the calls
+// that runners granted and rejected.
 type Loads struct {
 	fleet *Fleet
 	// shareFrom is the number of VMs from which loads are shared; zero for never.
 	shareFrom int
-	// waiting is nil if no requests wait by rank.
-	waiting Waiting
 	// sum is used by the goroutine of the exchange.
 	sum *aggregator.Core
 }
 
 // NewLoads returns the section of a fleet that shares loads from shareFrom VMs on; never for
-// zero. waiting may be nil.
-func NewLoads(f *Fleet, shareFrom int, waiting Waiting) *Loads {
-	return &Loads{fleet: f, shareFrom: shareFrom, waiting: waiting, sum: aggregator.New()}
+// zero.
+func NewLoads(f *Fleet, shareFrom int) *Loads {
+	return &Loads{fleet: f, shareFrom: shareFrom, sum: aggregator.New()}
 }
 
 // IsActive implements exchanger.Section.
@@ -86,7 +42,7 @@
 	if l.shareFrom <= 0 || l.fleet.VMs() < l.shareFrom {
 		return false
 	}
-	if at := l.fleet.demands.lastArrival.Load(); at != nil && now.Sub(*at) <= activeTime {
+	if at := l.fleet.lastArrival.Load(); at != nil && now.Sub(*at) <= activeTime {
 		return true
 	}
 	hasWork := false
@@ -96,48 +52,7 @@
 
 // Report implements exchanger.Section.
 func (l *Loads) Report(now time.Time, to *wire.ExchangeReport) {
-	var loads map[tracker.RunnerHash]tracker.Occupied
-	var calls map[tracker.PoolHash]tracker.Calls
-	l.fleet.step(coreView, "Report", func() { loads, calls = l.fleet.view.Report(), l.fleet.view.PoolCalls(now) })
-	for _, hash := range slices.Sorted(maps.Keys(loads)) {
-		o := loads[hash]
-		to.Loads = append(to.Loads, &wire.RunnerLoad{Runner: uint32(hash), Calls: uint32(max(0, o.Calls)), Tokens: uint32(max(0, o.Tokens))})
-	}
-	demands := map[tracker.PoolHash]aggregator.Demand{}
-	if l.waiting != nil {
-		for pool, d := range l.waiting.Demands(now) {
-			demands[tracker.HashOfPool(pool)] = d
-		}
-	}
-	for hash, c := range calls {
-		d := demands[hash]
-		d.Granted, d.Rejected = c.Granted/throttler.Window.Seconds(), c.Rejected/throttler.Window.Seconds()
-		demands[hash] = d
-	}
-	for _, hash := range slices.Sorted(maps.Keys(demands)) {
-		to.Demands = append(to.Demands, encodeDemand(hash, demands[hash]))
-	}
-}
-
-func encodeDemand(pool tracker.PoolHash, d aggregator.Demand) *wire.PoolDemand {
-	count := func(rate float64) uint32 { return uint32(math.Round(max(0, rate) * aggregator.RatePeriod.Seconds())) }
-	e := &wire.PoolDemand{
-		Pool: uint32(pool), Granted: count(d.Granted), Refused: count(d.Refused), Rejected: count(d.Rejected),
-		IntervalMs: uint32(aggregator.RatePeriod.Milliseconds()),
-	}
-	for _, n := range d.Waiting {
-		e.Waiting = append(e.Waiting, uint32(max(0, n)))
-	}
-	return e
-}
-
-func decodeDemand(e *wire.PoolDemand) aggregator.Demand {
-	seconds := max(float64(e.GetIntervalMs()), 1) / 1000
-	d := aggregator.Demand{Granted: float64(e.GetGranted()) / seconds, Refused: float64(e.GetRefused()) / seconds, Rejected: float64(e.GetRejected()) / seconds}
-	for _, n := range e.GetWaiting() {
-		d.Waiting = append(d.Waiting, int(n))
-	}
-	return d
+	l.fleet.step(coreView, "Report", func() { l.fleet.view.EncodeReport(now, to) })
 }
 
 // Collect implements exchanger.Section. A sum that panics is begun anew: VMs report again
@@ -150,36 +65,12 @@
 
 // Apply implements exchanger.Section.
 func (l *Loads) Apply(_, sentAt time.Time, digest *wire.ExchangeDigest) {
-	e := tracker.Digested{
-		SentAt: sentAt, All: make(map[tracker.RunnerHash]tracker.Occupied, len(digest.Loads)),
-		Calls: map[tracker.PoolHash]tracker.Calls{}, Reporting: int(digest.Reporting),
-	}
-	for _, one := range digest.Loads {
-		e.All[tracker.RunnerHash(one.GetRunner())] = tracker.Occupied{Calls: int(one.GetCalls()), Tokens: identifier.Tokens(one.GetTokens())}
-	}
-	fleet := map[tracker.PoolHash]aggregator.Demand{}
-	for _, one := range digest.Demands {
-		hash, d, window := tracker.PoolHash(one.GetPool()), decodeDemand(one), throttler.Window.Seconds()
-		fleet[hash] = d
-		e.Calls[hash] = tracker.Calls{Granted: d.Granted * window, Rejected: d.Rejected * window}
-	}
-	l.fleet.demands.mu.Lock()
-	l.fleet.demands.fleet, l.fleet.demands.fleetAt = fleet, sentAt
-	l.fleet.demands.mu.Unlock()
-	l.fleet.stepView(e)
-	if c := l.fleet.configuration.Load(); c != nil && l.waiting != nil {
-		for pool := range c.Pools {
-			l.waiting.ApplyDemand(sentAt, pool, fleet[tracker.HashOfPool(pool)])
-		}
-	}
+	l.fleet.stepView(tracker.DecodeDigest(sentAt, digest))
 }
 
 // Lost implements exchanger.Section. What is known ages.
 func (l *Loads) Lost(time.Time) {}
 
-// recordDemand notes that a request has arrived.
-func (f *Fleet) recordDemand(now time.Time) { f.demands.lastArrival.Store(&now) }
-
 // sizesOf returns the capacities of the decode engines in a configuration.
 func sizesOf(c *Configuration) tracker.Sized {
 	e := tracker.Sized{Pools: map[identifier.Pool]tracker.Size{}}
--- a/tracker/room.go
+++ b/tracker/room.go
@@ -38,8 +38,8 @@
 // Sized carries the capacities of the decode engines of all pools with engines.
 type Sized struct{ Pools map[identifier.Pool]Size }
 
-// Digested carries the work of all VMs by the digest that answers the report which Report has
-// returned last, and when that was sent.
+// Digested carries the work of all VMs by the digest that answers the report that
+// EncodeReport has written last, and when that was sent.
 type Digested struct {
 	SentAt time.Time
 	All    map[RunnerHash]Occupied
@@ -167,13 +167,15 @@
 	}
 }
 
-// Report returns the work of this VM by runner, and keeps it to tell it apart in the digest
+// report returns the work of this VM by runner in whole blocks, and keeps it to tell it apart in the digest
 // that answers. Work at prefill engines isn't reported, as no choice depends on that of others.
-func (t *Tracker) Report() map[RunnerHash]Occupied {
+func (t *Tracker) report() map[RunnerHash]Occupied {
 	all := map[RunnerHash]Occupied{}
 	for _, u := range t.upstreams {
 		u.reported = Occupied{}
-		if own := u.own(); u.Role != identifier.RolePrefill && !own.isZero() {
+		own := u.own()
+		own.Tokens = (own.Tokens + blockTokens/2) / blockTokens * blockTokens
+		if u.Role != identifier.RolePrefill && !own.isZero() {
 			u.reported, all[u.hash] = own, own
 		}
 	}
@@ -243,8 +245,8 @@
 	return c
 }
 
-// PoolCalls returns this VM's calls by pool, within a time of throttler.Window.
-func (t *Tracker) PoolCalls(now time.Time) map[PoolHash]Calls {
+// poolCalls returns this VM's calls by pool, within a time of throttler.Window.
+func (t *Tracker) poolCalls(now time.Time) map[PoolHash]Calls {
 	all := map[PoolHash]Calls{}
 	for _, c := range t.counts {
 		if n, accepted := c.throttle.Counts(now); n > 0 {
