limiter, reaper: bound the memory of request heads and the connections of clients

Cause: net/http bounds the bytes of a head, not the memory of its lines, and parses heads of all connections at the same time; the configuration's maxHeaderBytes and headerTimeoutMs were read and not used; the listeners accept connections until the process has no descriptor left for the store, runners and the readiness check.

Change: connections count the bytes and lines of each head before net/http sees them, against the lower of the two limits and a quota of a tenth of MemoryMB that all heads over 4 KiB or 32 lines share. A refused head gets 431, or 503 with Retry-After if the quota is used up; its request has not run. A listener has at most two fifths (callers) or a sixteenth (readiness, metrics) of the descriptors, and evicts a connection without a request for a new one. The header timeout of the configuration caps the deadlines of net/http.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -30,6 +30,7 @@
 	"github.com/figtrack/figtrack/looper"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/platform"
+	"github.com/figtrack/figtrack/reaper"
 	"github.com/figtrack/figtrack/router"
 	"github.com/figtrack/figtrack/stepper"
 	"github.com/figtrack/figtrack/tracker"
@@ -94,6 +95,7 @@
 	fleet    *router.Fleet
 	router   *router.Router
 	callers  *platform.Server
+	bounds   bounds
 	follower *follower.Shell
 	enroller *enroller.Shell
 	orders   *router.Orders
@@ -126,7 +128,9 @@
 	vm.registry.MustRegister(limiter)
 	vm.router = router.New(vm.fleet, runners, metrics, log)
 	bodies := int64(float64(p.MemoryMB) * bodyMemoryRatio * bytesPerMegabyte)
-	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout)
+	vm.bounds = newBounds(cfg)
+	vm.registry.MustRegister(vm.bounds.refusals)
+	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout, vm.bounds.callers())
 	vm.follower = follower.NewShell(store, keeper.PurposeConfiguration, p.Contact-watchMargin, follower.Settings{
 		ApplyWithin: p.ApplyWithin,
 		Parts:       platform.Parts(),
@@ -179,7 +183,8 @@
 	}
 	go vm.followSettings(ctx, hangups)
 	go vm.serveCallers(ctx, callers)
-	vm.log.Info().Str("DataCentre", string(vm.cfg.DataCentre)).Str("Callers", callers.Addr().String()).Str("Ready", ready).Str("Metrics", metrics).Msg("Started")
+	vm.log.Info().Str("DataCentre", string(vm.cfg.DataCentre)).Str("Callers", callers.Addr().String()).Str("Ready", ready).Str("Metrics", metrics).
+		Int("MaxConnections", vm.bounds.Callers).Int64("HeaderMemory", int64(vm.bounds.Heads)).Msg("Started")
 	cut = vm.loop(stops)
 	vm.log.Info().Int("Cut", cut).Msg("Stopped")
 	select {
@@ -200,7 +205,7 @@
 		}
 		return c.String(http.StatusOK, "ready\n")
 	})
-	if ready, err = vm.listen(ctx, "Platform.Ready", vm.cfg.Platform.Ready, check); err != nil {
+	if ready, err = vm.listen(ctx, reaper.ListenerReady, vm.cfg.Platform.Ready, check); err != nil {
 		return "", "", err
 	}
 	if vm.cfg.Platform.Metrics == "" {
@@ -208,21 +213,10 @@
 	}
 	page := echo.New()
 	page.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(vm.registry, promhttp.HandlerOpts{})))
-	metrics, err = vm.listen(ctx, "Platform.Metrics", vm.cfg.Platform.Metrics, page)
+	metrics, err = vm.listen(ctx, reaper.ListenerMetrics, vm.cfg.Platform.Metrics, page)
 	return ready, metrics, err
 }
 
-func (vm *VM) listen(ctx context.Context, setting, address string, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrap(err, setting+" can't be used; is another program on this port?")
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: vm.cfg.Callers.HeaderTimeout}
-	go vm.serve(s, l)
-	context.AfterFunc(ctx, func() { s.Close() })
-	return l.Addr().String(), nil
-}
-
 // serveCallers accepts callers' connections once the VM has read the store, or
 // firstViewTimeout has passed. Until then connections wait at the open port, as
 // their requests would be refused.
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -45,8 +45,10 @@
 type Callers struct {
 	Address        string        `yaml:"Address" validate:"required,ip_port" doc:"IP and TCP port. Port 0 takes a free one."`
 	MaxBodyBytes   int64         `yaml:"MaxBodyBytes" validate:"min=1024,max=268435456" doc:"Largest body of a completion request, in bytes."`
-	MaxHeaderBytes int           `yaml:"MaxHeaderBytes" validate:"min=1024,max=1048576" doc:"Largest header of a request, in bytes."`
-	HeaderTimeout  time.Duration `yaml:"HeaderTimeout" validate:"min=100ms,max=1m" doc:"Longest time for a caller to send a request's header."`
+	MaxHeaderBytes int           `yaml:"MaxHeaderBytes" validate:"min=1024,max=1048576" doc:"Largest header of a request, in bytes, and largest request line. With Platform, the lower one of this and the configuration's limit holds."`
+	HeaderTimeout  time.Duration `yaml:"HeaderTimeout" validate:"min=100ms,max=1m" doc:"Longest time for a caller to send a request's header. With Platform, the shorter one of this and the configuration's limit holds."`
+	HeaderMemoryMB int           `yaml:"HeaderMemoryMB" validate:"min=0,max=1048576" doc:"Memory for all headers of requests together, in MB, beyond 4 KiB and 32 lines of each. 0: a tenth of Platform.MemoryMB, 16 without Platform."`
+	MaxConnections int           `yaml:"MaxConnections" validate:"min=0,max=1000000" doc:"Most connections of callers. 0: two fifths of the descriptor limit less 32 and, with Platform, at most 8 for each MB of Platform.MemoryMB."`
 	BodyTimeout    time.Duration `yaml:"BodyTimeout" validate:"min=1s,max=10m" doc:"Longest time for a caller to send a completion request's body."`
 	WriteTimeout   time.Duration `yaml:"WriteTimeout" validate:"min=1s,max=10m" doc:"Longest time that a caller may leave one part of an answer unread."`
 	RequestTimeout time.Duration `yaml:"RequestTimeout" validate:"min=1s,max=24h" doc:"Longest time for a whole request."`
--- a/reaper/conn.go
+++ b/reaper/conn.go
@@ -1,6 +1,7 @@
 package reaper
 
 import (
+	"container/list"
 	"net"
 	"os"
 	"sync"
@@ -14,8 +15,15 @@
 type Conn struct {
 	net.Conn
 	reaper *Reaper
-	// framing notes which requests have two lengths, and where they end.
+	// framing notes which requests have two lengths, where they end, and what their heads
+	// cost.
 	framing framing
+	// queue holds the connection while it may be ended to make room, at element; nil for
+	// none. The mu of reaper is locked to use them.
+	queue   *list.List
+	element *list.Element
+	// isForgotten is true once the reaper doesn't count the connection, by the same lock.
+	isForgotten bool
 
 	// mu is held while an event is handled and its outcomes are carried out, so that no
 	// byte is recorded between a check and what follows from it.
@@ -34,6 +42,9 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.framing.isBlocked() {
+		return 0, c.refuse(p)
+	}
 	c.step(readBegun{})
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -41,6 +52,9 @@
 	}
 	c.framing.observe(p[:n])
 	c.step(readEnded{n})
+	if c.framing.isBlocked() {
+		return 0, c.refuse(p)
+	}
 	return n, err
 }
 
@@ -103,6 +117,7 @@
 // stepLocked handles an event. c.mu must be held.
 func (c *Conn) stepLocked(e event) (err error) {
 	wasBusy := c.core.isBusy
+	c.core.headerTimeout = c.reaper.headerTimeout()
 	for _, o := range c.core.Step(time.Now(), e) {
 		switch o := o.(type) {
 		case setDeadline:
--- a/reaper/core.go
+++ b/reaper/core.go
@@ -24,8 +24,11 @@
 // no I/O.
 type core struct {
 	// headerTimeout bounds the time from the first byte of a request to the end of its
-	// header.
+	// header. It may change between two events.
 	headerTimeout time.Duration
+	// headerDeadline is when the header that is being read has to be complete; zero while
+	// none is.
+	headerDeadline time.Time
 	// isBusy is true from the first byte of a request to the end of its answer.
 	isBusy bool
 	// isReading is true from the begin of a read until what it has read is recorded.
@@ -74,6 +77,8 @@
 		hasNext     bool
 		idleTimeout time.Duration
 	}
+	// evicted reports that an idle connection is to end, to make room.
+	evicted struct{}
 	// timerFired reports that the time of startTimer has passed.
 	timerFired struct{ idleTimeout time.Duration }
 	// drained reports that idle connections are to end.
@@ -92,6 +97,7 @@
 func (answerEnded) event()  {}
 func (timerFired) event()   {}
 func (drained) event()      {}
+func (evicted) event()      {}
 func (stopped) event()      {}
 func (closed) event()       {}
 
@@ -140,6 +146,10 @@
 		if c.isIdle && !c.isExpired {
 			c.endOrWait(now, e.idleTimeout)
 		}
+	case evicted:
+		if c.isIdle {
+			c.failReads()
+		}
 	case drained:
 		c.isDraining = true
 		if c.isIdle {
@@ -177,6 +187,7 @@
 		return
 	}
 	c.hasBegun, c.isIdle, c.isExpired, c.hasReadLate = true, false, false, false
+	c.headerDeadline = deadline
 	c.emit(stopTimer{})
 	c.emit(setDeadline{deadline})
 }
@@ -187,8 +198,16 @@
 	if c.isExpired {
 		return
 	}
-	if c.isEarly && at.IsZero() {
+	switch {
+	case c.isEarly && at.IsZero():
+		at = now.Add(c.headerTimeout)
+		c.headerDeadline = at
+	case at.IsZero():
+		c.headerDeadline = at
+	case !c.hasBegun && at.Sub(now) > c.headerTimeout:
 		at = now.Add(c.headerTimeout)
+	case !c.headerDeadline.IsZero() && at.After(c.headerDeadline):
+		at = c.headerDeadline // The header timeout of net/http doesn't change.
 	}
 	c.isEarly, c.hasReadLate = false, false
 	c.isAborting = !at.IsZero() && now.Sub(at) > abortAge
--- a/reaper/framing.go
+++ b/reaper/framing.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strconv"
 	"sync"
+
+	"github.com/figtrack/figtrack/limiter"
 )
 
 // maxPartBytes is the longest header block that framing holds; net/http allows less.
@@ -21,9 +23,26 @@
 	// bodyLeft is the number of bytes left of a body or a chunk; not zero in inBody and
 	// inChunk.
 	bodyLeft uint64
-	// hasTwoLengths holds a note for each request whose header block is complete, from
-	// the one that is being served on. net/http reads few bytes ahead.
-	hasTwoLengths []bool
+	// requests holds a note for each request whose header block is complete, from the
+	// one that is being served on. net/http reads few bytes ahead.
+	requests []requestNote
+	// isEncrypted is true if the bytes aren't those of requests. None is observed then.
+	isEncrypted bool
+	// bounds bounds the memory of heads.
+	bounds HeadBounds
+	// head is the size of the header block that is being read.
+	head limiter.Head
+	// verdict isn't Accepted once a header block was refused. Nothing more is observed.
+	verdict limiter.Verdict
+	// isCut is true once the connection was closed before its first request.
+	isCut bool
+}
+
+// requestNote is what is known of a request whose header block is complete.
+type requestNote struct {
+	hasTwoLengths bool
+	// acquired is what its head has taken of the quota.
+	acquired limiter.Bytes
 }
 
 // framingState is the part of a request that the next byte belongs to.
@@ -45,7 +64,7 @@
 func (f *framing) observe(p []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(p) > 0 && f.state != isLost {
+	for len(p) > 0 && !f.isEncrypted && f.state != isLost && f.verdict == limiter.Accepted {
 		if f.state == inBody || f.state == inChunk {
 			n := min(f.bodyLeft, uint64(len(p)))
 			f.bodyLeft -= n
@@ -58,6 +77,9 @@
 			seen = append(f.part, p...)
 		}
 		end := f.partEnd(seen, known)
+		if f.state == inHeader && !f.addToHead(seen[known:], end-known) {
+			return
+		}
 		if end == 0 {
 			if known == 0 {
 				seen = bytes.Clone(p)
@@ -108,8 +130,9 @@
 	part = bytes.Trim(part, "\r\n")
 	switch f.state {
 	case inHeader:
+		acquired := f.head.Take()
 		if len(part) > 0 { // Empty lines may come before a request.
-			f.endHeader(part)
+			f.endHeader(part, acquired)
 		}
 	case inChunkSize:
 		size, _, _ := bytes.Cut(part, []byte(";"))
@@ -133,8 +156,9 @@
 	}
 }
 
-// endHeader handles a complete header block and finds out how its body is framed.
-func (f *framing) endHeader(block []byte) {
+// endHeader handles a complete header block, which has acquired memory, and finds out how
+// its body is framed.
+func (f *framing) endHeader(block []byte, acquired limiter.Bytes) {
 	first, fields, _ := bytes.Cut(block, []byte("\n"))
 	var lengths [][]byte
 	isChunked := false
@@ -156,9 +180,7 @@
 			isChunked = true // net/http refuses all other codings.
 		}
 	}
-	if !bytes.HasPrefix(first, []byte("OPTIONS * ")) { // net/http answers that itself.
-		f.hasTwoLengths = append(f.hasTwoLengths, isChunked && len(lengths) > 0)
-	}
+	f.requests = append(f.requests, requestNote{isChunked && len(lengths) > 0, acquired})
 	if isOld := bytes.HasSuffix(bytes.TrimSpace(first), []byte("HTTP/1.0")); isChunked && !isOld {
 		f.state = inChunkSize
 		return
@@ -180,7 +202,7 @@
 func (f *framing) isAmbiguous() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.hasTwoLengths) == 0 || f.hasTwoLengths[0]
+	return len(f.requests) == 0 || f.requests[0].hasTwoLengths
 }
 
 // hasBegun reports whether a byte of a request was read that isn't being served yet. It
@@ -188,14 +210,15 @@
 func (f *framing) hasBegun() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.hasTwoLengths) > 0 || f.state == inHeader && len(f.part) > 0
+	return len(f.requests) > 0 || f.state == inHeader && len(f.part) > 0
 }
 
-// next ends the request that is being served.
+// next ends the request that is being served, once its answer was written.
 func (f *framing) next() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.hasTwoLengths) > 0 {
-		f.hasTwoLengths = f.hasTwoLengths[1:]
+	if len(f.requests) > 0 {
+		f.bounds.Quota.Release(f.requests[0].acquired)
+		f.requests = f.requests[1:]
 	}
 }
--- a/reaper/lifetime_test.go
+++ b/reaper/lifetime_test.go
@@ -83,7 +83,7 @@
 	budget := budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second, Allowance: 50}, 1, time.Now())
 	fleet := router.NewFleet(limitsReader{}, runners, tracker.New("east", 1), budget, versioner.New(versioner.Settings{Lag: time.Second}), steps, metrics, log)
 	s := &platformServer{fleet: fleet}
-	s.Server = platform.NewServer(http.HandlerFunc(answer), router.New(fleet, runners, metrics, log), 1<<14, headerTimeout)
+	s.Server = platform.NewServer(http.HandlerFunc(answer), router.New(fleet, runners, metrics, log), 1<<14, headerTimeout, platform.Bounds{})
 	return s
 }
 
--- a/reaper/reaper.go
+++ b/reaper/reaper.go
@@ -5,7 +5,9 @@
 package reaper
 
 import (
+	"container/list"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +20,19 @@
 	// HeaderTimeout bounds the time from the first byte of a request to the end of its
 	// header, and the time until the first byte on a new connection.
 	HeaderTimeout time.Duration
+	// CurrentHeaderTimeout returns a header timeout that is in force if it is shorter; zero
+	// for none. It may change while connections are open. It may be nil.
+	CurrentHeaderTimeout func() time.Duration
+	// Heads bounds the memory of request heads.
+	Heads HeadBounds
+	// IsEncrypted is true if the bytes of the connections aren't those of requests. Heads
+	// are then bounded by net/http alone.
+	IsEncrypted bool
+	// MaxConns is the number of connections that are open at the same time; zero for any.
+	// The longest waiting one without a request ends to make room.
+	MaxConns int
+	// Counter counts what was refused; nil for none.
+	Counter Counter
 	// IdleTimeout returns the time after which an idle connection ends; zero for none. It
 	// may change while connections are open.
 	IdleTimeout func() time.Duration
@@ -34,13 +49,18 @@
 	isDraining, isStopped bool
 	// conns holds the open connections.
 	conns map[*Conn]bool
+	// open counts the connections that were accepted and have not ended.
+	open int
+	// fresh and idle hold the connections without a request, the longest waiting first:
+	// those that have had none, and the others.
+	fresh, idle list.List
 }
 
 // New returns a reaper without connections.
 func New(cfg Settings) *Reaper { return &Reaper{cfg: cfg, conns: map[*Conn]bool{}} }
 
 // Attach sets what the reaper needs of a server that hasn't started, and its header
-// timeout. The server's connections have to come from Wrap or Listener.
+// timeout. The server's connections have to come from Accept or Listener.
 func (r *Reaper) Attach(s *http.Server) {
 	s.ReadHeaderTimeout = r.cfg.HeaderTimeout
 	s.Handler = r.withConn(s.Handler)
@@ -65,9 +85,18 @@
 	return c
 }
 
-// Wrap returns a connection that the reaper ends. Others may embed it.
-func (r *Reaper) Wrap(c net.Conn) *Conn {
-	return &Conn{Conn: c, reaper: r, core: core{headerTimeout: r.cfg.HeaderTimeout}}
+func (r *Reaper) wrap(c net.Conn) *Conn {
+	return &Conn{Conn: c, reaper: r, core: core{headerTimeout: r.headerTimeout()}, framing: framing{bounds: r.cfg.Heads, isEncrypted: r.cfg.IsEncrypted}}
+}
+
+// headerTimeout returns the header timeout that is in force.
+func (r *Reaper) headerTimeout() time.Duration {
+	if r.cfg.CurrentHeaderTimeout != nil {
+		if current := r.cfg.CurrentHeaderTimeout(); current > 0 {
+			return min(current, r.cfg.HeaderTimeout)
+		}
+	}
+	return r.cfg.HeaderTimeout
 }
 
 // Listener returns a listener that wraps the connections of l.
@@ -80,11 +109,11 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.reaper.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
-	return l.reaper.Wrap(c), nil
+	return c, nil
 }
 
 // Drain ends the connections that are idle, and the others after their answers.
@@ -130,6 +159,9 @@
 
 // handleState is an http.Server.ConnState.
 func (r *Reaper) handleState(conn net.Conn, state http.ConnState) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
 	one, ok := conn.(reapable)
 	if !ok {
 		return
@@ -140,13 +172,15 @@
 		r.add(c)
 	case http.StateActive:
 		c.step(requestBegun{})
+		r.unqueue(c)
 	case http.StateIdle:
+		c.framing.next()
 		c.step(answerEnded{c.framing.hasBegun(), r.cfg.IdleTimeout()})
+		r.queue(c, &r.idle)
 	case http.StateClosed, http.StateHijacked:
 		c.step(closed{})
-		r.mu.Lock()
-		delete(r.conns, c)
-		r.mu.Unlock()
+		c.framing.release()
+		r.remove(c)
 	}
 }
 
@@ -154,6 +188,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.conns[c] = true
+	r.queueLocked(c, &r.fresh)
 	if r.isDraining {
 		c.step(drained{})
 	}
@@ -162,18 +197,20 @@
 	}
 }
 
-// withConn prepares the connection of a request: its answer is the last one while the
-// server drains, and the notes of its framing go on to the next one afterwards.
+// withConn prepares the answer to a request. It is the last one on its connection while the
+// server drains, or if what follows was refused. A request that was itself refused is read
+// only if it came with the end of the one before it.
 func (r *Reaper) withConn(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.mu.Lock()
 		isDraining := r.isDraining
 		r.mu.Unlock()
-		if isDraining {
-			w.Header().Set("Connection", "close")
+		c := FromContext(q.Context())
+		if c != nil && c.framing.isBlocked() {
+			panic(http.ErrAbortHandler)
 		}
-		if c := FromContext(q.Context()); c != nil {
-			defer c.framing.next()
+		if isDraining || c != nil && c.framing.isRefused() {
+			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, q)
 	})
