listener, operator: bound heads and connections without Platform

Cause: figtrack's own callers and operators had the unbounded heads and connections of the platform's callers.

Change: listener takes the quota of heads and the bound on connections from the new settings Callers.HeaderMemoryMB and MaxConnections, or derives them; operators get a sixteenth of the descriptors and heads of 16 KiB, below TLS only connections are counted. figtrack_refused_clients_total counts both.

--- a/listener/drain_test.go
+++ b/listener/drain_test.go
@@ -18,7 +18,7 @@
 func TestRequestBegunBeforeADrainIsAnswered(t *testing.T) {
 	services := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	cfg := parser.Callers{HeaderTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, RequestTimeout: 5 * time.Second, MaxHeaderBytes: 1 << 14, MaxRequests: 4}
-	l := New(cfg, nil, nil, services, nil, http.NotFoundHandler(), zerolog.Nop())
+	l := New(cfg, nil, nil, services, nil, http.NotFoundHandler(), nil, zerolog.Nop())
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/listener/late_end_test.go
+++ b/listener/late_end_test.go
@@ -24,7 +24,7 @@
 			time.Sleep(6 * time.Second)
 		})
 		cfg := parser.Callers{HeaderTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, RequestTimeout: time.Minute, MaxHeaderBytes: 1 << 14, MaxRequests: 4}
-		l := New(cfg, nil, nil, services, nil, http.NotFoundHandler(), zerolog.Nop())
+		l := New(cfg, nil, nil, services, nil, http.NotFoundHandler(), nil, zerolog.Nop())
 		network := &piper.Network{}
 		socket, err := network.Listen("")
 		if err != nil {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -15,6 +15,7 @@
 
 	"github.com/figtrack/figtrack/admitter"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/parser"
 	"github.com/figtrack/figtrack/reaper"
@@ -75,11 +76,13 @@
 }
 
 // New returns a listener. services handles every path that isn't figtrack's
-// own.
+// own. refusals counts the connections that are refused; it may be nil.
 func New(
 	cfg parser.Callers, runner Runner, classes Classes, services http.Handler,
-	readiness Readiness, metrics http.Handler, log zerolog.Logger,
+	readiness Readiness, metrics http.Handler, refusals reaper.Counter, log zerolog.Logger,
 ) *Listener {
+	bounds := limiter.Derive(0, limiter.Descriptors()).
+		WithSettings(limiter.Bytes(cfg.HeaderMemoryMB)*limiter.Megabyte, cfg.MaxConnections)
 	l := &Listener{
 		cfg:       cfg,
 		runner:    runner,
@@ -92,6 +95,9 @@
 		reaper: reaper.New(reaper.Settings{
 			HeaderTimeout: cfg.HeaderTimeout,
 			IdleTimeout:   func() time.Duration { return idleTimeout },
+			Heads:         reaper.HeadBounds{Quota: limiter.NewQuota(bounds.Heads), MaxBytes: func() int { return cfg.MaxHeaderBytes }},
+			MaxConns:      bounds.Callers,
+			Counter:       refusals,
 		}),
 	}
 	l.cutCtx, l.cancelCutCtx = context.WithCancel(context.Background())
--- a/listener/request_timeout_test.go
+++ b/listener/request_timeout_test.go
@@ -34,7 +34,7 @@
 		_, _ = io.WriteString(w, "late")
 	})
 	cfg := parser.Callers{HeaderTimeout: time.Second, WriteTimeout: time.Minute, RequestTimeout: timeout, MaxHeaderBytes: 1 << 14, MaxRequests: requests}
-	l := listener.New(cfg, nil, nil, services, nil, http.NotFoundHandler(), zerolog.Nop())
+	l := listener.New(cfg, nil, nil, services, nil, http.NotFoundHandler(), nil, zerolog.Nop())
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = l.Serve(socket) }()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -15,6 +15,8 @@
 	"github.com/figtrack/figtrack/certifier"
 	"github.com/figtrack/figtrack/configurer"
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/limiter"
+	"github.com/figtrack/figtrack/reaper"
 )
 
 const (
@@ -22,6 +24,8 @@
 	protocol = "http/1.1"
 	// headerTimeout bounds the time to read the header of a request.
 	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
 	// requestTimeout bounds one request, including the wait for a change to be
 	// in force.
 	requestTimeout = 30 * time.Second
@@ -48,16 +52,26 @@
 type Listener struct {
 	fleet  Fleet
 	server *http.Server
+	reaper *reaper.Reaper
 }
 
-// New returns a listener that requires operator certificates.
-func New(fleet Fleet, ring *certifier.Keyring) *Listener {
+// New returns a listener that requires operator certificates. refusals counts the
+// connections that are refused; it may be nil.
+func New(fleet Fleet, ring *certifier.Keyring, refusals reaper.Counter) *Listener {
 	l := &Listener{fleet: fleet}
+	l.reaper = reaper.New(reaper.Settings{
+		HeaderTimeout: headerTimeout,
+		IdleTimeout:   func() time.Duration { return 0 },
+		IsEncrypted:   true,
+		MaxConns:      limiter.Derive(0, limiter.Descriptors()).Control,
+		Counter:       refusals,
+	})
 	l.server = &http.Server{
-		Handler:           l.routes(),
-		TLSConfig:         ring.ServerConfig(certifier.RoleOperator, protocol),
-		ReadHeaderTimeout: headerTimeout,
+		Handler:        l.routes(),
+		TLSConfig:      ring.ServerConfig(certifier.RoleOperator, protocol),
+		MaxHeaderBytes: maxHeaderBytes,
 	}
+	l.reaper.Attach(l.server)
 	return l
 }
 
@@ -73,7 +87,7 @@
 
 // Serve accepts connections from socket until Close.
 func (l *Listener) Serve(socket net.Listener) error {
-	err := l.server.ServeTLS(socket, "", "")
+	err := l.server.ServeTLS(l.reaper.Listener(socket), "", "")
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/reaper/lifetime_test.go
+++ b/reaper/lifetime_test.go
@@ -109,7 +109,7 @@
 
 func newOwnServer() server {
 	cfg := parser.Callers{HeaderTimeout: headerTimeout, WriteTimeout: time.Hour, RequestTimeout: time.Hour, MaxHeaderBytes: 1 << 14, MaxRequests: 4}
-	return ownServer{listener.New(cfg, nil, nil, http.HandlerFunc(answer), nil, http.NotFoundHandler(), zerolog.Nop())}
+	return ownServer{listener.New(cfg, nil, nil, http.HandlerFunc(answer), nil, http.NotFoundHandler(), nil, zerolog.Nop())}
 }
 
 func (s ownServer) Drain() { s.RefuseNew() }
--- a/server/finish_test.go
+++ b/server/finish_test.go
@@ -26,7 +26,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	cfg := parser.Callers{HeaderTimeout: time.Second, WriteTimeout: time.Minute, RequestTimeout: time.Minute, MaxHeaderBytes: 1 << 14, MaxRequests: 1}
-	s := &Server{listener: listener.New(cfg, nil, nil, services, nil, http.NotFoundHandler(), zerolog.Nop())}
+	s := &Server{listener: listener.New(cfg, nil, nil, services, nil, http.NotFoundHandler(), nil, zerolog.Nop())}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = s.listener.Serve(socket) }()
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -12,6 +12,7 @@
 	s.metrics.MustRegister(
 		s.StoreMetrics,
 		s.dispatcher,
+		s.refusals,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		gauge("requests_in_flight", "Requests of callers in flight on this VM.", func() float64 {
--- a/server/server.go
+++ b/server/server.go
@@ -32,6 +32,7 @@
 	"github.com/figtrack/figtrack/poller"
 	"github.com/figtrack/figtrack/prober"
 	"github.com/figtrack/figtrack/quarantiner"
+	"github.com/figtrack/figtrack/reaper"
 	"github.com/figtrack/figtrack/reclaimer"
 	"github.com/figtrack/figtrack/recorder"
 	"github.com/figtrack/figtrack/registrar"
@@ -96,6 +97,7 @@
 	pendingSubmits pendingSubmits
 	listener       *listener.Listener
 	metrics        *prometheus.Registry
+	refusals       reaper.Metrics
 	ctx            context.Context
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
@@ -114,6 +116,7 @@
 		Dependencies: n,
 		self:         registrar.VM{ID: n.Settings.VM, DataCentre: n.Settings.DataCentre},
 		metrics:      prometheus.NewRegistry(),
+		refusals:     reaper.NewMetrics(),
 		ctx:          ctx,
 		cancel:       cancel,
 
@@ -144,7 +147,7 @@
 	s.poller = poller.New(s.registrar, s.dispatcher, s.health, s.Log)
 	s.sync = s.newSync()
 	s.orders = s.newOrders()
-	s.operators = operator.New(s, s.Keyring)
+	s.operators = operator.New(s, s.Keyring, s.refusals.For(reaper.ListenerOperators))
 }
 
 // initRequests creates the components that handle requests in flight.
@@ -168,7 +171,7 @@
 	transports := forwarder.Transports{KeepAlive: keepAlive, NoKeepAlive: s.newTransport(true)}
 	services := forwarder.New(s.registrar, s.claims, quarantine{s.quarantiner, s.ctx}, s.health, transports, callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
-	s.listener = listener.New(callers, s.deduper, s, services, s, metrics, s.Log)
+	s.listener = listener.New(callers, s.deduper, s, services, s, metrics, s.refusals.For(reaper.ListenerCallers), s.Log)
 }
 
 const (
