limiter: bound the lines of answers' heads from runners and the store

Cause: http.Transport bounds the bytes of an answer's head (64 KiB), which may be 20,000 lines whose fields take a multiple of that.

Change: connections to runners, plain services and the store count the lines from the moment at which a request gets the connection to the end of the head, interim answers included. Over 512 lines the read fails, and the call as with a head that is too long.

--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/admitter"
+	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/splitter"
@@ -99,7 +100,7 @@
 // first byte can be written.
 func (c *call) newRequest(u registrar.Upstream, connected *atomic.Bool) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := c.r.Clone(httptrace.WithClientTrace(c.r.Context(), trace))
+	out := limiter.Trace(c.r.Clone(httptrace.WithClientTrace(c.r.Context(), trace)))
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = u.Address
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -41,6 +41,34 @@
 	}
 }
 
+// TestAnswerHeadsWithTooManyLinesAreRefused guards against a runner whose answers take more
+// memory than their bytes, also by interim answers.
+func TestAnswerHeadsWithTooManyLinesAreRefused(t *testing.T) {
+	const status, interim = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 102 Processing\r\n"
+	cases := map[string]struct {
+		text string
+		want bool
+	}{
+		"few lines, then a body of lines": {status + "a: b\r\n\r\n" + strings.Repeat("x\n", 2*maxAnswerLines), true},
+		"many lines":                      {status + strings.Repeat("a:\n", maxAnswerLines), false},
+		"interim answers":                 {strings.Repeat(interim+"a: b\r\n\r\n", maxAnswerLines/3+1), false},
+		"an interim answer and a body":    {interim + "\r\n" + status + "\r\n" + strings.Repeat("x\n", 2*maxAnswerLines), true},
+	}
+	for name, c := range cases {
+		for _, size := range []int{1, 5, len(c.text)} {
+			h, ok := answerHead{isOpen: true}, true
+			for p := []byte(c.text); len(p) > 0 && ok; {
+				n := min(size, len(p))
+				ok = h.add(p[:n])
+				p = p[n:]
+			}
+			if ok != c.want {
+				t.Errorf("%s in pieces of %d: accepted %t", name, size, ok)
+			}
+		}
+	}
+}
+
 // TestBoundsLeaveDescriptorsForOthers guards against callers that take the descriptors that
 // their requests, the readiness check, the metrics and the store need.
 func TestBoundsLeaveDescriptorsForOthers(t *testing.T) {
--- a/poster/poster.go
+++ b/poster/poster.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/limiter"
 )
 
 const (
@@ -40,7 +42,7 @@
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         limiter.BoundAnswers(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -56,7 +58,7 @@
 func Do(client *http.Client, r *http.Request) (reply *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	r = r.Clone(httptrace.WithClientTrace(r.Context(), trace))
+	r = limiter.Trace(r.Clone(httptrace.WithClientTrace(r.Context(), trace)))
 	lowerIdempotencyHeaders(r.Header)
 	noRedirects := *client
 	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/server/server.go
+++ b/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/figtrack/figtrack/forwarder"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
+	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
 	"github.com/figtrack/figtrack/operator"
@@ -186,7 +187,7 @@
 
 func (n Dependencies) newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         n.Dial,
+		DialContext:         limiter.BoundAnswers(n.Dial),
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
