coordinator, exchanger: VMs reach each other by the entries of their earlier starts

Cause: after a loss of power the roster has the secrets and starts from before it, and VMs answered only to their new ones. Now a VM keeps the secret of its earlier start if that is still listed, takes messages to that start, and a message tells the later start of its sender. The order of coordinators doesn't depend on the start, and the wait for the roster to settle is dropped. The claim to a start that has ended is dropped, too.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"maps"
 	"math"
@@ -40,10 +39,6 @@
 	// together would each see a fleet of few VMs. A VM whose earlier start is still in the
 	// roster skips it: else a fleet that lost power would admit nothing for that time.
 	Youth = 3 * time.Second
-	// settleTime is the time in which a VM whose earlier start is in the roster has its own
-	// share before its first report. Entries of VMs that started with it arrive within it: it
-	// can't reach them by those of earlier starts, and would change the coordinator with each.
-	settleTime = 700 * time.Millisecond
 	// window is how long a report or a confirmed digest counts. It is three times
 	// maxActiveInterval, so that the loss of one report doesn't matter.
 	window = 1500 * time.Millisecond
@@ -198,8 +193,8 @@
 	// young from then on.
 	knownSince clocker.Moment
 	youth      time.Duration
-	// isResumed is that of RosterChanged.
-	isResumed bool
+	// superseded holds the start by the roster of each VM of which a later start was heard.
+	superseded map[identifier.VM]identifier.Incarnation
 
 	// sequence is that of the latest report.
 	sequence identifier.Sequence
@@ -265,7 +260,7 @@
 // after it got one. Its first report has the sequence after last; a core that replaces
 // another one must not use its sequences again.
 func New(self Member, last identifier.Sequence, youth time.Duration) *Core {
-	return &Core{self: self, sequence: last, youth: youth, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, heard: map[identifier.VM]*reporter{}}
+	return &Core{self: self, sequence: last, youth: youth, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, superseded: map[identifier.VM]identifier.Incarnation{}, heard: map[identifier.VM]*reporter{}}
 }
 
 // Sequence returns the sequence of the latest report.
@@ -291,8 +286,7 @@
 	}
 }
 
-// setRoster replaces the members and sorts them by a rendezvous hash. The hash includes the
-// incarnation, so that a VM that restarts often isn't always the coordinator.
+// setRoster replaces the members and sorts them by a rendezvous hash.
 //
 // A member that the store no longer lists stays while it is heard: it may be cut off from
 // the store alone, and would form a second fleet with the others that are.
@@ -301,11 +295,16 @@
 		c.knownSince = now
 	}
 	if e.IsResumed {
-		c.youth, c.isResumed = 0, true
+		c.youth = 0
 	}
 	former := c.members
 	c.members = map[identifier.VM]Member{}
 	for _, m := range e.Members {
+		if start, ok := c.superseded[m.VM]; ok && start == m.Incarnation && former[m.VM].VM != "" {
+			m.Incarnation = former[m.VM].Incarnation
+		} else {
+			delete(c.superseded, m.VM)
+		}
 		c.members[m.VM] = m
 		if former[m.VM] != m {
 			delete(c.unavailable, m.VM) // That was an earlier start.
@@ -319,6 +318,19 @@
 			c.retained = append(c.retained, m)
 		}
 	}
+	c.sortOrder()
+	c.count = e.Count
+	isMember := func(m Member) bool { return c.members[m.VM] == m }
+	maps.DeleteFunc(c.acceptedFrom, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
+	maps.DeleteFunc(c.sentTo, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
+	maps.DeleteFunc(c.unavailable, func(vm identifier.VM, _ clocker.Moment) bool { return c.members[vm].VM == "" })
+	maps.DeleteFunc(c.heard, func(_ identifier.VM, h *reporter) bool {
+		return !isMember(h.member) && now.Shortest(h.at) > replayWindow
+	})
+}
+
+// sortOrder sets the order in which VMs are asked.
+func (c *Core) sortOrder() {
 	c.order = nil
 	for _, m := range c.members {
 		if m.IsReachable {
@@ -328,14 +340,20 @@
 	slices.SortFunc(c.order, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
 	})
-	c.count = e.Count
-	isMember := func(m Member) bool { return c.members[m.VM] == m }
-	maps.DeleteFunc(c.acceptedFrom, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
-	maps.DeleteFunc(c.sentTo, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
-	maps.DeleteFunc(c.unavailable, func(vm identifier.VM, _ clocker.Moment) bool { return c.members[vm].VM == "" })
-	maps.DeleteFunc(c.heard, func(_ identifier.VM, h *reporter) bool {
-		return !isMember(h.member) && now.Shortest(h.at) > replayWindow
-	})
+}
+
+// supersede takes in a later start of a VM than the roster has. The roster may be seconds
+// behind, while the VM answers at the same address.
+func (c *Core) supersede(m Member, start identifier.Incarnation) Member {
+	if _, ok := c.superseded[m.VM]; !ok {
+		c.superseded[m.VM] = m.Incarnation
+	}
+	delete(c.claims, m) // That start counts nobody any more.
+	m.Incarnation = start
+	c.members[m.VM] = m
+	delete(c.unavailable, m.VM)
+	c.sortOrder()
+	return m
 }
 
 // isHeard reports whether a VM reported to this one lately or answered it.
@@ -351,21 +369,12 @@
 	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.youth
 }
 
-// isSettling reports whether this VM waits for the entries of others that started with it.
-func (c *Core) isSettling(now clocker.Moment) bool {
-	return c.isResumed && now.Shortest(c.knownSince) < settleTime
-}
-
 // Knows reports whether a VM is a member.
 func (c *Core) Knows(vm identifier.VM) bool { return c.members[vm].VM != "" }
 
-func weight(m Member) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	_, _ = h.WriteString(string(m.VM))
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(m.Incarnation)))
-	return h.Sum64()
-}
+// weight doesn't depend on the start of a VM: VMs that know of different starts of others, as
+// after a loss of power, would ask different ones.
+func weight(m Member) uint64 { return xxhash.Sum64String(string(m.VM)) }
 
 func (c *Core) interval() time.Duration {
 	i := min(max(time.Duration(max(c.count, len(c.members)))*intervalPerVM, minInterval), maxInterval)
@@ -392,13 +401,6 @@
 		c.pending, c.isRequested, c.isLost, c.unansweredSince = nil, false, false, clocker.Moment{}
 		return nil
 	}
-	if c.isSettling(now) {
-		if c.isLost {
-			return nil
-		}
-		c.isLost = true
-		return []Outcome{Lose{now}}
-	}
 	if p := c.pending; p != nil && now.Longest(p.triedAt) >= tryInterval {
 		if p.tries < p.maxTries && now.Longest(p.at) < staleAfter {
 			p.tries++
@@ -496,12 +498,17 @@
 // apply handles the digest that answers a report of this VM.
 func (c *Core) apply(now clocker.Moment, e DigestReceived) []Outcome {
 	p := c.pending
-	if p == nil || e.Sequence != c.sequence || e.VM != p.to.VM || e.Incarnation != p.to.Incarnation {
+	if p == nil || e.Sequence != c.sequence || e.VM != p.to.VM || e.Incarnation < p.to.Incarnation {
 		return []Outcome{Drop{Outdated}}
 	}
 	if now.Longest(p.at) > staleAfter {
 		return []Outcome{Drop{Late}}
 	}
+	if m, ok := c.members[e.VM]; ok && e.Incarnation > p.to.Incarnation {
+		delete(c.sentTo, p.to)
+		p.to = c.supersede(m, e.Incarnation)
+		c.sentTo[p.to] = e.Sequence
+	}
 	c.pending, c.unansweredSince, c.isLost = nil, clocker.Moment{}, false
 	delete(c.unavailable, p.to.VM)
 	former := c.accepted.by
@@ -518,9 +525,12 @@
 // collect handles a report to this VM.
 func (c *Core) collect(now clocker.Moment, e ReportReceived) []Outcome {
 	m, ok := c.members[e.VM]
-	if !ok || m.Incarnation != e.Incarnation {
+	if !ok || m.Incarnation > e.Incarnation {
 		return []Outcome{Drop{UnknownSender}}
 	}
+	if m.Incarnation < e.Incarnation {
+		m = c.supersede(m, e.Incarnation)
+	}
 	if c.isYoung(now) {
 		return []Outcome{Drop{Young}}
 	}
--- a/enroller/shell.go
+++ b/enroller/shell.go
@@ -47,6 +47,9 @@
 	return &Shell{core: New(float64(xxhash.Sum64String(key)>>11) / (1 << 53)), store: store, key: key, value: value, steps: steps, log: log, notices: make(chan Event, maxNotices)}
 }
 
+// SetValue replaces the value of the entry. It is called before Run.
+func (s *Shell) SetValue(value []byte) { s.value = value }
+
 // Run maintains the entry until ctx is canceled. After a panic it asks for a new lease.
 func (s *Shell) Run(ctx context.Context) {
 	var e Event = Wake{}
--- a/exchanger/shell.go
+++ b/exchanger/shell.go
@@ -48,8 +48,10 @@
 	Peers []Peer
 	// Count is the number of VMs that share quotas, at least that of Peers.
 	Count int
-	// IsResumed is that of coordinator.RosterChanged.
+	// IsResumed is that of coordinator.RosterChanged. Secret is that of the earlier start
+	// then, which others use until they know this one; nil if there was none.
 	IsResumed bool
+	Secret    []byte
 }
 
 // Self describes this VM's own start.
@@ -185,6 +187,9 @@
 }
 
 func (s *Shell) setRoster(r Roster) {
+	if len(r.Secret) == SecretSize {
+		s.secret = r.Secret
+	}
 	former := s.peers
 	s.peers = map[identifier.VM]Peer{}
 	members := make([]coordinator.Member, 0, len(r.Peers))
@@ -308,7 +313,7 @@
 
 // answer answers the report of another VM.
 func (s *Shell) answer(m *wire.ExchangeReport) {
-	if m.GetCoordinator() != string(s.self.VM) || m.GetCoordinatorIncarnation() != uint64(s.self.Incarnation) || m.GetVM() == string(s.self.VM) {
+	if m.GetCoordinator() != string(s.self.VM) || m.GetCoordinatorIncarnation() > uint64(s.self.Incarnation) || m.GetVM() == string(s.self.VM) {
 		s.metrics.drop(reasonMisdirected)
 		return
 	}
--- a/launcher/exchange.go
+++ b/launcher/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/looper"
+	"github.com/figtrack/figtrack/router"
 )
 
 // openExchange opens the socket of the exchange between VMs. A VM whose socket can't be
@@ -49,5 +50,11 @@
 	for until := time.Now().Add(firstViewTimeout); !vm.fleet.IsListed() && time.Now().Before(until); {
 		looper.Sleep(ctx, firstViewPollInterval)
 	}
+	if secret := vm.fleet.FormerSecret(); len(secret) > 0 && vm.exchanger != nil {
+		vm.self.Secret = secret
+		if entry, err := router.RosterValue(vm.self, vm.cfg.DataCentre); err == nil {
+			vm.enroller.SetValue(entry)
+		}
+	}
 	vm.enroller.Run(ctx)
 }
--- a/router/cores.go
+++ b/router/cores.go
@@ -251,7 +251,7 @@
 func (f *Fleet) rebuildRoster(now time.Time) {
 	former := f.roster
 	f.roster = newRoster()
-	f.roster.departed, f.roster.isResumed = former.departed, former.isResumed
+	f.roster.departed, f.roster.isResumed, f.roster.formerSecret = former.departed, former.isResumed, former.formerSecret
 	isComplete := true
 	for key, entry := range f.entries {
 		if strings.HasPrefix(key, rosterPrefix) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -35,7 +35,7 @@
 	var isListed bool
 	isDone := f.step(coreRoster, "Exchange", func() {
 		e, isListed = f.exchange, f.isListed
-		r.Count, r.IsResumed = f.roster.count(time.Now()), f.roster.isResumed
+		r.Count, r.IsResumed, r.Secret = f.roster.count(time.Now()), f.roster.isResumed, f.roster.formerSecret
 		for _, vm := range slices.Sorted(maps.Keys(f.roster.peers)) {
 			if vm < f.ownVM() {
 				place++
@@ -61,9 +61,19 @@
 	f.roster.retain(absentSince, listed)
 	if !f.isListed {
 		f.roster.isResumed = listed[f.ownVM()]
+		f.roster.formerSecret = f.roster.peers[f.ownVM()].Secret
 	}
 }
 
+// FormerSecret returns the secret of an earlier start of this VM that was still listed at the
+// first listing; nil if there was none. The VM keeps it: others reach it by the entry of that
+// start until they have read the new one.
+func (f *Fleet) FormerSecret() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.formerSecret
+}
+
 // IsListed reports whether the store was read once.
 func (f *Fleet) IsListed() bool {
 	f.mu.Lock()
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -246,6 +246,7 @@
 	f.mu.Lock()
 	f.era, f.isListed, f.isRelisting = o.Era, true, false
 	f.mu.Unlock()
+	f.updateExchange()
 	f.updateShares()
 }
 
--- a/router/roster.go
+++ b/router/roster.go
@@ -53,8 +53,10 @@
 	// departed holds when each VM left that still counts. The time is in the
 	// future for a VM that has a valid lease although its entry is missing.
 	departed map[identifier.VM]time.Time
-	// isResumed is true if the first listing had the entry of an earlier start of this VM.
-	isResumed bool
+	// isResumed is true if the first listing had the entry of an earlier start of this VM;
+	// formerSecret is the secret of that start.
+	isResumed    bool
+	formerSecret []byte
 }
 
 func newRoster() roster {
