coordinator, rationer: a VM that hears no other uses its share

A VM asked every silent VM before itself once a second, and buckets dropped after 2 s what they saved for a request. Change: one try a second goes to a silent VM, and a bucket saves until the cost is there and 3 s longer.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -201,6 +201,10 @@
 	isRequested bool
 	// unavailable holds when VMs that didn't answer were found so.
 	unavailable map[identifier.VM]clocker.Moment
+	// probedAt is when one of them was asked last, probesOldest whether it was that which
+	// was asked least lately.
+	probedAt     clocker.Moment
+	probesOldest bool
 	// unansweredSince is when the first report after the latest accepted digest was made;
 	// zero without one.
 	unansweredSince clocker.Moment
@@ -412,22 +416,39 @@
 	return []Outcome{o}
 }
 
-// choose returns the VM to ask and how often. One that didn't answer before is tried once,
-// so that a dead VM that is still in the roster delays a report by only one try a second.
+// choose returns the VM to ask and how often: the first one that isn't known to be silent,
+// which is this VM itself at the latest. Once a second one try goes to a silent VM before
+// it, by turns to the first one and to that which was asked least lately. More of them would
+// leave a VM that hears no other no time for its own requests.
 func (c *Core) choose(now clocker.Moment) (to Member, tries int, ok bool) {
+	var first, oldest Member
 	for _, m := range c.order {
 		if m == c.self && c.isYoung(now) {
 			continue
 		}
-		at, wasUnavailable := c.unavailable[m.VM]
-		if !wasUnavailable {
-			return m, maxTries, true
+		at, isSilent := c.unavailable[m.VM]
+		if !isSilent {
+			to, ok = m, true
+			break
 		}
-		if now.Longest(at) >= unavailableFor {
-			return m, 1, true
+		if now.Longest(at) < unavailableFor {
+			continue
+		}
+		if first.VM == "" {
+			first = m
+		}
+		if oldest.VM == "" || at.Mono < c.unavailable[oldest.VM].Mono {
+			oldest = m
 		}
 	}
-	return Member{}, 0, false
+	if first.VM == "" || ok && !c.probedAt.IsZero() && now.Longest(c.probedAt) < unavailableFor {
+		return to, maxTries, ok
+	}
+	c.probedAt, c.probesOldest = now, !c.probesOldest
+	if c.probesOldest {
+		return oldest, 1, true
+	}
+	return first, 1, true
 }
 
 // claim returns the share for which this VM counts at the VM whose digest it accepted
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -27,9 +27,9 @@
 	// leastCapacity is the least time of filling that a bucket holds. VMs ask at most
 	// every 20 ms, and what doesn't fit until then would be lost.
 	leastCapacity = 0.1
-	// savingFor is how long a bucket saves for a request that it couldn't admit. Callers
-	// come back within that time.
-	savingFor = 2 * time.Second
+	// savingFor is how long a bucket keeps what it has saved for a request that it couldn't
+	// admit. Buckets that kept it until the next request would admit together.
+	savingFor = 3 * time.Second
 )
 
 // Limit is the quota of a workspace.
@@ -53,9 +53,11 @@
 	// phase is the part of a cost that has to accumulate, from 0 to 1. It changes with
 	// each debt.
 	phase float64
-	// saving is what the bucket saves for, savedAt since when it was asked.
+	// saving is what the bucket saves for, savedAt since when it was asked, keptFor for how
+	// long it may hold as much.
 	saving  float64
 	savedAt clocker.Moment
+	keptFor time.Duration
 }
 
 // goldenRatio spreads the phases of a bucket evenly.
@@ -71,7 +73,7 @@
 // capacity returns what the bucket may hold.
 func (b *bucket) capacity(now clocker.Moment, part float64) float64 {
 	capacity := max(b.limit.Burst, leastCapacity*b.limit.Rate) * part
-	if !b.savedAt.IsZero() && now.Longest(b.savedAt) <= savingFor {
+	if !b.savedAt.IsZero() && now.Longest(b.savedAt) <= b.keptFor {
 		capacity = max(capacity, b.saving)
 	}
 	return capacity
@@ -91,7 +93,7 @@
 			_, b.phase = math.Modf(b.phase + goldenRatio)
 		}
 	default:
-		b.saving, b.savedAt = threshold, now
+		b.saving, b.savedAt, b.keptFor = threshold, now, b.delay(threshold-b.level, part)+savingFor
 		return false
 	}
 	b.level -= cost
