shedder, tracker: long Retry-After in heavy overload only, more reservations that may be refused

Cause: callers were told some 3.5 s once an eighth of the requests was refused. And a VM asked an engine without estimated room once in 25 ms, so that memory freed by others stayed unused until the next digest. Change: from three fifths refused on; once in 5 ms, 3.5 reservations for each granted one.

--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -18,8 +18,11 @@
 	// come back spread out.
 	jitter = 0.25
 	// overloadedShare is the share of refused requests from which on the pool counts as
-	// overloaded. Below it a second try soon finds room.
-	overloadedShare = 0.125
+	// overloaded. Below it a caller that comes back soon probably gets an answer in time,
+	// which is worth several late ones; above it, it is probably refused again.
+	overloadedShare = 0.6
+	// minCounted is the least number of requests that show an overload.
+	minCounted = 8
 	// leftDivisor divides the time that a caller has left; by the protocol it comes back
 	// after a third at the latest.
 	leftDivisor = 3
@@ -55,7 +58,7 @@
 // IsOverloaded reports whether the pool lately had no room for a good part of the requests.
 func (c *Core) IsOverloaded(now time.Time) bool {
 	granted, refused := c.granted.sum(c.age(now)), c.refused.sum(c.age(now))
-	return refused > 0 && refused >= overloadedShare*(granted+refused)
+	return refused >= overloadedShare*max(granted+refused, minCounted)
 }
 
 // RetryAfter returns the time after which a refused caller may come back, that has some time
--- a/tracker/share.go
+++ b/tracker/share.go
@@ -11,7 +11,7 @@
 	// reserveRatio is the number of reservations allowed for each granted one. The refused
 	// ones may be four for each granted one in a burst; digests of a large fleet show an
 	// excess a second late.
-	reserveRatio = 3
+	reserveRatio = 3.5
 	// plainRatio is the number of calls to plain services allowed for each accepted one. The
 	// retry budget allows an extra send for each fifth request.
 	plainRatio = 1.5
@@ -26,9 +26,10 @@
 	// reservation takes the roomier one about three times as often. VMs with equal digests
 	// would all take the same engine if each took the one with the most room.
 	trialSpread = 0.25
-	// trialPause is the time between two such reservations of a VM, the pause of attempter
-	// between the attempts of one request.
-	trialPause = 25 * time.Millisecond
+	// trialPause is the time between two such reservations of a VM, about a round trip. Memory
+	// that others have freed is known only from the next digest on, and callers wait for less
+	// than that.
+	trialPause = 5 * time.Millisecond
 	// meanCallsTime is the time of the moving average of calls at plain services.
 	meanCallsTime = 10 * time.Second
 	// nearShare is the share of free slots in the own data centre from which on all calls
