forwarder: each call to a plain service has its own connection

Cause: repeatable calls reused connections, and answers of plain services carry no id. A late second copy of an answer, sent after the next request had been written, was given to the next caller.

Change: one transport without kept connections for all calls to plain services. The stand-in of the header test writes the same head as raw bytes, since net/http replaces its Connection header on a connection that ends.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -52,21 +52,15 @@
 	Failed(u identifier.Upstream, kind driver.Kind)
 }
 
-// Transports are the HTTP transports to the services.
-type Transports struct {
-	// KeepAlive reuses connections.
-	KeepAlive http.RoundTripper
-	// NoKeepAlive opens a new connection for each call.
-	NoKeepAlive http.RoundTripper
-}
-
 // Forwarder is the HTTP handler for the paths of plain services.
 type Forwarder struct {
 	registrar  *registrar.Registrar
 	claimer    Claimer
 	quarantine Quarantine
 	health     Health
-	transports Transports
+	// transport opens a connection for each call. Answers of services carry no id, so on a
+	// reused connection a late copy of an answer would pass for the answer to the next call.
+	transport http.RoundTripper
 	// maxBodyBytes is the maximum size of a body that is read into memory, in
 	// bytes. A call that is claimed must fit, since its body is hashed before
 	// the claim.
@@ -82,7 +76,7 @@
 // New returns a forwarder for the services in r's catalogue. Its maxBody is in
 // bytes; timeout bounds each call with all its tries.
 func New(
-	r *registrar.Registrar, c Claimer, q Quarantine, h Health, t Transports,
+	r *registrar.Registrar, c Claimer, q Quarantine, h Health, t http.RoundTripper,
 	maxBody int64, timeout time.Duration, log zerolog.Logger,
 ) *Forwarder {
 	return &Forwarder{
@@ -90,7 +84,7 @@
 		claimer:      c,
 		quarantine:   q,
 		health:       h,
-		transports:   t,
+		transport:    t,
 		maxBodyBytes: maxBody,
 		callTimeout:  timeout,
 		log:          log,
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -279,22 +279,26 @@
 // all others kept, in both directions.
 func TestHopByHopHeadersAreDropped(t *testing.T) {
 	var got http.Header
-	note := func(w http.ResponseWriter, r *http.Request) {
+	// The answer is raw: at the end of a connection net/http changes its Connection header.
+	note := func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
 		got = r.Header
-		w.Header().Set("Connection", "X-Back")
-		w.Header().Set("X-Back", "1")
-		w.Header().Set("Keep-Alive", "timeout=5")
-		w.Header().Set("Proxy-Authenticate", "Basic")
-		w.Header()["X-Kit"] = []string{"7", "8"}
-		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 418 I'm a teapot\r\nConnection: X-Back\r\nX-Back: 1\r\nKeep-Alive: timeout=5\r\n"+
+			"Proxy-Authenticate: Basic\r\nX-Kit: 7\r\nX-Kit: 8\r\nContent-Length: 0\r\n\r\n")
 	}
-	withSite(t, []instance{{handler: note}}, func(s *site) {
+	withSite(t, []instance{{conn: note}}, func(s *site) {
 		answer := s.do(http.MethodGet, "/orders/stock", "", http.Header{
 			"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-Kit": {"7", "8"},
 			"Proxy-Authorization": {"secret"}, "User-Agent": nil, "Accept-Encoding": {"br"},
 		})
 		answer.Body.Close()
-		s.Expect(got).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Accept-Encoding": {"br"}}))
+		// Connection is the forwarder's own: each call has its connection.
+		s.Expect(got).To(Equal(http.Header{"X-Kit": {"7", "8"}, "Accept-Encoding": {"br"}, "Connection": {"close"}}))
 		s.Expect(answer.Header.Get(outcomer.HeaderRequest)).To(HaveLen(36))
 		answer.Header.Del(outcomer.HeaderRequest)
 		answer.Header.Del("Date")
--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -74,7 +74,7 @@
 func (c *call) sendTo(w http.ResponseWriter, u registrar.Upstream) tryResult {
 	var connected atomic.Bool
 	out := c.newRequest(u, &connected)
-	answer, err := c.transport().RoundTrip(out)
+	answer, err := c.transport.RoundTrip(out)
 	if err != nil && connected.Load() {
 		return tryNoAnswer
 	}
@@ -85,16 +85,6 @@
 	return c.copyAnswer(w, answer)
 }
 
-// transport returns the transport for the call. A call that is not repeatable
-// gets a new connection: on a reused one, a lost answer can't be distinguished
-// from a connection that the upstream had closed before the call.
-func (c *call) transport() http.RoundTripper {
-	if c.isRepeatable() {
-		return c.transports.KeepAlive
-	}
-	return c.transports.NoKeepAlive
-}
-
 // newRequest returns the request for an upstream. connected is set before the
 // first byte can be written.
 func (c *call) newRequest(u registrar.Upstream, connected *atomic.Bool) *http.Request {
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -67,11 +67,10 @@
 		}
 		r := registrar.New(nil)
 		r.Replace([]registrar.Pool{{ID: "order-desk", Prefix: "/orders", Repeatable: []string{"GET /stock"}}}, upstreams)
-		kept, fresh := &http.Transport{DialContext: s.network.Dial}, &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}
-		f := forwarder.New(r, &s.claims, noQuarantine{}, &s.health, forwarder.Transports{KeepAlive: kept, NoKeepAlive: fresh}, maxBody, timeout, zerolog.Nop())
+		transport := &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}
+		f := forwarder.New(r, &s.claims, noQuarantine{}, &s.health, transport, maxBody, timeout, zerolog.Nop())
 		s.url = "http://" + s.serve(instance{handler: f.ServeHTTP})
 		defer s.close()
-		defer kept.CloseIdleConnections()
 		test(s)
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -123,7 +123,7 @@
 	s.initFleet(keepAlive)
 	s.initRequests()
 	s.registerMetrics()
-	s.initCallers(keepAlive)
+	s.initCallers()
 	return s
 }
 
@@ -163,10 +163,9 @@
 
 // initCallers creates the callers' listener and the forwarder for plain
 // services.
-func (s *Server) initCallers(keepAlive *http.Transport) {
+func (s *Server) initCallers() {
 	callers := s.Settings.Callers
-	transports := forwarder.Transports{KeepAlive: keepAlive, NoKeepAlive: s.newTransport(true)}
-	services := forwarder.New(s.registrar, s.claims, quarantine{s.quarantiner, s.ctx}, s.health, transports, callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
+	services := forwarder.New(s.registrar, s.claims, quarantine{s.quarantiner, s.ctx}, s.health, s.newTransport(true), callers.MaxBodyBytes, callers.RequestTimeout, s.Log)
 	metrics := promhttp.HandlerFor(s.metrics, promhttp.HandlerOpts{})
 	s.listener = listener.New(callers, s.deduper, s, services, s, metrics, s.Log)
 }
