--- a/keeper/client.go
+++ b/keeper/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -63,9 +62,10 @@
 }
 
 // send makes one call, without regard to the rate of the purpose. The timeout bounds a
-// whole write, and the wait for each byte of a read, whose length depends on the fleet.
+// whole write, and the wait for each byte of a read, whose length depends on the fleet;
+// MaxListTransfer bounds a whole read.
 func (c *Client) send(ctx context.Context, purpose Purpose, call Call, path string, request, reply any) error {
-	whole := time.Duration(0)
+	whole := MaxListTransfer
 	if call.isWrite() {
 		whole = c.cfg.Timeout
 	}
--- a/keeper/feed.go
+++ b/keeper/feed.go
@@ -19,6 +19,11 @@
 // after a version.
 const MaxHistoryTransfer = 800 * time.Millisecond
 
+// MaxListTransfer bounds the time from the first to the last byte of one answer to a read, so
+// that one of which a byte comes now and then ends. The narrowest link, of 10 Mbit/s, carries the
+// longest answer in half of it.
+const MaxListTransfer = time.Minute
+
 // ErrLeaseExpired is returned when a lease has expired.
 var ErrLeaseExpired = errors.New("the lease has ended; ask for a new one")
 
--- a/keeper/slow_list_test.go
+++ b/keeper/slow_list_test.go
@@ -66,3 +66,41 @@
 		})
 	}
 }
+
+// drippingReply sends a byte of white space now and then, for longer than any limit.
+type drippingReply struct{}
+
+// ServeHTTP implements http.Handler.
+func (drippingReply) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	for i := 0; i < 1000 && r.Context().Err() == nil; i++ {
+		_, _ = io.WriteString(w, " ")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(900 * time.Millisecond)
+	}
+}
+
+// TestListThatNeverCompletesEnds guards against a VM that waits for ever for a list of which a
+// byte comes now and then.
+func TestListThatNeverCompletesEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var network piper.Network
+		l, err := network.Listen("")
+		g.Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: drippingReply{}}
+		go server.Serve(l)
+		defer server.Close()
+		client := network.Client()
+		defer client.CloseIdleConnections()
+		store := keeper.New(keeper.Settings{
+			Endpoints: []string{"http://" + l.Addr().String()}, Timeout: time.Second, Client: client,
+			Shares: map[keeper.Purpose]keeper.Share{purpose: {1000, 1000, 1000, 1000}},
+		}, keeper.NewMetrics())
+		since := time.Now()
+		_, err = store.List(t.Context(), purpose, "a")
+		g.Expect(kindOf(err)).To(Equal(keeper.KindNotDone))
+		g.Expect(time.Since(since)).To(BeNumerically("~", time.Minute, time.Second))
+		time.Sleep(time.Second)
+	})
+}
