--- a/orderer/fuzz_test.go
+++ b/orderer/fuzz_test.go
@@ -21,3 +21,21 @@
 		}
 	})
 }
+
+// FuzzDecodeBudget expects that a budget from the store is either refused or stays the same
+// when encoded and decoded again.
+func FuzzDecodeBudget(f *testing.F) {
+	f.Add([]byte(`{"Window":1,"Begun":2}`))
+	f.Add([]byte(`{"Window":9223372036854775807,"Begun":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := orderer.DecodeBudget(data)
+		if err != nil {
+			return
+		}
+		_ = b.NextWindowStart()
+		again, err := orderer.DecodeBudget(b.Encode())
+		if err != nil || again != b {
+			t.Fatalf("%+v became %+v: %v", b, again, err)
+		}
+	})
+}
