router: a VM that paused after its claim gives no order

Cause: a pause was noticed between two checks only. A VM that was suspended between the write of its claim and its order gave the order afterwards, when another VM may have claimed the record. An engine that checks fences refuses it, others don't.

Change: no order is given if more than stallThreshold has passed, by either clock, since the VM looked; the cooldown of a pause follows.

--- a/router/orders.go
+++ b/router/orders.go
@@ -21,8 +21,8 @@
 	checkInterval = 250 * time.Millisecond
 	// orderTimeout bounds the call that gives an order to an engine.
 	orderTimeout = time.Second
-	// stallThreshold is the time between two checks above which the VM counts
-	// as having been suspended.
+	// stallThreshold is the time between two checks, or from a check to its order,
+	// above which the VM counts as having been suspended. A claim takes less.
 	stallThreshold = 2 * time.Second
 	// stallCooldown is how long a VM gives no orders after it was suspended.
 	stallCooldown = 5 * time.Second
@@ -147,10 +147,8 @@
 	var cooldownUntil time.Time
 	for looper.Sleep(ctx, checkInterval) {
 		now := time.Now()
-		// The wall clock also counts the time for which a VM was suspended.
-		if now.Sub(last) > stallThreshold || now.Round(0).Sub(last.Round(0)) > stallThreshold {
+		if o.stoodStill(last, now) {
 			cooldownUntil = now.Add(stallCooldown)
-			o.log.Warn().Dur("Gap", now.Round(0).Sub(last.Round(0))).Msg("StoodStill")
 		}
 		last = now
 		if now.Before(cooldownUntil) {
@@ -159,6 +157,11 @@
 		var e stager.Event = stager.Looked{View: o.fleet.stagerView(o.self, o.start)}
 		for e != nil {
 			outcome := o.step(e)
+			if _, isOrder := outcome.(stager.Order); isOrder && o.stoodStill(now, time.Now()) {
+				// Another VM may have claimed the record since, and an engine may check no fence.
+				cooldownUntil, e = time.Now().Add(stallCooldown), stager.Failed{}
+				continue
+			}
 			if !o.fleet.steps.Call(coreOrders, outcome, func() { e = o.perform(ctx, outcome) }) {
 				o.core, e = stager.Restarted(time.Now()), nil
 			}
@@ -167,6 +170,17 @@
 	}
 }
 
+// stoodStill reports, and logs, that the VM was suspended between two times. The wall clock
+// also counts the time for which a VM was suspended.
+func (o *Orders) stoodStill(from, to time.Time) bool {
+	gap := to.Round(0).Sub(from.Round(0))
+	if to.Sub(from) <= stallThreshold && gap <= stallThreshold {
+		return false
+	}
+	o.log.Warn().Dur("Gap", gap).Msg("StoodStill")
+	return true
+}
+
 // step passes an event to the core. A core that panics is replaced by one that waits
 // like a VM that takes over.
 func (o *Orders) step(e stager.Event) (outcome stager.Outcome) {
