--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -18,7 +18,7 @@
 	// creditLifetime is how long credit is valid after the report that asked for it was
 	// sent.
 	creditLifetime = time.Second
-	// MaxWait is the longest time that a request waits for credit.
+	// MaxWait is the time that any request may wait for credit.
 	MaxWait = 100 * time.Millisecond
 	// StartWait is that time on a VM that has not heard from a coordinator since its start:
 	// after a loss of power the VMs find a coordinator within half a second.
--- a/rationer/spender.go
+++ b/rationer/spender.go
@@ -47,6 +47,8 @@
 	Ticket    Ticket
 	Workspace identifier.Workspace
 	Cost      float64
+	// Wait is the longest time that the request may wait for credit, at least MaxWait.
+	Wait time.Duration
 }
 
 // Left reports that the caller of a request that waits has left.
@@ -129,11 +131,11 @@
 }
 
 // maxWait returns the longest time that a request waits for credit.
-func (s *Spender) maxWait() time.Duration {
+func (s *Spender) maxWait(r request) time.Duration {
 	if s.hasAnswer {
-		return MaxWait
+		return r.wait
 	}
-	return StartWait
+	return max(r.wait, StartWait)
 }
 
 // account is what a VM has of a workspace's quota.
@@ -170,6 +172,7 @@
 	ticket Ticket
 	cost   float64
 	at     clocker.Moment
+	wait   time.Duration
 }
 
 // NewSpender returns a spender without limits.
@@ -259,7 +262,7 @@
 	if len(a.waiting) == 0 && s.pay(now, a, e.Cost) {
 		return []Outcome{Admit{e.Ticket}}
 	}
-	r := request{e.Ticket, e.Cost, now}
+	r := request{e.Ticket, e.Cost, now, max(e.Wait, MaxWait)}
 	if after, ok := s.isHopeless(now, a, a.sumWaiting()+e.Cost, r); ok || len(a.waiting) >= maxWaiting {
 		return []Outcome{s.refuse(now, a, r, after)}
 	}
@@ -298,13 +301,13 @@
 	if s.isIsolated {
 		a.own.fill(now, s.ownFilled(now), s.part())
 		after = a.own.delay(sum-r.cost+a.own.threshold(r.cost, s.part())-a.own.level, s.part())
-		return after, s.hasAnswer || after > s.maxWait()-now.Longest(r.at)
+		return after, s.hasAnswer || after > s.maxWait(r)-now.Longest(r.at)
 	}
 	if !a.knows(now) {
 		return 0, false
 	}
 	after = a.delay(sum - r.cost - a.held() - a.levelAt(now))
-	return after, after > s.maxWait()-now.Longest(r.at)
+	return after, after > s.maxWait(r)-now.Longest(r.at)
 }
 
 // ownFilled returns the filling of the own share.
@@ -481,7 +484,7 @@
 		sum := 0.0
 		for _, r := range a.waiting {
 			after, ok := s.isHopeless(now, a, sum+r.cost, r)
-			if ok || now.Longest(r.at) >= s.maxWait() {
+			if ok || now.Longest(r.at) >= s.maxWait(r) {
 				outcomes = append(outcomes, s.refuse(now, a, r, after))
 				continue
 			}
@@ -504,7 +507,7 @@
 	}
 	for w := range s.live {
 		for _, r := range s.accounts[w].waiting {
-			after, ok = min(after, max(0, s.maxWait()-now.Longest(r.at))), true
+			after, ok = min(after, max(0, s.maxWait(r)-now.Longest(r.at))), true
 		}
 	}
 	return after, ok
--- a/router/access.go
+++ b/router/access.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figtrack/figtrack/attempter"
 	"github.com/figtrack/figtrack/authorizer"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/matcher"
@@ -59,18 +60,32 @@
 
 // takeQuota takes the cost of a request from the quota of its workspace, if it has one. It
 // returns the reply to a request beyond the quota; nil for one within it.
-func (r *Router) takeQuota(ctx context.Context, q *Request, w authorizer.Workspace) Reply {
+func (r *Router) takeQuota(ctx context.Context, q *Request, w authorizer.Workspace, job attempter.Job) Reply {
 	if w.ID == "" {
 		return nil
 	}
 	cost := w.Quota.Cost(q.Prompt.Input, q.Prompt.Output)
-	if d := r.fleet.TakeQuota(ctx, w, cost); !d.IsAllowed {
+	if d := r.fleet.TakeQuota(ctx, w, cost, quotaWait(job)); !d.IsAllowed {
 		return OverQuota{After: d.After}
 	}
 	q.quotaCost = cost
 	return nil
 }
 
+// quotaWaitDivisor divides the target of a request: it waits for quota so long, as the rest
+// has to suffice for its answer. After the death of a coordinator credit comes again within
+// some tenths of a second.
+const quotaWaitDivisor = 4
+
+// quotaWait returns how long a request may wait for quota. A stream of which the caller has a
+// part waits like one without memory.
+func quotaWait(job attempter.Job) time.Duration {
+	if job.IsTakenUp {
+		return attempter.ResumeWait
+	}
+	return job.Target / quotaWaitDivisor
+}
+
 // returnQuota gives back the quota of a request that has not run.
 func (r *Router) returnQuota(q *Request) {
 	if q.quotaCost > 0 {
--- a/router/quota.go
+++ b/router/quota.go
@@ -78,12 +78,12 @@
 func (f *Fleet) Sections() []exchanger.Section { return []exchanger.Section{f.quotas} }
 
 // TakeQuota takes the cost of a request from the quota of its workspace. It waits for at
-// most a tenth of a second.
-func (f *Fleet) TakeQuota(ctx context.Context, w authorizer.Workspace, cost float64) QuotaDecision {
+// most wait, or rationer.MaxWait if that is longer.
+func (f *Fleet) TakeQuota(ctx context.Context, w authorizer.Workspace, cost float64, wait time.Duration) QuotaDecision {
 	if w.Quota.Rate <= 0 {
 		return QuotaDecision{IsAllowed: true}
 	}
-	return f.quotas.take(ctx, w.ID, cost)
+	return f.quotas.take(ctx, w.ID, cost, wait)
 }
 
 // ReturnQuota gives back the cost of a request that was allowed and has not run.
@@ -121,7 +121,7 @@
 }
 
 // take decides about a request.
-func (q *quotas) take(ctx context.Context, w identifier.Workspace, cost float64) QuotaDecision {
+func (q *quotas) take(ctx context.Context, w identifier.Workspace, cost float64, wait time.Duration) QuotaDecision {
 	began := time.Now()
 	decided := make(chan rationer.Outcome, 1)
 	q.mu.Lock()
@@ -129,7 +129,7 @@
 	ticket := q.lastTicket
 	q.waiting[ticket] = decided
 	q.mu.Unlock()
-	q.spend(rationer.Arrived{Ticket: ticket, Workspace: w, Cost: cost})
+	q.spend(rationer.Arrived{Ticket: ticket, Workspace: w, Cost: cost, Wait: wait})
 	timer := time.NewTimer(rationer.MaxWait)
 	defer timer.Stop()
 	for {
--- a/router/quota_exchange_test.go
+++ b/router/quota_exchange_test.go
@@ -50,13 +50,13 @@
 	}
 	for _, f := range fleets {
 		// More than a VM's own share ever holds.
-		g.Eventually(func() bool { return f.TakeQuota(ctx, w, 8500).IsAllowed }).WithTimeout(20 * time.Second).Should(BeTrue())
+		g.Eventually(func() bool { return f.TakeQuota(ctx, w, 8500, 0).IsAllowed }).WithTimeout(20 * time.Second).Should(BeTrue())
 	}
 	// Requests beyond the quota are refused, whichever VM they come through.
 	allowed := 0.0
 	began := time.Now()
 	for i := range 60 {
-		if fleets[i%3].TakeQuota(ctx, w, 8500).IsAllowed {
+		if fleets[i%3].TakeQuota(ctx, w, 8500, 0).IsAllowed {
 			allowed += 8500
 		}
 	}
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -52,7 +52,7 @@
 		for range 200 {
 			time.Sleep(100 * time.Millisecond)
 			f.updateExchange()
-			if f.TakeQuota(t.Context(), w, 100).IsAllowed {
+			if f.TakeQuota(t.Context(), w, 100, 0).IsAllowed {
 				allowed += 100
 			}
 		}
@@ -87,24 +87,24 @@
 		g := NewWithT(t)
 		q := start(t)
 		f := &Fleet{quotas: q}
-		g.Expect(f.TakeQuota(t.Context(), authorizer.Workspace{ID: "free"}, 1e9).IsAllowed).To(BeTrue())
-		g.Expect(f.TakeQuota(t.Context(), w, 1900).IsAllowed).To(BeTrue())
-		g.Expect(f.TakeQuota(t.Context(), w, 1000).IsAllowed).To(BeTrue()) // By debt.
+		g.Expect(f.TakeQuota(t.Context(), authorizer.Workspace{ID: "free"}, 1e9, 0).IsAllowed).To(BeTrue())
+		g.Expect(f.TakeQuota(t.Context(), w, 1900, 0).IsAllowed).To(BeTrue())
+		g.Expect(f.TakeQuota(t.Context(), w, 1000, 0).IsAllowed).To(BeTrue()) // By debt.
 		began := time.Now()
-		refused := f.TakeQuota(t.Context(), w, 1000)
+		refused := f.TakeQuota(t.Context(), w, 1000, 0)
 		g.Expect(refused.IsAllowed).To(BeFalse())
 		g.Expect(refused.After).To(And(BeNumerically(">=", 700*time.Millisecond), BeNumerically("<", 1500*time.Millisecond)))
 		g.Expect(time.Since(began)).To(BeNumerically("<=", rationer.MaxWait))
 		f.ReturnQuota("w", 1900)
 		time.Sleep(200 * time.Millisecond)
-		g.Expect(f.TakeQuota(t.Context(), w, 1000).IsAllowed).To(BeTrue())
+		g.Expect(f.TakeQuota(t.Context(), w, 1000, 0).IsAllowed).To(BeTrue())
 		f.ReturnQuota("w", 1000)
 		time.Sleep(200 * time.Millisecond)
 		gone, leave := context.WithCancel(t.Context())
 		leave()
-		g.Expect(f.TakeQuota(gone, w, 10).IsAllowed).To(BeFalse())
+		g.Expect(f.TakeQuota(gone, w, 10, 0).IsAllowed).To(BeFalse())
 		q.setLimits(nil)
-		g.Expect(f.TakeQuota(t.Context(), w, 1e6).IsAllowed).To(BeTrue())
+		g.Expect(f.TakeQuota(t.Context(), w, 1e6, 0).IsAllowed).To(BeTrue())
 		g.Expect(q.IsActive(time.Now())).To(BeFalse())
 	})
 	synctest.Test(t, func(t *testing.T) {
@@ -118,7 +118,7 @@
 			step()
 		}))}
 		panics = true
-		g.Expect(f.TakeQuota(t.Context(), w, 100).IsAllowed).To(BeFalse())
-		g.Expect(f.TakeQuota(t.Context(), w, 100).IsAllowed).To(BeTrue())
+		g.Expect(f.TakeQuota(t.Context(), w, 100, 0).IsAllowed).To(BeFalse())
+		g.Expect(f.TakeQuota(t.Context(), w, 100, 0).IsAllowed).To(BeTrue())
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	if r.refuseThrottled(q, caller, route.Kind, job) {
 		return
 	}
-	if refused := r.takeQuota(ctx, q, workspace); refused != nil {
+	if refused := r.takeQuota(ctx, q, workspace, job); refused != nil {
 		r.reply(q, caller, route.Kind, refused)
 		return
 	}
