--- a/router/quota.go
+++ b/router/quota.go
@@ -27,8 +27,11 @@
 
 const (
 	// minQuotaRetry is the least time after which a caller beyond its quota is asked to
-	// come back. Callers come back once: others wait for the next tokens, too.
-	minQuotaRetry = 500 * time.Millisecond
+	// come back. A workspace little beyond its limit has tokens again by then.
+	minQuotaRetry = 100 * time.Millisecond
+	// unknownQuotaRetry is that time while no coordinator has told what is left: VMs find
+	// another one within half a second.
+	unknownQuotaRetry = 500 * time.Millisecond
 	// quotaPollInterval is the interval at which a request that has waited for MaxWait looks
 	// for its decision.
 	quotaPollInterval = 10 * time.Millisecond
@@ -172,6 +175,9 @@
 	}
 	q.metrics.quotaDecisions.WithLabelValues("Refused").Inc()
 	after := max(refused.After, minQuotaRetry)
+	if refused.IsIsolated || refused.Age < 0 {
+		after = max(after, unknownQuotaRetry)
+	}
 	after += rand.N(time.Duration(quotaRetrySpread*float64(after)) + 1)
 	q.log.Info().
 		Str("Workspace", string(w)).Float64("Cost", cost).
