--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,15 +9,11 @@
 package coordinator
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/figtrack/figtrack/clocker"
 	"github.com/figtrack/figtrack/identifier"
 )
@@ -62,122 +58,6 @@
 	earlyInterval = 10 * time.Second
 )
 
-// Member is a VM of the roster.
-type Member struct {
-	VM          identifier.VM
-	Incarnation identifier.Incarnation
-	// IsReachable is false for a VM without an address. It never answers.
-	IsReachable bool
-}
-
-// Event is an input of Core.Step. Only this package implements it.
-type Event interface{ event() }
-
-// RosterChanged replaces the roster. Count is the number of VMs that share quotas; it may
-// exceed the number of members, as VMs that left count for some time.
-type RosterChanged struct {
-	Members []Member
-	Count   int
-	// IsResumed is true if an earlier start of this VM was in the roster when it was read
-	// first. All VMs that shared quotas with that start are in it, too.
-	IsResumed bool
-}
-
-// Wake handles what has become due. IsActive is true if the VM has anything to exchange.
-type Wake struct{ IsActive bool }
-
-// Requested asks for a report soon.
-type Requested struct{}
-
-// ReportReceived reports a report of another VM, or of this one.
-type ReportReceived struct {
-	VM          identifier.VM
-	Incarnation identifier.Incarnation
-	Sequence    identifier.Sequence
-	// Accepted is the sequence of the report whose digest by this VM the sender accepted
-	// last, or zero. Share is the part for which it counts here.
-	Accepted identifier.Sequence
-	Share    float64
-}
-
-// DigestReceived reports the answer of a coordinator.
-type DigestReceived struct {
-	VM          identifier.VM
-	Incarnation identifier.Incarnation
-	Sequence    identifier.Sequence
-}
-
-func (RosterChanged) event()  {}
-func (Wake) event()           {}
-func (Requested) event()      {}
-func (ReportReceived) event() {}
-func (DigestReceived) event() {}
-
-// Outcome is an action for the shell. Only this package implements it.
-type Outcome interface{ outcome() }
-
-// SendReport makes a new report and sends it. A report to this VM itself is handled
-// without a datagram.
-type SendReport struct {
-	To       Member
-	Sequence identifier.Sequence
-	Accepted identifier.Sequence
-	Share    float64
-}
-
-// ResendReport sends the latest report again.
-type ResendReport struct{ To Member }
-
-// Collect takes in a report, and answers it.
-type Collect struct {
-	From     Member
-	Sequence identifier.Sequence
-}
-
-// ResendDigest sends the digest of the latest report of a VM again.
-type ResendDigest struct {
-	To       Member
-	Sequence identifier.Sequence
-}
-
-// Apply takes in a digest, the answer to the latest report.
-type Apply struct{}
-
-// Drop drops the message of the event.
-type Drop struct{ Reason Reason }
-
-// Lose tells the sections that no coordinator answers and that none counts this VM any
-// more.
-type Lose struct{ Since clocker.Moment }
-
-// Change reports that another VM coordinates. From is empty at first.
-type Change struct{ From, To identifier.VM }
-
-func (SendReport) outcome()   {}
-func (ResendReport) outcome() {}
-func (Collect) outcome()      {}
-func (ResendDigest) outcome() {}
-func (Apply) outcome()        {}
-func (Drop) outcome()         {}
-func (Lose) outcome()         {}
-func (Change) outcome()       {}
-
-// Reason tells why a message is dropped.
-type Reason string
-
-// Reasons to drop a message.
-const (
-	// UnknownSender: the sender's start isn't in the roster.
-	UnknownSender Reason = "UnknownSender"
-	// Outdated: a later report of the sender was received, or the digest isn't that of
-	// the latest report.
-	Outdated Reason = "Outdated"
-	// Young: this VM has read the roster too recently to coordinate.
-	Young Reason = "Young"
-	// Late: the digest came more than staleAfter after the report was sent.
-	Late Reason = "Late"
-)
-
 // Core is the state machine of one VM. Only Step changes it.
 type Core struct {
 	self Member
@@ -290,96 +170,6 @@
 	}
 }
 
-// setRoster replaces the members and sorts them by a rendezvous hash.
-//
-// A member that the store no longer lists stays while it is heard: it may be cut off from
-// the store alone, and would form a second fleet with the others that are.
-func (c *Core) setRoster(now clocker.Moment, e RosterChanged) {
-	if c.knownSince.IsZero() {
-		c.knownSince = now
-	}
-	if e.IsResumed {
-		c.youth = 0
-	}
-	former := c.members
-	c.members = map[identifier.VM]Member{}
-	for _, m := range e.Members {
-		if start, ok := c.superseded[m.VM]; ok && start == m.Incarnation && former[m.VM].VM != "" {
-			m.Incarnation = former[m.VM].Incarnation
-		} else {
-			delete(c.superseded, m.VM)
-		}
-		c.members[m.VM] = m
-		if former[m.VM] != m {
-			delete(c.unavailable, m.VM) // That was an earlier start.
-		}
-	}
-	c.members[c.self.VM] = c.self // An entry of an earlier start doesn't describe this one.
-	c.listed, c.retained = len(c.members), nil
-	for vm, m := range former {
-		if _, ok := c.members[vm]; !ok && c.isHeard(now, m) {
-			c.members[vm] = m
-			c.retained = append(c.retained, m)
-		}
-	}
-	c.sortOrder()
-	c.count = e.Count
-	isMember := func(m Member) bool { return c.members[m.VM] == m }
-	maps.DeleteFunc(c.acceptedFrom, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
-	maps.DeleteFunc(c.sentTo, func(m Member, _ identifier.Sequence) bool { return !isMember(m) })
-	maps.DeleteFunc(c.unavailable, func(vm identifier.VM, _ clocker.Moment) bool { return c.members[vm].VM == "" })
-	maps.DeleteFunc(c.heard, func(_ identifier.VM, h *reporter) bool {
-		return !isMember(h.member) && now.Shortest(h.at) > replayWindow
-	})
-}
-
-// sortOrder sets the order in which VMs are asked.
-func (c *Core) sortOrder() {
-	c.order = nil
-	for _, m := range c.members {
-		if m.IsReachable {
-			c.order = append(c.order, m)
-		}
-	}
-	slices.SortFunc(c.order, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.VM, b.VM))
-	})
-}
-
-// supersede takes in a later start of a VM than the roster has. The roster may be seconds
-// behind, while the VM answers at the same address.
-func (c *Core) supersede(m Member, start identifier.Incarnation) Member {
-	if _, ok := c.superseded[m.VM]; !ok {
-		c.superseded[m.VM] = m.Incarnation
-	}
-	delete(c.claims, m) // That start counts nobody any more.
-	m.Incarnation = start
-	c.members[m.VM] = m
-	delete(c.unavailable, m.VM)
-	c.sortOrder()
-	return m
-}
-
-// isHeard reports whether a VM reported to this one lately or answered it.
-func (c *Core) isHeard(now clocker.Moment, m Member) bool {
-	if c.accepted.by == m && now.Longest(c.accepted.at) <= window {
-		return true
-	}
-	h := c.heard[m.VM]
-	return h != nil && h.member == m && now.Longest(h.at) <= window
-}
-
-func (c *Core) isYoung(now clocker.Moment) bool {
-	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.youth
-}
-
-// Knows reports whether a VM is a member.
-func (c *Core) Knows(vm identifier.VM) bool { return c.members[vm].VM != "" }
-
-// weight doesn't depend on the start of a VM: VMs that know of different starts of others, as
-// after a loss of power, would ask different ones.
-func weight(m Member) uint64 { return xxhash.Sum64String(string(m.VM)) }
-
 func (c *Core) interval() time.Duration {
 	i := min(max(time.Duration(max(c.count, len(c.members)))*intervalPerVM, minInterval), maxInterval)
 	return min(i, maxActiveInterval)
@@ -588,16 +378,3 @@
 	}
 	return reporting, thousandths / 1000
 }
-
-// Members returns the number of VMs that share quotas by the roster, at least the number
-// that report.
-func (c *Core) Members(now clocker.Moment) int {
-	reporting, counting := c.Reporting(now)
-	members := c.listed
-	for _, m := range c.retained {
-		if c.isHeard(now, m) {
-			members++
-		}
-	}
-	return max(c.count, members, reporting, int(math.Ceil(counting)))
-}
--- a/rationer/spender.go
+++ b/rationer/spender.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -32,88 +31,6 @@
 	leastUse = 0.01
 )
 
-// Ticket numbers the requests of one Spender.
-type Ticket uint64
-
-// SpenderEvent is an input of Spender.Step. Only this package implements it.
-type SpenderEvent interface{ spenderEvent() }
-
-// MembersChanged tells how many VMs share the quotas, and the place of this one among
-// them, from 0.
-type MembersChanged struct{ Count, Place int }
-
-// Arrived asks whether a request may run.
-type Arrived struct {
-	Ticket    Ticket
-	Workspace identifier.Workspace
-	Cost      float64
-	// Wait is the longest time that the request may wait for credit, at least MaxWait.
-	Wait time.Duration
-}
-
-// Left reports that the caller of a request that waits has left.
-type Left struct {
-	Ticket    Ticket
-	Workspace identifier.Workspace
-}
-
-// Unused returns the cost of an admitted request that was refused without having run.
-type Unused struct {
-	Workspace identifier.Workspace
-	Cost      float64
-}
-
-// Answered reports the grants of a coordinator, which answer the latest report.
-type Answered struct {
-	From   Source
-	SentAt clocker.Moment
-	// Part is the part of the quota that the coordinator divides.
-	Part   float64
-	Grants []Grant
-}
-
-// Isolated reports that no coordinator answers and that none counts this VM.
-type Isolated struct{}
-
-// Wake handles what has become due.
-type Wake struct{}
-
-func (LimitsChanged) spenderEvent()  {}
-func (MembersChanged) spenderEvent() {}
-func (Arrived) spenderEvent()        {}
-func (Left) spenderEvent()           {}
-func (Unused) spenderEvent()         {}
-func (Answered) spenderEvent()       {}
-func (Isolated) spenderEvent()       {}
-func (Wake) spenderEvent()           {}
-
-// Outcome is an action for the caller of a Spender. Only this package implements it.
-type Outcome interface{ outcome() }
-
-// Admit lets a request run.
-type Admit struct{ Ticket Ticket }
-
-// Refuse refuses a request beyond the quota.
-type Refuse struct {
-	Ticket Ticket
-	// After is the time until the workspace's next tokens are available.
-	After time.Duration
-	Limit Limit
-	// Spent is the use of this VM in units a second, lately.
-	Spent float64
-	// Age is the time since the last grant, negative if there was none. IsIsolated is true
-	// if the VM has only its own share.
-	Age        time.Duration
-	IsIsolated bool
-}
-
-// Ask asks for a report soon, after a time.
-type Ask struct{ After time.Duration }
-
-func (Admit) outcome()  {}
-func (Refuse) outcome() {}
-func (Ask) outcome()    {}
-
 // Spender is one VM's side of the quotas. Only Step and Report change it.
 type Spender struct {
 	accounts map[identifier.Workspace]*account
@@ -138,43 +55,6 @@
 	return max(r.wait, StartWait)
 }
 
-// account is what a VM has of a workspace's quota.
-type account struct {
-	limit Limit
-	// credit is ordered by time; the oldest is spent first.
-	credit []credit
-	// unused is what goes back with the next report.
-	unused  float64
-	waiting []request
-	// use is the mean use in units a second as of usedAt, cost the mean cost of a request.
-	use    float64
-	usedAt clocker.Moment
-	cost   float64
-	// level is what the coordinator's bucket had after the latest grant, by its answer, and
-	// rate how fast it fills. grantedAt is zero without a grant.
-	level, rate float64
-	grantedAt   clocker.Moment
-	// own is the VM's own share while it is isolated.
-	own bucket
-	// asked is what the latest report asked for, reportedAt when a report last mentioned
-	// the workspace.
-	asked      float64
-	reportedAt clocker.Moment
-}
-
-type credit struct {
-	amount float64
-	from   Source
-	sentAt clocker.Moment
-}
-
-type request struct {
-	ticket Ticket
-	cost   float64
-	at     clocker.Moment
-	wait   time.Duration
-}
-
 // NewSpender returns a spender without limits.
 func NewSpender() *Spender {
 	return &Spender{accounts: map[identifier.Workspace]*account{}, live: map[identifier.Workspace]bool{}}
@@ -270,30 +150,6 @@
 	return []Outcome{a.ask(now)}
 }
 
-// ask asks for a report at the time at which the first request that waits can be granted.
-func (a *account) ask(now clocker.Moment) Ask {
-	after := time.Duration(0)
-	if a.knows(now) && a.levelAt(now) < 0 {
-		after = min(a.delay(-a.levelAt(now)), MaxWait)
-	}
-	return Ask{after}
-}
-
-// knows reports whether the level of the coordinator's bucket is known.
-func (a *account) knows(now clocker.Moment) bool {
-	return !a.grantedAt.IsZero() && now.Longest(a.grantedAt) <= maxDelay && a.rate > 0
-}
-
-// levelAt returns the level of the coordinator's bucket if no other VM takes from it.
-func (a *account) levelAt(now clocker.Moment) float64 {
-	return a.level + a.rate*now.Shortest(a.grantedAt).Seconds()
-}
-
-func (a *account) delay(amount float64) time.Duration {
-	b := bucket{limit: Limit{Rate: a.rate}}
-	return b.delay(amount, 1)
-}
-
 // isHopeless reports whether a request would wait longer than MaxWait, and when it could
 // be admitted. sum is the cost of those that wait up to it. A bucket goes into debt for the
 // last of them.
@@ -342,41 +198,6 @@
 	return true
 }
 
-func (a *account) decay(now clocker.Moment) {
-	a.use *= math.Exp(-now.Shortest(a.usedAt).Seconds() / useTime.Seconds())
-	a.usedAt = now
-}
-
-// spend takes an amount from the oldest credit.
-func (a *account) spend(amount float64) {
-	for amount > 0 && len(a.credit) > 0 {
-		taken := min(amount, a.credit[0].amount)
-		a.credit[0].amount -= taken
-		amount -= taken
-		if a.credit[0].amount <= 0 {
-			a.credit = a.credit[1:]
-		}
-	}
-}
-
-func (a *account) expire(now clocker.Moment) {
-	a.credit = slices.DeleteFunc(a.credit, func(c credit) bool { return now.Longest(c.sentAt) >= creditLifetime })
-}
-
-func (a *account) held() (sum float64) {
-	for _, c := range a.credit {
-		sum += c.amount
-	}
-	return sum
-}
-
-func (a *account) sumWaiting() (sum float64) {
-	for _, r := range a.waiting {
-		sum += r.cost
-	}
-	return sum
-}
-
 // giveBack takes back the cost of a request. It goes through the coordinator's bucket, which
 // bounds how much of it can be used at once.
 func (s *Spender) giveBack(now clocker.Moment, e Unused) {
@@ -433,21 +254,6 @@
 	return all
 }
 
-// returned takes out the credit beyond a need that the VM asked has granted.
-func (a *account) returned(need float64, to Source) (sum float64) {
-	excess := a.held() - need
-	for i := range a.credit {
-		if c := &a.credit[i]; c.from == to && excess > 0 {
-			taken := min(excess, c.amount)
-			c.amount -= taken
-			excess -= taken
-			sum += taken
-		}
-	}
-	a.credit = slices.DeleteFunc(a.credit, func(c credit) bool { return c.amount <= 0 })
-	return sum
-}
-
 func (s *Spender) answered(now clocker.Moment, e Answered) []Outcome {
 	s.hasAnswer = true
 	s.isIsolated = false
