launcher: enrol after the first listing, however slow the store is

Found by reading: beside a store that takes over 0.3 s for a listing the VM enrolled first, and took its own new entry for that of an earlier start.

--- a/launcher/exchange.go
+++ b/launcher/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figtrack/figtrack/coordinator"
 	"github.com/figtrack/figtrack/exchanger"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/looper"
@@ -45,9 +46,10 @@
 }
 
 // enrol keeps the VM's entry in the roster until ctx ends. It begins after the first listing,
-// or after firstViewTimeout: the listing shows whether an earlier start of the VM is enrolled.
+// which shows whether an earlier start of the VM is enrolled, or after coordinator.Youth, from
+// when on that makes no difference.
 func (vm *VM) enrol(ctx context.Context) {
-	for until := time.Now().Add(firstViewTimeout); !vm.fleet.IsListed() && time.Now().Before(until); {
+	for until := time.Now().Add(coordinator.Youth); !vm.fleet.IsListed() && time.Now().Before(until); {
 		looper.Sleep(ctx, firstViewPollInterval)
 	}
 	if secret := vm.fleet.FormerSecret(); len(secret) > 0 && vm.exchanger != nil {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -1,6 +1,4 @@
-// Package shedder decides, for one VM and pool, which requests wait for room at the pool's
-// runners, which of them ask for it next, which are refused, and when refused callers may
-// come back.
+// Package shedder decides, for one VM and pool, when refused callers may come back.
 //
 // A Core is pure: it has no clock, makes no calls, and is called by one goroutine at a time.
 package shedder
