--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(TOOL) revive -config revive.toml -set_exit_status ./...
 
 format:
-	$(TOOL) gofumpt -w $$(git ls-files '*.go')
+	$(TOOL) gofumpt -w $$(git ls-files '*.go' ':!*.pb.go')
 
 generate:
 	$(GO) generate ./...
