coordinator: startup period in place of youth

Names only: the time for which a VM that has just read the roster neither answers nor counts by itself is its startup period, and a VM without an exchange is isolated by isolateWithoutExchange. No logic, figure or message changes besides the drop reason in the log, Starting for Young.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -30,11 +30,11 @@
 	// staleAfter is the time after which the digest of a report isn't accepted, and
 	// without any digest the VM is isolated.
 	staleAfter = 150 * time.Millisecond
-	// Youth is the time in which a VM that has just read the roster neither answers others
+	// StartupPeriod is the time in which a VM that has just read the roster neither answers others
 	// nor counts by itself. The roster of a VM is up to 3 s behind, and VMs that start
 	// together would each see a fleet of few VMs. A VM whose earlier start is still in the
 	// roster skips it: else a fleet that lost power would admit nothing for that time.
-	Youth = 3 * time.Second
+	StartupPeriod = 3 * time.Second
 	// window is how long a report or a confirmed digest counts. It is three times
 	// maxActiveInterval, so that the loss of one report doesn't matter.
 	window = 1500 * time.Millisecond
@@ -69,10 +69,10 @@
 	listed, count int
 	retained      []Member
 
-	// knownSince is when the roster was set first; zero before. youth is how long the VM is
-	// young from then on.
-	knownSince clocker.Moment
-	youth      time.Duration
+	// knownSince is when the roster was set first; zero before. startupPeriod is how long the VM is
+	// starting from then on.
+	knownSince    clocker.Moment
+	startupPeriod time.Duration
 	// superseded holds the start by the roster of each VM of which a later start was heard.
 	superseded map[identifier.VM]identifier.Incarnation
 
@@ -140,11 +140,11 @@
 	share       float64
 }
 
-// New returns a core that has sent no report and knows no roster. It is young for youth
+// New returns a core that has sent no report and knows no roster. It is starting for startupPeriod
 // after it got one. Its first report has the sequence after last; a core that replaces
 // another one must not use its sequences again.
-func New(self Member, last identifier.Sequence, youth time.Duration) *Core {
-	return &Core{self: self, sequence: last, youth: youth, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, superseded: map[identifier.VM]identifier.Incarnation{}, heard: map[identifier.VM]*reporter{}}
+func New(self Member, last identifier.Sequence, startupPeriod time.Duration) *Core {
+	return &Core{self: self, sequence: last, startupPeriod: startupPeriod, unavailable: map[identifier.VM]clocker.Moment{}, acceptedFrom: map[Member]identifier.Sequence{}, sentTo: map[Member]identifier.Sequence{}, claims: map[Member]claim{}, superseded: map[identifier.VM]identifier.Incarnation{}, heard: map[identifier.VM]*reporter{}}
 }
 
 // Sequence returns the sequence of the latest report.
@@ -209,7 +209,7 @@
 	} else if p == nil && c.NextWake(now) <= 0 {
 		outcomes = append(outcomes, c.report(now)...)
 	}
-	if !c.isLost && !c.unansweredSince.IsZero() && now.Longest(c.unansweredSince) >= staleAfter && c.countsNowhere(now) && !c.isYoung(now) {
+	if !c.isLost && !c.unansweredSince.IsZero() && now.Longest(c.unansweredSince) >= staleAfter && c.countsNowhere(now) && !c.isStarting(now) {
 		c.isLost = true
 		outcomes = append(outcomes, Lose{c.unansweredSince})
 	}
@@ -243,7 +243,7 @@
 func (c *Core) choose(now clocker.Moment) (to Member, tries int, ok bool) {
 	var first, oldest Member
 	for _, m := range c.order {
-		if m == c.self && c.isYoung(now) {
+		if m == c.self && c.isStarting(now) {
 			continue
 		}
 		at, isSilent := c.unavailable[m.VM]
@@ -342,8 +342,8 @@
 	if m.Incarnation < e.Incarnation {
 		m = c.supersede(m, e.Incarnation)
 	}
-	if c.isYoung(now) {
-		return []Outcome{Drop{Young}}
+	if c.isStarting(now) {
+		return []Outcome{Drop{Starting}}
 	}
 	h := c.heard[e.VM]
 	if h == nil || h.member != m {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -282,7 +282,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
-			c0 := New(Member{"0", 1, true}, 0, Youth)
+			c0 := New(Member{"0", 1, true}, 0, StartupPeriod)
 			c0.Step(now, RosterChanged{Members: []Member{{"1", 1, true}, {"2", 1, false}}, Count: 3})
 			sent := c0.Step(now, Wake{true})
 			g.Expect(sent).To(Equal([]Outcome{SendReport{To: Member{"1", 1, true}, Sequence: 1}}))
@@ -295,20 +295,20 @@
 }
 
 // TestResumedVMCoordinatesAtOnce guards against a fleet that lost power and then admits nothing
-// for the time in which VMs are young, and against a new VM that takes a fleet of few VMs for
+// for the startup period, and against a new VM that takes a fleet of few VMs for
 // the whole one.
 func TestResumedVMCoordinatesAtOnce(t *testing.T) {
 	for _, isResumed := range []bool{false, true} {
 		g := NewWithT(t)
 		now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
 		self, other := Member{"0", 2, true}, Member{"1", 1, true}
-		core := New(self, 0, Youth)
+		core := New(self, 0, StartupPeriod)
 		core.Step(now, RosterChanged{Members: []Member{self, other}, Count: 2, IsResumed: isResumed})
 		outcomes := core.Step(now, ReportReceived{VM: other.VM, Incarnation: other.Incarnation, Sequence: 1, Share: 1})
 		if isResumed {
 			g.Expect(outcomes).To(ContainElement(Collect{From: other, Sequence: 1}))
 		} else {
-			g.Expect(outcomes).To(Equal([]Outcome{Drop{Young}}))
+			g.Expect(outcomes).To(Equal([]Outcome{Drop{Starting}}))
 		}
 	}
 }
@@ -321,7 +321,7 @@
 	now := clocker.Moment{Mono: time.Hour, Wall: time.Unix(1e9, 0)}
 	self, former, later := Member{"0", 2, true}, Member{"1", 1, true}, Member{"1", 2, true}
 	roster := RosterChanged{Members: []Member{self, former}, Count: 2, IsResumed: true}
-	core := New(self, 0, Youth)
+	core := New(self, 0, StartupPeriod)
 	core.Step(now, roster)
 	g.Expect(core.Step(now, ReportReceived{VM: later.VM, Incarnation: 2, Sequence: 1, Share: 1})).To(ContainElement(Collect{From: later, Sequence: 1}))
 	core.Step(now, roster)
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -115,8 +115,8 @@
 	// Outdated: a later report of the sender was received, or the digest isn't that of
 	// the latest report.
 	Outdated Reason = "Outdated"
-	// Young: this VM has read the roster too recently to coordinate.
-	Young Reason = "Young"
+	// Starting: this VM has read the roster too recently to coordinate.
+	Starting Reason = "Starting"
 	// Late: the digest came more than staleAfter after the report was sent.
 	Late Reason = "Late"
 )
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -21,7 +21,7 @@
 		c.knownSince = now
 	}
 	if e.IsResumed {
-		c.youth = 0
+		c.startupPeriod = 0
 	}
 	former := c.members
 	c.members = map[identifier.VM]Member{}
@@ -91,8 +91,8 @@
 	return h != nil && h.member == m && now.Longest(h.at) <= window
 }
 
-func (c *Core) isYoung(now clocker.Moment) bool {
-	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.youth
+func (c *Core) isStarting(now clocker.Moment) bool {
+	return c.knownSince.IsZero() || now.Shortest(c.knownSince) < c.startupPeriod
 }
 
 // Knows reports whether a VM is a member.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -98,7 +98,7 @@
 		address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 		faulty := &counter{panics: true, collected: map[string]int{}, isIdle: isIdle}
 		v.shell = New(Self{v.name, 1, secret}, conn, []Section{faulty, v.counter}, stepper.New(registry, zerolog.Nop()), v.metrics, zerolog.Nop())
-		v.shell.core = coordinator.New(v.shell.self, 0, 0) // Not young.
+		v.shell.core = coordinator.New(v.shell.self, 0, 0) // No startup period.
 		roster.Peers = append(roster.Peers, Peer{v.name, 1, address, secret})
 		vms[i] = v
 	}
--- a/exchanger/shell.go
+++ b/exchanger/shell.go
@@ -104,7 +104,7 @@
 	return &Shell{
 		self: member, secret: self.Secret, conn: conn, sections: sections, clock: clocker.New(time.Now()),
 		steps: steps, metrics: metrics, log: log, rosters: make(chan Roster, 1), requests: make(chan struct{}, 1),
-		received: make(chan []byte, maxQueued), core: coordinator.New(member, 0, coordinator.Youth), peers: map[identifier.VM]Peer{}, answers: map[identifier.VM]answer{},
+		received: make(chan []byte, maxQueued), core: coordinator.New(member, 0, coordinator.StartupPeriod), peers: map[identifier.VM]Peer{}, answers: map[identifier.VM]answer{},
 	}
 }
 
@@ -216,7 +216,7 @@
 func (s *Shell) step(e coordinator.Event) (received []coordinator.Outcome) {
 	var outcomes []coordinator.Outcome
 	if !s.steps.Call(coreExchange, e, func() { outcomes = s.core.Step(s.clock.At(time.Now()), e) }) {
-		s.core = coordinator.New(s.self, s.core.Sequence(), coordinator.Youth)
+		s.core = coordinator.New(s.self, s.core.Sequence(), coordinator.StartupPeriod)
 		s.steps.Call(coreExchange, "Rebuilt", func() { s.core.Step(s.clock.At(time.Now()), s.members) })
 		return nil
 	}
--- a/launcher/exchange.go
+++ b/launcher/exchange.go
@@ -46,10 +46,10 @@
 }
 
 // enrol keeps the VM's entry in the roster until ctx ends. It begins after the first listing,
-// which shows whether an earlier start of the VM is enrolled, or after coordinator.Youth, from
+// which shows whether an earlier start of the VM is enrolled, or after coordinator.StartupPeriod, from
 // when on that makes no difference.
 func (vm *VM) enrol(ctx context.Context) {
-	for until := time.Now().Add(coordinator.Youth); !vm.fleet.IsListed() && time.Now().Before(until); {
+	for until := time.Now().Add(coordinator.StartupPeriod); !vm.fleet.IsListed() && time.Now().Before(until); {
 		looper.Sleep(ctx, firstViewPollInterval)
 	}
 	if secret := vm.fleet.FormerSecret(); len(secret) > 0 && vm.exchanger != nil {
--- a/rationer/world_test.go
+++ b/rationer/world_test.go
@@ -141,12 +141,12 @@
 	w := n.w
 	n.incarnation++
 	n.isAlive, n.bornAt, n.monoLag, n.frozenUntil, n.waiting = true, w.now, 0, 0, nil
-	youth := coordinator.Youth
+	startupPeriod := coordinator.StartupPeriod
 	if isKnown {
-		youth = 0
+		startupPeriod = 0
 	}
 	self := coordinator.Member{VM: name(n.place), Incarnation: n.incarnation, IsReachable: true}
-	n.core = coordinator.New(self, 0, youth)
+	n.core = coordinator.New(self, 0, startupPeriod)
 	n.spender, n.allotter = rationer.NewSpender(), rationer.NewAllotter(w.rng.Float64())
 	n.answers, n.view, n.departed = map[int]message{}, map[int]identifier.Incarnation{}, map[int]time.Duration{}
 	n.takeLimit(w.limits[len(w.limits)-1].limit)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -50,7 +50,7 @@
 	if e != nil {
 		e.SetRoster(r)
 	} else {
-		f.quotas.goAlone(time.Now())
+		f.quotas.isolateWithoutExchange(time.Now())
 	}
 }
 
--- a/router/quota.go
+++ b/router/quota.go
@@ -63,8 +63,8 @@
 	limits     rationer.LimitsChanged
 	members    rationer.MembersChanged
 	isIsolated bool
-	// aloneSince is since when a VM without an exchange has known the roster.
-	aloneSince time.Time
+	// withoutExchangeSince is since when a VM without an exchange has known the roster.
+	withoutExchangeSince time.Time
 	// waiting holds the requests without a decision, of which lastTicket is the latest.
 	waiting    map[rationer.Ticket]chan rationer.Outcome
 	lastTicket rationer.Ticket
@@ -312,14 +312,14 @@
 	q.spend(rationer.Isolated{})
 }
 
-// goAlone isolates a VM that has no exchange, once it has known the roster for as long as it
-// would be young with one.
-func (q *quotas) goAlone(now time.Time) {
+// isolateWithoutExchange isolates a VM that has no exchange, once it has known the roster for as long as it
+// would be starting with one.
+func (q *quotas) isolateWithoutExchange(now time.Time) {
 	q.mu.Lock()
-	if q.aloneSince.IsZero() {
-		q.aloneSince = now
+	if q.withoutExchangeSince.IsZero() {
+		q.withoutExchangeSince = now
 	}
-	isDue := !q.isIsolated && now.Sub(q.aloneSince) >= coordinator.Youth
+	isDue := !q.isIsolated && now.Sub(q.withoutExchangeSince) >= coordinator.StartupPeriod
 	q.mu.Unlock()
 	if isDue {
 		q.Lost(now)
