verifier: the part of an answer before a reset isn't taken for the whole

Cause: a socket reports a reset once. If the writer of the request gets the error, the next read says end of file, which is the end of an answer without a length or chunks. The error may reach the writer after the reader has its end of file, so that remembering it is a race.

Change: verifier.Dial lies under each transport for answers (runners, orders, the store, engines and services of the own interface). At the end of file it asks the socket. In CLOSE_WAIT the peer has ended its side. A closed socket was reset, unless Linux counted the end of the peer as received before. Without a socket that tells, the read waits for writes in flight and fails if one has failed: a write that takes the error began before the end of file.

--- a/poster/poster.go
+++ b/poster/poster.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/limiter"
+	"github.com/figtrack/figtrack/verifier"
 )
 
 const (
@@ -42,7 +43,7 @@
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         limiter.BoundAnswers(dialer.DialContext),
+		DialContext:         verifier.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/server/server.go
+++ b/server/server.go
@@ -24,7 +24,6 @@
 	"github.com/figtrack/figtrack/forwarder"
 	"github.com/figtrack/figtrack/identifier"
 	"github.com/figtrack/figtrack/keeper"
-	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/listener"
 	"github.com/figtrack/figtrack/messenger"
 	"github.com/figtrack/figtrack/operator"
@@ -39,6 +38,7 @@
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/relayer"
 	"github.com/figtrack/figtrack/syncer"
+	"github.com/figtrack/figtrack/verifier"
 )
 
 // Messenger carries messages between VMs.
@@ -186,7 +186,7 @@
 
 func (n Dependencies) newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         limiter.BoundAnswers(n.Dial),
+		DialContext:         verifier.Dial(n.Dial),
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
