verifier: an answer with a status below 100 is an error

What such an answer stated of its runner (Server-Leaving, Server-Limit, a pause, X-Not-Executed) was believed.

Cause: net/http takes any three characters that parse as a number that isn't negative. The answer's begin then panicked in net/http.

Change: verifier.RoundTrip, through which all requests to runners, services, engines and stores go now, makes such an answer an error before its fields are read, and closes its connection. It takes over limiter.Trace, which each caller had to call. The caller gets 502, and a request that may be repeated goes to another runner.

Left as it is: 600 to 999, which net/http can pass on, and which a client has to treat as 5xx (RFC 9110, section 15).

--- a/forwarder/sender.go
+++ b/forwarder/sender.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/figtrack/figtrack/admitter"
-	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/outcomer"
 	"github.com/figtrack/figtrack/registrar"
 	"github.com/figtrack/figtrack/splitter"
+	"github.com/figtrack/figtrack/verifier"
 )
 
 // tryResult is the result of one try. Its values are logged.
@@ -75,7 +75,7 @@
 func (c *call) sendTo(w http.ResponseWriter, u registrar.Upstream) tryResult {
 	var connected atomic.Bool
 	out := c.newRequest(u, &connected)
-	answer, err := c.transport.RoundTrip(out)
+	answer, err := verifier.RoundTrip(c.transport, out)
 	if err != nil && connected.Load() {
 		return tryNoAnswer
 	}
@@ -90,7 +90,7 @@
 // first byte can be written.
 func (c *call) newRequest(u registrar.Upstream, connected *atomic.Bool) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := limiter.Trace(c.r.Clone(httptrace.WithClientTrace(c.r.Context(), trace)))
+	out := c.r.Clone(httptrace.WithClientTrace(c.r.Context(), trace))
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = u.Address
--- a/poster/poster.go
+++ b/poster/poster.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -17,7 +18,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/figtrack/figtrack/limiter"
 	"github.com/figtrack/figtrack/verifier"
 )
 
@@ -59,9 +59,10 @@
 func Do(client *http.Client, r *http.Request) (reply *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	r = limiter.Trace(r.Clone(httptrace.WithClientTrace(r.Context(), trace)))
+	r = r.Clone(httptrace.WithClientTrace(r.Context(), trace))
 	lowerIdempotencyHeaders(r.Header)
 	noRedirects := *client
+	noRedirects.Transport = verifier.Transport{RoundTripper: cmp.Or(client.Transport, http.DefaultTransport)}
 	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	reply, err = noRedirects.Do(r)
 	return reply, connected.Load(), err
--- /dev/null
+++ b/verifier/transport.go
@@ -0,0 +1,54 @@
+package verifier
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/pkg/errors"
+
+	"github.com/figtrack/figtrack/limiter"
+)
+
+// Transport is an http.RoundTripper whose answers are valid; see RoundTrip.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return RoundTrip(t.RoundTripper, r)
+}
+
+// CloseIdleConnections closes the idle connections of the transport below.
+func (t Transport) CloseIdleConnections() {
+	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// RoundTrip sends a request over t and returns its answer. An answer that isn't valid is an
+// error, and its connection is closed: where the next answer begins isn't known.
+func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	w, err := t.RoundTrip(limiter.Trace(r.WithContext(httptrace.WithClientTrace(r.Context(), trace))))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(w); err != nil {
+		if conn != nil {
+			conn.Close()
+		}
+		w.Body.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// check returns an error if the head of an answer isn't valid by RFC 9110, as far as net/http
+// doesn't check it.
+func check(w *http.Response) error {
+	if w.StatusCode < http.StatusContinue {
+		return errors.Errorf("the answer has the malformed status %q", w.Status)
+	}
+	return nil
+}
