verifier: status 101 to a request without an upgrade is an error

Cause: net/http ends a request at 101 whether or not it asked for an upgrade. figtrack never asks for one, as Upgrade applies to a single connection.

Change: the check of status codes covers it. Callers get 502, and requests that may be repeated go to another runner.

--- a/forwarder/malformed_answer_test.go
+++ b/forwarder/malformed_answer_test.go
@@ -16,6 +16,8 @@
 		"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 +20 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 101 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 101 OK\r\nConnection: upgrade\r\nUpgrade: raw\r\n\r\nwhole",
 	} {
 		t.Run(text, func(t *testing.T) {
 			sick := instance{conn: func(c net.Conn) {
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// RoundTrip sends a request over t and returns its answer. An answer that isn't valid is an
+// RoundTrip sends a request without an Upgrade over t and returns its answer. An answer that isn't valid is an
 // error, and its connection is closed: where the next answer begins isn't known.
 func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var conn net.Conn
@@ -47,8 +47,12 @@
 // check returns an error if the head of an answer isn't valid by RFC 9110, as far as net/http
 // doesn't check it.
 func check(w *http.Response) error {
-	if w.StatusCode < http.StatusContinue {
+	switch {
+	case w.StatusCode < http.StatusContinue:
 		return errors.Errorf("the answer has the malformed status %q", w.Status)
+	case w.StatusCode < http.StatusOK: // net/http reads on after each one but 101.
+		return errors.Errorf("the answer has status %q, but no upgrade was requested", w.Status)
+	default:
+		return nil
 	}
-	return nil
 }
