verifier: a blank in the name of a field makes an answer an error

With a blank in Transfer-Encoding the sizes of chunks became a part of the body, with one in Content-Length the body went on to the end of the connection, and with one in the signature a 200 went out without it.

Cause: net/http accepts blanks in names on purpose and takes the field for another one. The field isn't passed on, but what it says of the framing is lost.

Change: RoundTrip refuses heads with names that aren't tokens. As before, nothing that such a head states is believed, and its connection is closed.

Handled before, kept as tests: control bytes (0x00, 0x01, tab, return, 0x7f), a bracket and a byte over 0x7f in names, an empty name, a line without a colon, a folded first line or Content-Length, and 0x00, 0x01, 0x7f or a return in values.

--- a/forwarder/malformed_answer_test.go
+++ b/forwarder/malformed_answer_test.go
@@ -18,6 +18,10 @@
 		"HTTP/1.1 +20 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 101 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 101 OK\r\nConnection: upgrade\r\nUpgrade: raw\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	} {
 		t.Run(text, func(t *testing.T) {
 			sick := instance{conn: func(c net.Conn) {
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/figtrack/figtrack/limiter"
 )
@@ -53,6 +54,17 @@
 	case w.StatusCode < http.StatusOK: // net/http reads on after each one but 101.
 		return errors.Errorf("the answer has status %q, but no upgrade was requested", w.Status)
 	default:
-		return nil
+		return checkNames(w.Header)
 	}
 }
+
+// checkNames returns an error if the name of a field isn't valid. net/http lets blanks pass and
+// takes the field for another one (https://go.dev/issue/34540).
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("the answer has a field with the malformed name %q", name)
+		}
+	}
+	return nil
+}
