verifier: a blank in a name in an interim answer makes the answer an error

Cause: net/http reads interim answers by itself, with blanks in names, and drops them.

Change: RoundTrip checks them by the hook of httptrace. As net/http has no bound on the length of interim answers with that hook, RoundTrip bounds their fields by 64 KiB, as much as heads had altogether.

--- a/forwarder/malformed_answer_test.go
+++ b/forwarder/malformed_answer_test.go
@@ -22,6 +22,7 @@
 		"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwhole",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		t.Run(text, func(t *testing.T) {
 			sick := instance{conn: func(c net.Conn) {
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -30,7 +31,11 @@
 // error, and its connection is closed: where the next answer begins isn't known.
 func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	var interim interimHeads
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: interim.check,
+	}
 	w, err := t.RoundTrip(limiter.Trace(r.WithContext(httptrace.WithClientTrace(r.Context(), trace))))
 	if err != nil {
 		return nil, err
@@ -58,6 +63,25 @@
 	}
 }
 
+// maxInterimBytes bounds the fields of the interim answers to a request.
+const maxInterimBytes = 64 << 10
+
+// interimHeads checks the heads of the interim answers to a request. Its bytes are those of all
+// fields so far: net/http drops its own bound if a request has a hook for interim answers.
+type interimHeads struct{ bytes int }
+
+func (h *interimHeads) check(_ int, fields textproto.MIMEHeader) error {
+	for name, values := range fields {
+		for _, v := range values {
+			h.bytes += len(name) + len(v)
+		}
+	}
+	if h.bytes > maxInterimBytes {
+		return errors.Errorf("the interim answers have over %d bytes", maxInterimBytes)
+	}
+	return checkNames(http.Header(fields))
+}
+
 // checkNames returns an error if the name of a field isn't valid. net/http lets blanks pass and
 // takes the field for another one (https://go.dev/issue/34540).
 func checkNames(h http.Header) error {
