verifier: a blank in the name of a trailer makes the answer an error

Cause: net/http reads trailers as it reads heads.

Change: RoundTrip checks them at the end of the body. A short answer becomes 502, a longer one is cut off, as with other breaks inside a body; the connection to the runner is closed.

Not covered: engines' JSON replies on figtrack's own interface are read up to the end of the JSON value. What follows it decides only whether the connection is used again.

--- a/forwarder/truncated_test.go
+++ b/forwarder/truncated_test.go
@@ -18,17 +18,19 @@
 func TestTruncatedAnswersDoNotLookComplete(t *testing.T) {
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	for rest, isBroken := range map[string]bool{
-		"Content-Length: 5\r\n\r\nhalf":               true,
-		"Content-Length: 5\r\n\r\n":                   true,
-		"Content-Length: 5\r\n\r\nwhole":              false,
-		chunked:                                       true,
-		chunked + "5\r\nhalf":                         true,
-		chunked + "5\r\nwhole":                        true,
-		chunked + "5\r\nwhole\r\n":                    true,
-		chunked + "5\r\nwhole\r\n0\r\n":               true,
-		chunked + "5\r\nwhole\r\n0\r\nSum: 1\r\n":     true,
-		chunked + "5\r\nwhole\r\n0\r\nSum: 1\r\n\r\n": false,
-		chunked + "5\r\nwhole\r\n0\r\n\r\n":           false,
+		"Content-Length: 5\r\n\r\nhalf":                        true,
+		"Content-Length: 5\r\n\r\n":                            true,
+		"Content-Length: 5\r\n\r\nwhole":                       false,
+		chunked:                                                true,
+		chunked + "5\r\nhalf":                                  true,
+		chunked + "5\r\nwhole":                                 true,
+		chunked + "5\r\nwhole\r\n":                             true,
+		chunked + "5\r\nwhole\r\n0\r\n":                        true,
+		chunked + "5\r\nwhole\r\n0\r\nSum: 1\r\n":              true,
+		chunked + "5\r\nwhole\r\n0\r\nSum: 1\r\n\r\n":          false,
+		chunked + "5\r\nwhole\r\n0\r\nSum : 1\r\n\r\n":         true,
+		chunked + "5\r\nwhole\r\n0\r\nA: 1\r\nS um: 1\r\n\r\n": true,
+		chunked + "5\r\nwhole\r\n0\r\n\r\n":                    false,
 	} {
 		cut := instance{conn: func(c net.Conn) {
 			defer c.Close()
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,8 +28,9 @@
 	}
 }
 
-// RoundTrip sends a request without an Upgrade over t and returns its answer. An answer that isn't valid is an
-// error, and its connection is closed: where the next answer begins isn't known.
+// RoundTrip sends a request without an Upgrade over t and returns its answer. An answer that
+// isn't valid is an error, and its connection is closed. Trailers are checked at the end of the
+// body.
 func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	var interim interimHeads
@@ -41,15 +43,45 @@
 		return nil, err
 	}
 	if err := check(w); err != nil {
-		if conn != nil {
-			conn.Close()
-		}
+		closeConn(conn)
 		w.Body.Close()
 		return nil, err
 	}
+	if len(w.TransferEncoding) > 0 { // Only a chunked body has trailers.
+		w.Body = &trailedBody{w.Body, w, conn}
+	}
 	return w, nil
 }
 
+// trailedBody is the body of an answer that ends with an error if its trailers aren't valid.
+type trailedBody struct {
+	io.ReadCloser
+	answer *http.Response
+	// conn is the connection of the answer; nil if it isn't known.
+	conn net.Conn
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := checkNames(b.answer.Trailer); invalid != nil {
+		closeConn(b.conn)
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
+// closeConn closes the connection of an answer that isn't valid, unless it is nil: where the
+// next answer begins isn't known.
+func closeConn(c net.Conn) {
+	if c != nil {
+		c.Close()
+	}
+}
+
 // check returns an error if the head of an answer isn't valid by RFC 9110, as far as net/http
 // doesn't check it.
 func check(w *http.Response) error {
--- a/verifier/transport_test.go
+++ b/verifier/transport_test.go
@@ -53,18 +53,21 @@
 // one before.
 func TestConnectionOfAMalformedAnswerIsNotUsedAgain(t *testing.T) {
 	for text, want := range map[string]int64{
-		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n": 3,
-		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent-Length: 0\r\n\r\n": 1,
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n":                   3,
+		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent-Length: 0\r\n\r\n":                   1,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Odd: 1\r\n\r\n": 3,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Odd: 1\r\n\r\n": 1,
 	} {
 		network := &piper.Network{}
 		url, conns := serveText(t, network, text)
 		client := &http.Client{Transport: newTransport(network)}
 		for range 3 {
 			w, err := client.Get(url)
-			NewWithT(t).Expect(err != nil).To(Equal(want > 1), "%q", text)
 			if err == nil {
+				_, err = io.ReadAll(w.Body)
 				w.Body.Close()
 			}
+			NewWithT(t).Expect(err != nil).To(Equal(want > 1), "%q", text)
 		}
 		NewWithT(t).Expect(conns.Load()).To(Equal(want), "%q", text)
 		client.CloseIdleConnections()
