--- a/poster/poster_test.go
+++ b/poster/poster_test.go
@@ -1,6 +1,7 @@
 package poster_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -78,3 +79,29 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(sent).To(BeFalse())
 }
+
+// TestMalformedReplyIsAnError covers replies that net/http accepts.
+func TestMalformedReplyIsAnError(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 101 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+		"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		g := NewWithT(t)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, text)
+				c.Close()
+			}
+		}))
+		for name, client := range map[string]*http.Client{"NewClient": poster.NewClient(), "zero client": {}} {
+			_, sent, err := poster.PostJSON(t.Context(), client, s.URL, nil, struct{}{})
+			g.Expect(err).To(HaveOccurred(), "%s: %q", name, text)
+			g.Expect(sent).To(BeTrue())
+		}
+		s.Close()
+	}
+}
