--- a/verifier/conn_linux.go
+++ b/verifier/conn_linux.go
@@ -7,8 +7,8 @@
 )
 
 // endOf returns how the receiving side of a TCP socket has ended from which received bytes were
-// read. A socket that was reset is closed. If the peer had ended its side before, Linux has
-// counted that end as a byte.
+// read. A socket that was reset is closed, whether or not the peer had ended its side before:
+// Linux counts sequence numbers as bytes received, of which a FIN takes one.
 func endOf(raw syscall.RawConn, received int) end {
 	var info *unix.TCPInfo
 	var infoErr error
