--- a/verifier/conn.go
+++ b/verifier/conn.go
@@ -32,7 +32,7 @@
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// idle is signalled when no write is in flight.
+	// idle is signalled when the last write in flight ends. Its lock is mu.
 	idle *sync.Cond
 	// received is the number of bytes that were read, writes that of writes in flight.
 	received, writes int
@@ -41,9 +41,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	w := &conn{Conn: c}
-	w.idle = sync.NewCond(&w.mu)
-	return w
+	out := &conn{Conn: c}
+	out.idle = sync.NewCond(&out.mu)
+	return out
 }
 
 // Read implements net.Conn.
@@ -83,8 +83,9 @@
 	return nil, errors.Errorf("connection of type %T has no descriptor", c.Conn)
 }
 
-// endLocked returns io.EOF if the peer has ended its side, else an error. Without a socket that
-// tells, a reset fails the writes: one that is in flight may be the one that has its error.
+// endLocked returns io.EOF if the peer has ended its side, else an error. If the socket doesn't
+// tell, the writes do: one that got the error of a reset began before the read got io.EOF. The
+// caller holds mu.
 func (c *conn) endLocked() error {
 	raw, err := c.SyscallConn()
 	if err == nil {
