follower, tracker: log why a runner without an entry is used, and for how long the store was out of reach

RunnerMissing had the end of the grace, but neither its reason nor the version of the removal; StoreFound had the length of the outage, but neither when the latest failed call was made nor the version of the store at its first answer. So the logs of a play couldn't tell a removal that followed the return of the store from one before it, nor by how much the VM had found the store late.

No behaviour changes.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -60,6 +60,8 @@
 // Failed reports that the last call failed.
 type Failed struct {
 	Err error
+	// CalledAt is when the call was made; zero if it wasn't.
+	CalledAt time.Time
 	// IsCompacted is true if the store has dropped the history that was asked
 	// for.
 	IsCompacted bool
@@ -126,8 +128,16 @@
 	Err   error
 }
 
-// StoreFound reports that the store answers again, after an outage of Away.
-type StoreFound struct{ Away time.Duration }
+// StoreFound reports that the store answers again.
+type StoreFound struct {
+	// Away is the time since the first failure.
+	Away time.Duration
+	// FailedCallAt is when the latest call that failed was made: the store was out of
+	// reach until then at least. It is zero if no call failed.
+	FailedCallAt time.Time
+	// Version is the version of the store at its first answer; zero if it isn't known.
+	Version keeper.Version
+}
 
 // ReadDone reports that all entries are known as they are now. The read has taken
 // Calls calls since Since and Bytes bytes; if FromHistory is true, only the first of
@@ -171,6 +181,9 @@
 	// failingSince is the time of the first failure after the last answer, or zero
 	// if the last call was answered.
 	failingSince time.Time
+	// failedCallAt is when the latest call that failed since failingSince was made; zero
+	// if none did.
+	failedCallAt time.Time
 	// isUnavailable is true if StoreLost was reported and StoreFound not yet.
 	isUnavailable bool
 	// retryDelay is the delay after the last failure; zero if the last call was
@@ -230,7 +243,7 @@
 // knows what was reported of eras and outages.
 func (c *Core) Restarted() *Core {
 	n := New(c.cfg)
-	n.era, n.startedAt, n.failingSince, n.isUnavailable = c.era, c.startedAt, c.failingSince, c.isUnavailable
+	n.era, n.startedAt, n.failingSince, n.failedCallAt, n.isUnavailable = c.era, c.startedAt, c.failingSince, c.failedCallAt, c.isUnavailable
 	return n
 }
 
@@ -314,13 +327,16 @@
 	}
 }
 
-// resetFailures handles an answer of the store: it clears the state of failures and
-// reports the end of an outage.
-func (c *Core) resetFailures(now time.Time) {
+// resetFailures handles an answer of the store at version at: it clears the state of
+// failures and reports the end of an outage.
+func (c *Core) resetFailures(now time.Time, at keeper.Version) {
+	if c.read != nil && c.read.at != 0 {
+		at = c.read.at
+	}
 	if c.isUnavailable || !c.failingSince.IsZero() && now.Sub(c.failingSince) >= UnavailableAfter {
-		c.emit(StoreFound{Away: now.Sub(c.failingSince)})
+		c.emit(StoreFound{Away: now.Sub(c.failingSince), FailedCallAt: c.failedCallAt, Version: at})
 	}
-	c.failingSince, c.isUnavailable, c.retryDelay = time.Time{}, false, 0
+	c.failingSince, c.failedCallAt, c.isUnavailable, c.retryDelay = time.Time{}, time.Time{}, false, 0
 }
 
 // isEnded reports whether an answer was sent before the store was replaced by a
@@ -408,7 +424,7 @@
 		c.emitCall(now)
 		return
 	}
-	c.resetFailures(now)
+	c.resetFailures(now, r.at)
 	c.version = r.at
 	clear(c.versions)
 	clear(c.passed)
@@ -443,7 +459,7 @@
 func (c *Core) handleChanged(now time.Time, e Changed) {
 	r := c.read
 	if r == nil || r.part == len(r.parts)-1 {
-		c.resetFailures(now)
+		c.resetFailures(now, e.At)
 	}
 	if c.updateEra(e.Era) {
 		c.emitCall(now)
@@ -505,6 +521,9 @@
 	if c.failingSince.IsZero() {
 		c.failingSince = now
 	}
+	if !e.CalledAt.IsZero() {
+		c.failedCallAt = e.CalledAt
+	}
 	if e.IsCompacted || e.IsTooLong {
 		c.handleNoHistory(now, e.IsCompacted)
 		return
--- a/follower/shell.go
+++ b/follower/shell.go
@@ -158,11 +158,12 @@
 
 // call makes the call of one outcome.
 func (s *Shell) call(ctx context.Context, o Outcome) Event {
+	at := time.Now()
 	switch o := o.(type) {
 	case List:
 		found, err := s.feed.Snapshot(ctx, s.purpose, o.Prefix, o.After)
 		if err != nil {
-			return Failed{Err: err, Era: keeper.EraOf(err), Arrived: found}
+			return Failed{Err: err, CalledAt: at, Era: keeper.EraOf(err), Arrived: found}
 		}
 		return Listed{found}
 	case Await:
@@ -174,6 +175,7 @@
 		if err != nil {
 			return Failed{
 				Err:         err,
+				CalledAt:    at,
 				IsCompacted: errors.Is(err, keeper.ErrCompacted),
 				IsTooLong:   errors.Is(err, keeper.ErrHistoryTooLong),
 				Era:         keeper.EraOf(err),
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -355,7 +355,7 @@
 func (f *Fleet) StoreFound(o follower.StoreFound) {
 	f.storeLostSince.Store(nil)
 	f.metrics.storeUp.Set(1)
-	f.log.Info().Dur("Away", o.Away).Msg("StoreFound")
+	f.log.Info().Dur("Away", o.Away).Time("FailedCallAt", o.FailedCallAt).Int64("Version", int64(o.Version)).Msg("StoreFound")
 	f.stepView(tracker.StoreBack{})
 }
 
@@ -464,7 +464,7 @@
 			f.logRunner(c.Runner).Str("Source", string(c.Source)).Msg("RunnerLeaving")
 			f.runners.Forget(c.Runner)
 		case tracker.Missing:
-			f.logRunner(c.Runner).Time("Until", c.Until).Msg("RunnerMissing")
+			f.logRunner(c.Runner).Time("Until", c.Until).Str("Reason", string(c.Reason)).Int64("RemovedAt", int64(c.Removal.Version)).Msg("RunnerMissing")
 			time.AfterFunc(time.Until(c.Until), func() {
 				f.steps.Call(coreWake, "Missing", func() { f.stepView(tracker.Wake{}) })
 			})
--- a/tracker/runner.go
+++ b/tracker/runner.go
@@ -64,8 +64,22 @@
 type Missing struct {
 	Runner Runner
 	Until  time.Time
+	Reason MissingReason
+	// Removal is the age of the entry's removal; zero if the entry is absent from a
+	// listing.
+	Removal keeper.Age
 }
 
+// MissingReason is why a runner without an entry is used. Its values are logged.
+type MissingReason string
+
+const (
+	// MissingSinceOutage means an outage of the store, in which entries expire.
+	MissingSinceOutage MissingReason = "Outage"
+	// MissingFromCopy means that the store came back from a copy, which may lack entries.
+	MissingFromCopy MissingReason = "Copy"
+)
+
 // Gone reports that a runner was removed from the view.
 type Gone struct{ Runner Runner }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -160,7 +160,7 @@
 		t.applyEntry(now, e.Runner)
 	case Removed:
 		if u := t.upstreams[e.ID]; u != nil && e.Age.Compare(u.Age) > 0 {
-			t.handleAbsentEntry(now, u, t.graceUntil)
+			t.handleAbsentEntry(now, u, Missing{Until: t.graceUntil, Reason: MissingSinceOutage, Removal: e.Age})
 		}
 	case StoreBack:
 		t.graceUntil = now.Add(MissingGrace)
@@ -199,13 +199,13 @@
 		listed[r.ID] = true
 		t.applyEntry(now, r)
 	}
-	until := t.graceUntil
-	if t.copyUntil.After(until) {
-		until = t.copyUntil
+	missing := Missing{Until: t.graceUntil, Reason: MissingSinceOutage}
+	if t.copyUntil.After(missing.Until) {
+		missing.Until, missing.Reason = t.copyUntil, MissingFromCopy
 	}
 	for _, u := range t.sortedUpstreams() {
 		if !listed[u.ID] {
-			t.handleAbsentEntry(now, u, until)
+			t.handleAbsentEntry(now, u, missing)
 		}
 	}
 }
@@ -280,14 +280,15 @@
 }
 
 // handleAbsentEntry marks an upstream whose entry is no longer in the store as
-// missing until the given time, and removes it if that has passed.
-func (t *Tracker) handleAbsentEntry(now time.Time, u *upstream, until time.Time) {
+// missing, and removes it if the time for that has passed.
+func (t *Tracker) handleAbsentEntry(now time.Time, u *upstream, missing Missing) {
 	if !u.missingUntil.IsZero() {
 		return
 	}
-	if now.Before(until) && !u.Leaving {
-		t.setMissing(u, until)
-		t.out = append(t.out, Missing{u.Runner, until})
+	if now.Before(missing.Until) && !u.Leaving {
+		t.setMissing(u, missing.Until)
+		missing.Runner = u.Runner
+		t.out = append(t.out, missing)
 		return
 	}
 	t.remove(u)
