serve: log times in fields with fractions of a second

Until of RunnerMissing and FailedCallAt of StoreFound were cut to whole seconds, while the play turns on tenths: "Until":"2026-12-07T17:18:20Z" beside "Time":"2026-12-07T17:18:18.820271Z".

--- a/serve_platform.go
+++ b/serve_platform.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -23,6 +24,7 @@
 	stops, hangups, ignoreSignals := notifySignals()
 	defer ignoreSignals()
 	zerolog.SetGlobalLevel(level)
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	limiter := launcher.NewLimiter()
 	vm, err := launcher.New(path, cfg, launcher.NewLog(w, cfg, limiter), limiter)
 	if err != nil {
