follower, tracker: a removed runner isn't used for longer as its VM finds the store late

Callers of a VM whose own link to the store had been cut got their requests sent to a runner that had left, up to 3.2 s after the store had taken its removal, when the VM was in touch again. Those still at work as it exited got a 502.

Cause: a removal that a VM reads at the end of an outage counts as an entry that may have expired in it, and the runner is used for two seconds from when the VM found the store. It finds it up to 1.4 s late: a retry each second, and an opening packet that is lost takes 0.4 s. The VM is in touch 3 s after the cut, so that the two seconds reach beyond.

Change: the grace ends at the latest at Contact, less 0.1 s, after the latest failed call was made: the path may have healed right after it. A VM retries 0.9 s after it made a failed call at most, so that entries that expired in an outage still have two seconds from the end of it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -22,9 +22,11 @@
 	// InitialRetryDelay is the delay after the first failure. It doubles with
 	// each further one.
 	InitialRetryDelay = 50 * time.Millisecond
-	// MaxRetryDelay bounds the delay, so that the end of an outage is noticed
-	// soon; refused calls are charged like others.
-	MaxRetryDelay = time.Second
+	// MaxRetryDelay bounds the time from a failed call to the next, so that the end of an
+	// outage is noticed soon; refused calls are charged like others. Entries that
+	// expired are back two seconds after the end of an outage, and the latest failed call
+	// may have been made that much before it: the sum is less than Settings.Contact.
+	MaxRetryDelay = 900 * time.Millisecond
 	// MaxFirstRetryDelay is the bound before the first list, without which a VM
 	// can't serve.
 	MaxFirstRetryDelay = 400 * time.Millisecond
@@ -35,6 +37,8 @@
 	// UnavailableAfter is how long calls have to fail until the store counts as
 	// unavailable. Replacing a lost connection takes less time.
 	UnavailableAfter = time.Second
+	// actMargin is the time that a request takes from the choice of its runner to there.
+	actMargin = 100 * time.Millisecond
 )
 
 // Parts of the time until a change has to be in force that the delay after a call
@@ -135,6 +139,9 @@
 	// FailedCallAt is when the latest call that failed was made: the store was out of
 	// reach until then at least. It is zero if no call failed.
 	FailedCallAt time.Time
+	// ActBy is when the VM has to act on all changes, also on those of the outage, as it may
+	// have reached the store again right after FailedCallAt. It is zero if no call failed.
+	ActBy time.Time
 	// Version is the version of the store at its first answer; zero if it isn't known.
 	Version keeper.Version
 }
@@ -204,6 +211,9 @@
 type Settings struct {
 	// ApplyWithin is the time within which a change has to be in force.
 	ApplyWithin time.Duration
+	// Contact is the time from which on a VM that reaches the store again has to act on all
+	// changes.
+	Contact time.Duration
 	// Parts are the prefixes of all keys that matter, the most important first, which
 	// has few keys that aren't removed. Without any, the store is read as a whole.
 	Parts []string
@@ -334,11 +344,19 @@
 		at = c.read.at
 	}
 	if c.isUnavailable || !c.failingSince.IsZero() && now.Sub(c.failingSince) >= UnavailableAfter {
-		c.emit(StoreFound{Away: now.Sub(c.failingSince), FailedCallAt: c.failedCallAt, Version: at})
+		c.emit(StoreFound{Away: now.Sub(c.failingSince), FailedCallAt: c.failedCallAt, ActBy: c.actBy(), Version: at})
 	}
 	c.failingSince, c.failedCallAt, c.isUnavailable, c.retryDelay = time.Time{}, time.Time{}, false, 0
 }
 
+// actBy returns when the VM has to act on all changes; zero if no call failed.
+func (c *Core) actBy() time.Time {
+	if c.failedCallAt.IsZero() {
+		return time.Time{}
+	}
+	return c.failedCallAt.Add(c.cfg.Contact - actMargin)
+}
+
 // isEnded reports whether an answer was sent before the store was replaced by a
 // copy. Zero states no era.
 func (c *Core) isEnded(era keeper.Era) bool { return era != 0 && era < c.era }
@@ -533,15 +551,18 @@
 		c.retryDelay = 0
 	}
 	c.reportLost(now, e.Err)
-	bound := MaxRetryDelay
+	bound, rest := MaxRetryDelay, MaxRetryDelay
 	if c.version == 0 {
 		bound = MaxFirstRetryDelay
 	}
+	if !e.CalledAt.IsZero() {
+		rest = max(InitialRetryDelay, rest-now.Sub(e.CalledAt))
+	}
 	if c.isUnavailable && c.read == nil {
 		c.beginCatchUp(now)
 	}
 	c.retryDelay = min(max(2*c.retryDelay, InitialRetryDelay), bound)
-	c.emit(Rest{c.retryDelay})
+	c.emit(Rest{min(c.retryDelay, rest)})
 }
 
 // handleNoHistory asks for a read in place of a history that the store has dropped or
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -77,6 +77,19 @@
 			{3 * time.Second, failed},
 			{5 * time.Second, changes(15, entry("a", 15))},
 		}},
+		{"removed runners may be used until Contact after the latest failed call was made", []step{
+			{0, follower.Begin{}},
+			{1, listed},
+			{3 * time.Second, follower.Failed{CalledAt: start.Add(500 * time.Millisecond)}},
+			{3050 * time.Millisecond, follower.Rested{}},
+			{3550 * time.Millisecond, follower.Failed{CalledAt: start.Add(3050 * time.Millisecond)}},
+			{3650 * time.Millisecond, follower.Rested{}},
+			{4150 * time.Millisecond, follower.Failed{CalledAt: start.Add(3650 * time.Millisecond)}},
+			{4350 * time.Millisecond, follower.Rested{}},
+			{4850 * time.Millisecond, follower.Failed{CalledAt: start.Add(4350 * time.Millisecond)}},
+			{5250 * time.Millisecond, follower.Rested{}},
+			{5400 * time.Millisecond, changes(15, entry("a", 15))},
+		}},
 		{"a start of the whole fleet takes fewer calls than changes later", []step{
 			{0, follower.Begin{}},
 			{1, listed},
@@ -121,7 +134,7 @@
 			{0, follower.Begin{}}, {1, listed}, {time.Second, follower.Failed{IsCompacted: true}}, {time.Second, listed},
 		}},
 	}
-	goldie.New(t).Assert(t, "scripts", play(scripts, follower.Settings{ApplyWithin: 2 * time.Second}))
+	goldie.New(t).Assert(t, "scripts", play(scripts, follower.Settings{ApplyWithin: 2 * time.Second, Contact: 3 * time.Second}))
 }
 
 // TestPartsScripts plays reads of a store whose keys a/, b/ and c/ matter in that order.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -139,6 +139,7 @@
 	vm.callers = platform.NewServer(platform.NewIngress(vm.router, bodies, log), vm.router, cfg.Callers.MaxHeaderBytes, cfg.Callers.HeaderTimeout, vm.bounds.callers())
 	vm.follower = follower.NewShell(store, keeper.PurposeConfiguration, p.Contact-watchMargin, follower.Settings{
 		ApplyWithin: p.ApplyWithin,
+		Contact:     p.Contact,
 		Parts:       platform.Parts(),
 		Spread:      rand.N(max(1, time.Duration(readSpreadShare*float64(p.ApplyWithin)))),
 	}, vm.fleet, vm.steps)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -356,7 +356,7 @@
 	f.storeLostSince.Store(nil)
 	f.metrics.storeUp.Set(1)
 	f.log.Info().Dur("Away", o.Away).Time("FailedCallAt", o.FailedCallAt).Int64("Version", int64(o.Version)).Msg("StoreFound")
-	f.stepView(tracker.StoreBack{})
+	f.stepView(tracker.StoreBack{ActBy: o.ActBy})
 }
 
 // ReadDone implements follower.Receiver.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -49,8 +49,10 @@
 	Until time.Time
 }
 
-// StoreBack reports that the store answers again after an outage.
-type StoreBack struct{}
+// StoreBack reports that the store answers again after an outage, in which it may have been
+// this VM alone that didn't reach it. From ActBy on no removed runner may be used; zero for no
+// such time.
+type StoreBack struct{ ActBy time.Time }
 
 // EraChanged reports that the store came back from a copy that lacks some of the
 // entries or has older ones. A Listed with the entries of the copy follows.
@@ -164,6 +166,9 @@
 		}
 	case StoreBack:
 		t.graceUntil = now.Add(MissingGrace)
+		if !e.ActBy.IsZero() && e.ActBy.Before(t.graceUntil) {
+			t.graceUntil = e.ActBy
+		}
 	case EraChanged:
 		t.copyUntil = now.Add(EraGrace)
 		t.extendMissing(t.copyUntil)
