follower, router: refused and long reads of the store are no outage of it

A VM whose reads of the store were refused with 429 for more than a second, or that had to read all entries for as long, logged StoreFound at the end and then used removed runners for two seconds, though the store was up all the while and the VM may have been in touch.

Cause: any failure that lasts a second, and any read that does, counted as an outage in which entries expire. A 429, a dropped history and one that is too long are answers of a store that is up, and a read that takes long has no failure at all.

Change: only calls that failed otherwise (no answer, 503, a broken one) count for FailedCallAt; without one, removals are acted on at once. A store that was down and then answers 429 still has its outage, until the latest call before these answers.

The tracker's tests state when their VM has to act, 3 s after each return, which changes no golden file.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -66,6 +66,9 @@
 	Err error
 	// CalledAt is when the call was made; zero if it wasn't.
 	CalledAt time.Time
+	// IsServed is true if the answer shows that the store is up: it has refused the call
+	// for its rate or for the history that was asked for.
+	IsServed bool
 	// IsCompacted is true if the store has dropped the history that was asked
 	// for.
 	IsCompacted bool
@@ -136,11 +139,12 @@
 type StoreFound struct {
 	// Away is the time since the first failure.
 	Away time.Duration
-	// FailedCallAt is when the latest call that failed was made: the store was out of
-	// reach until then at least. It is zero if no call failed.
+	// FailedCallAt is when the latest call was made that failed without an answer of a
+	// store that is up: it was out of reach until then at least. It is zero if there
+	// was none, and so no outage of the store in which entries expire.
 	FailedCallAt time.Time
 	// ActBy is when the VM has to act on all changes, also on those of the outage, as it may
-	// have reached the store again right after FailedCallAt. It is zero if no call failed.
+	// have reached the store again right after FailedCallAt, and zero as that.
 	ActBy time.Time
 	// Version is the version of the store at its first answer; zero if it isn't known.
 	Version keeper.Version
@@ -188,8 +192,8 @@
 	// failingSince is the time of the first failure after the last answer, or zero
 	// if the last call was answered.
 	failingSince time.Time
-	// failedCallAt is when the latest call that failed since failingSince was made; zero
-	// if none did.
+	// failedCallAt is when the latest call since failingSince was made that failed without
+	// an answer of a store that is up; zero if there was none.
 	failedCallAt time.Time
 	// isUnavailable is true if StoreLost was reported and StoreFound not yet.
 	isUnavailable bool
@@ -349,7 +353,7 @@
 	c.failingSince, c.failedCallAt, c.isUnavailable, c.retryDelay = time.Time{}, time.Time{}, false, 0
 }
 
-// actBy returns when the VM has to act on all changes; zero if no call failed.
+// actBy returns when the VM has to act on all changes; zero if failedCallAt is.
 func (c *Core) actBy() time.Time {
 	if c.failedCallAt.IsZero() {
 		return time.Time{}
@@ -539,7 +543,7 @@
 	if c.failingSince.IsZero() {
 		c.failingSince = now
 	}
-	if !e.CalledAt.IsZero() {
+	if !e.IsServed && !e.CalledAt.IsZero() {
 		c.failedCallAt = e.CalledAt
 	}
 	if e.IsCompacted || e.IsTooLong {
--- a/follower/shell.go
+++ b/follower/shell.go
@@ -156,6 +156,11 @@
 	return result
 }
 
+// isServed reports whether an error is the answer of a store that is up.
+func isServed(err error) bool {
+	return errors.Is(err, keeper.ErrRateLimited) || errors.Is(err, keeper.ErrCompacted) || errors.Is(err, keeper.ErrHistoryTooLong)
+}
+
 // call makes the call of one outcome.
 func (s *Shell) call(ctx context.Context, o Outcome) Event {
 	at := time.Now()
@@ -163,7 +168,7 @@
 	case List:
 		found, err := s.feed.Snapshot(ctx, s.purpose, o.Prefix, o.After)
 		if err != nil {
-			return Failed{Err: err, CalledAt: at, Era: keeper.EraOf(err), Arrived: found}
+			return Failed{Err: err, CalledAt: at, IsServed: isServed(err), Era: keeper.EraOf(err), Arrived: found}
 		}
 		return Listed{found}
 	case Await:
@@ -176,6 +181,7 @@
 			return Failed{
 				Err:         err,
 				CalledAt:    at,
+				IsServed:    isServed(err),
 				IsCompacted: errors.Is(err, keeper.ErrCompacted),
 				IsTooLong:   errors.Is(err, keeper.ErrHistoryTooLong),
 				Era:         keeper.EraOf(err),
--- a/keeper/feed.go
+++ b/keeper/feed.go
@@ -24,6 +24,9 @@
 // longest answer in half of it.
 const MaxListTransfer = time.Minute
 
+// ErrRateLimited is returned when the service refuses a call because there are too many.
+var ErrRateLimited = errors.New("the store refuses this call as there are too many; call it less often")
+
 // ErrLeaseExpired is returned when a lease has expired.
 var ErrLeaseExpired = errors.New("the lease has ended; ask for a new one")
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -355,8 +355,12 @@
 func (f *Fleet) StoreFound(o follower.StoreFound) {
 	f.storeLostSince.Store(nil)
 	f.metrics.storeUp.Set(1)
-	f.log.Info().Dur("Away", o.Away).Time("FailedCallAt", o.FailedCallAt).Int64("Version", int64(o.Version)).Msg("StoreFound")
-	f.stepView(tracker.StoreBack{ActBy: o.ActBy})
+	line := f.log.Info().Dur("Away", o.Away).Int64("Version", int64(o.Version))
+	if !o.FailedCallAt.IsZero() {
+		line.Time("FailedCallAt", o.FailedCallAt)
+		f.stepView(tracker.StoreBack{ActBy: o.ActBy})
+	}
+	line.Msg("StoreFound")
 }
 
 // ReadDone implements follower.Receiver.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,8 +50,7 @@
 }
 
 // StoreBack reports that the store answers again after an outage, in which it may have been
-// this VM alone that didn't reach it. From ActBy on no removed runner may be used; zero for no
-// such time.
+// this VM alone that didn't reach it. From ActBy on no removed runner may be used.
 type StoreBack struct{ ActBy time.Time }
 
 // EraChanged reports that the store came back from a copy that lacks some of the
@@ -165,8 +164,7 @@
 			t.handleAbsentEntry(now, u, Missing{Until: t.graceUntil, Reason: MissingSinceOutage, Removal: e.Age})
 		}
 	case StoreBack:
-		t.graceUntil = now.Add(MissingGrace)
-		if !e.ActBy.IsZero() && e.ActBy.Before(t.graceUntil) {
+		if t.graceUntil = now.Add(MissingGrace); e.ActBy.Before(t.graceUntil) {
 			t.graceUntil = e.ActBy
 		}
 	case EraChanged:
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -41,12 +41,12 @@
 		{4 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 2}}},
 		{5 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 9}}},
 		{6 * time.Second, tracker.EntryWritten{Runner: restarted}},
-		{10 * time.Second, tracker.StoreBack{}},
+		{10 * time.Second, tracker.StoreBack{ActBy: start.Add(13 * time.Second)}},
 		{10 * time.Second, tracker.Listed{}},
 		{11 * time.Second, tracker.Wake{}},
 		{11900 * time.Millisecond, tracker.Wake{}},
 		{12 * time.Second, tracker.Wake{}},
-		{20 * time.Second, tracker.StoreBack{}},
+		{20 * time.Second, tracker.StoreBack{ActBy: start.Add(23 * time.Second)}},
 		{20 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Age.Version = 20 })}},
 		{20 * time.Second, tracker.Removed{ID: "s1", Age: keeper.Age{Version: 21}}},
 		{21 * time.Second, tracker.EntryWritten{Runner: changed(restarted, func(r *tracker.Runner) { r.Age.Version, r.Sequence = 22, 9 })}},
@@ -94,7 +94,7 @@
 		{1 * time.Second, tracker.EntryWritten{Runner: left}},
 		{1 * time.Second, tracker.Removed{ID: "gone", Age: keeper.Age{Era: 1, Version: 22}}},
 		{2 * time.Second, tracker.EraChanged{}},
-		{2 * time.Second, tracker.StoreBack{}},
+		{2 * time.Second, tracker.StoreBack{ActBy: start.Add(5 * time.Second)}},
 		{2 * time.Second, tracker.Listed{Runners: []tracker.Runner{
 			inEra(leaving, 3, func(r *tracker.Runner) { r.Sequence = 2 }), // Before it said that it leaves.
 			inEra(gone, 4, func(r *tracker.Runner) { r.Sequence = 3 }),    // Before it was removed.
