follower, tracker: a runner that left a copy of the store isn't used for longer by a VM that was cut off

A VM that was cut off while the store came back from a copy kept runners that were absent from its listing for five seconds from then on, also one whose removal had followed long after the copy, and which others had dropped.

Cause: EraGrace was counted from when the VM met the copy, not from when the copy may have come into use.

Change: after an outage, absent entries count at the latest Contact after the latest failed call was made, or Contact and two seconds after the latest answer, if that is later: no copy was in use before that answer, and it is stable Contact after it. Without an outage nothing changes, and how long an earlier start of a runner isn't believed stays as it was. A second copy shortens no grace.

Ruled out: the same bound without an outage.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -39,6 +39,8 @@
 	UnavailableAfter = time.Second
 	// actMargin is the time that a request takes from the choice of its runner to there.
 	actMargin = 100 * time.Millisecond
+	// removalTime is how long after its removal a runner may get requests.
+	removalTime = 2 * time.Second
 )
 
 // Parts of the time until a change has to be in force that the delay after a call
@@ -126,7 +128,13 @@
 // the writes passed on before. The entries of the copy follow in a TakeAll; until
 // then, and for keys that are missing there, the earlier entries remain the
 // latest that are known.
-type EraChanged struct{ From, To keeper.Era }
+type EraChanged struct {
+	From, To keeper.Era
+	// ActBy is when the VM has to act on entries that are absent from the copy. They may have
+	// been removed after it was made, if the VM didn't reach the store meanwhile. It is zero
+	// without an outage.
+	ActBy time.Time
+}
 
 // StoreLost reports that the store has been unavailable since Since. Err is the
 // latest failure.
@@ -195,6 +203,8 @@
 	// failedCallAt is when the latest call since failingSince was made that failed without
 	// an answer of a store that is up; zero if there was none.
 	failedCallAt time.Time
+	// answeredAt is when all changes were known last.
+	answeredAt time.Time
 	// isUnavailable is true if StoreLost was reported and StoreFound not yet.
 	isUnavailable bool
 	// retryDelay is the delay after the last failure; zero if the last call was
@@ -257,7 +267,8 @@
 // knows what was reported of eras and outages.
 func (c *Core) Restarted() *Core {
 	n := New(c.cfg)
-	n.era, n.startedAt, n.failingSince, n.failedCallAt, n.isUnavailable = c.era, c.startedAt, c.failingSince, c.failedCallAt, c.isUnavailable
+	n.era, n.startedAt, n.answeredAt = c.era, c.startedAt, c.answeredAt
+	n.failingSince, n.failedCallAt, n.isUnavailable = c.failingSince, c.failedCallAt, c.isUnavailable
 	return n
 }
 
@@ -347,7 +358,7 @@
 	if c.read != nil && c.read.at != 0 {
 		at = c.read.at
 	}
-	if c.isUnavailable || !c.failingSince.IsZero() && now.Sub(c.failingSince) >= UnavailableAfter {
+	if c.isOutage(now) {
 		c.emit(StoreFound{Away: now.Sub(c.failingSince), FailedCallAt: c.failedCallAt, ActBy: c.actBy(), Version: at})
 	}
 	c.failingSince, c.failedCallAt, c.isUnavailable, c.retryDelay = time.Time{}, time.Time{}, false, 0
@@ -361,6 +372,25 @@
 	return c.failedCallAt.Add(c.cfg.Contact - actMargin)
 }
 
+// actOnCopyBy returns when the VM has to act on entries that are absent from a copy: the copy may
+// have been in use, and stable after Contact, since the latest answer. It is zero without an
+// outage.
+func (c *Core) actOnCopyBy(now time.Time) time.Time {
+	if !c.isOutage(now) {
+		return time.Time{}
+	}
+	by := c.actBy()
+	if earliest := c.answeredAt.Add(c.cfg.Contact + removalTime - actMargin); !by.IsZero() && earliest.After(by) {
+		return earliest
+	}
+	return by
+}
+
+// isOutage reports whether calls have failed for UnavailableAfter.
+func (c *Core) isOutage(now time.Time) bool {
+	return c.isUnavailable || !c.failingSince.IsZero() && now.Sub(c.failingSince) >= UnavailableAfter
+}
+
 // isEnded reports whether an answer was sent before the store was replaced by a
 // copy. Zero states no era.
 func (c *Core) isEnded(era keeper.Era) bool { return era != 0 && era < c.era }
@@ -380,7 +410,7 @@
 
 // updateEra handles the era of an answer and reports whether a new one has begun.
 // The known versions are void then, and the next call lists all keys.
-func (c *Core) updateEra(era keeper.Era) bool {
+func (c *Core) updateEra(now time.Time, era keeper.Era) bool {
 	if era <= c.era {
 		return false
 	}
@@ -392,7 +422,7 @@
 	c.version, c.read = 0, nil
 	clear(c.versions)
 	clear(c.passed)
-	c.emit(EraChanged{From: from, To: era})
+	c.emit(EraChanged{From: from, To: era, ActBy: c.actOnCopyBy(now)})
 	return true
 }
 
@@ -429,7 +459,7 @@
 	if r == nil {
 		r = &read{parts: []string{""}, since: now}
 	}
-	if c.updateEra(e.Era) {
+	if c.updateEra(now, e.Era) {
 		if r.part > 0 || r.after != "" {
 			c.emitCall(now)
 			return
@@ -472,7 +502,7 @@
 // endRead reports the end of a read and asks for the changes after it.
 func (c *Core) endRead(now time.Time) {
 	r := c.read
-	c.read = nil
+	c.read, c.answeredAt = nil, now
 	c.emit(ReadDone{Since: r.since, Calls: r.calls, Bytes: r.bytes, FromHistory: r.fromHistory})
 	c.emitCall(now)
 }
@@ -480,16 +510,17 @@
 // handleChanged passes on the changes that are newer than the known versions.
 func (c *Core) handleChanged(now time.Time, e Changed) {
 	r := c.read
+	hasNewEra := c.updateEra(now, e.Era)
 	if r == nil || r.part == len(r.parts)-1 {
 		c.resetFailures(now, e.At)
 	}
-	if c.updateEra(e.Era) {
+	if hasNewEra {
 		c.emitCall(now)
 		return
 	}
 	c.takeNews(c.inEra(e.Entries))
 	if r == nil {
-		c.version = max(c.version, e.At)
+		c.version, c.answeredAt = max(c.version, e.At), now
 		if len(e.Entries) > 0 {
 			c.emit(Rest{max(0, c.batchDelay(now)-e.Transfer)})
 			return
@@ -536,7 +567,7 @@
 // dropped the history or it takes too long to arrive.
 func (c *Core) handleFailed(now time.Time, e Failed) {
 	r := c.read
-	hasNewEra := c.updateEra(e.Era)
+	hasNewEra := c.updateEra(now, e.Era)
 	if r != nil {
 		c.emit(ReadFailed{Prefix: r.parts[r.part], Call: r.calls, Bytes: e.Arrived.Bytes, Err: e.Err})
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -120,6 +120,14 @@
 		{"a refusal already tells of the copy", []step{
 			{0, follower.Begin{}}, {1, listedIn(1, 10)}, {time.Second, follower.Failed{Era: 2}}, {1100 * time.Millisecond, follower.Rested{}}, {1200 * time.Millisecond, listedIn(2, 6)},
 		}},
+		{"a copy after an outage may have been in use since the latest answer", []step{
+			{0, follower.Begin{}},
+			{1, listedIn(1, 10)},
+			{time.Second, changesIn(1, 11)},
+			{3 * time.Second, follower.Failed{CalledAt: start.Add(time.Second)}},
+			{9 * time.Second, follower.Failed{CalledAt: start.Add(8500 * time.Millisecond)}},
+			{9500 * time.Millisecond, changesIn(2, 7)},
+		}},
 		{"two copies within one call, and a late answer of the first", []step{
 			{0, follower.Begin{}},
 			{1, listedIn(1, 10)},
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -189,7 +189,7 @@
 	f.mu.Unlock()
 	f.metrics.storeRestores.Inc()
 	f.log.Warn().Int64("From", int64(o.From)).Int64("Era", int64(o.To)).Time("Until", until).Msg("StoreRestored")
-	f.stepView(tracker.EraChanged{})
+	f.stepView(tracker.EraChanged{ActBy: o.ActBy})
 }
 
 // TakeAll implements follower.Receiver with the entries of a complete listing.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -54,8 +54,9 @@
 type StoreBack struct{ ActBy time.Time }
 
 // EraChanged reports that the store came back from a copy that lacks some of the
-// entries or has older ones. A Listed with the entries of the copy follows.
-type EraChanged struct{}
+// entries or has older ones. A Listed with the entries of the copy follows. From ActBy on no
+// runner may be used whose entry is absent from it; zero for no such time.
+type EraChanged struct{ ActBy time.Time }
 
 // Wake has the view act on what has become due.
 type Wake struct{}
@@ -81,9 +82,10 @@
 	missing int
 	// graceUntil is when entries that are missing since an outage count as gone.
 	graceUntil time.Time
-	// copyUntil is when entries that are absent from a copy of the store count as
-	// gone. Until then an earlier start of a runner is not believed either.
-	copyUntil time.Time
+	// copyUntil is the time until which an earlier start of a runner is not believed, as it
+	// may be from a copy of the store. absentUntil is when entries that are absent from
+	// the copy count as gone; at most copyUntil.
+	copyUntil, absentUntil time.Time
 	// departed holds removed runners, so that a late write of one of them doesn't
 	// add it again. It is cleared at MaxDeparted.
 	departed map[identifier.Upstream]departed
@@ -129,7 +131,7 @@
 // of one whose step was interrupted by a panic. What follows from that is computed anew.
 func (t *Tracker) Rebuilt() *Tracker {
 	n := t.Emptied()
-	n.graceUntil, n.copyUntil, n.digestAt = t.graceUntil, t.copyUntil, t.digestAt
+	n.graceUntil, n.copyUntil, n.absentUntil, n.digestAt = t.graceUntil, t.copyUntil, t.absentUntil, t.digestAt
 	maps.Copy(n.departed, t.departed)
 	for id, u := range t.upstreams {
 		if u == nil || u.ID != id {
@@ -169,7 +171,10 @@
 		}
 	case EraChanged:
 		t.copyUntil = now.Add(EraGrace)
-		t.extendMissing(t.copyUntil)
+		if t.absentUntil = t.copyUntil; !e.ActBy.IsZero() && e.ActBy.Before(t.absentUntil) {
+			t.absentUntil = e.ActBy
+		}
+		t.extendMissing(t.absentUntil)
 	case RoleOrdered:
 		if u := t.upstreams[e.ID]; u != nil {
 			u.roleChangeUntil = e.Until
@@ -189,7 +194,7 @@
 // extendMissing lets the entries that are missing already be absent until a time.
 func (t *Tracker) extendMissing(until time.Time) {
 	for _, u := range t.upstreams {
-		if !u.missingUntil.IsZero() {
+		if !u.missingUntil.IsZero() && u.missingUntil.Before(until) {
 			u.missingUntil = until
 		}
 	}
@@ -203,8 +208,8 @@
 		t.applyEntry(now, r)
 	}
 	missing := Missing{Until: t.graceUntil, Reason: MissingSinceOutage}
-	if t.copyUntil.After(missing.Until) {
-		missing.Until, missing.Reason = t.copyUntil, MissingFromCopy
+	if t.absentUntil.After(missing.Until) {
+		missing.Until, missing.Reason = t.absentUntil, MissingFromCopy
 	}
 	for _, u := range t.sortedUpstreams() {
 		if !listed[u.ID] {
