tracker, attempter: a stream isn't run on an engine whose entry was removed during its prefill

A stream that had reserved memory on an engine was sent there after its prefill, also when the VM had dropped the engine meanwhile, however long the prefill took. An engine that removes its entry to leave exits a little more than two seconds later, and cuts the stream.

Cause: the check before a run asked whether the engine leaves or is paused. One that is no longer in the view did neither.

Change: a runner that isn't in the view, or has started again, refuses new requests too. The stream reserves on another engine and keeps its KV cache, as it does when the engine announces that it leaves.

Looked at beside it: plain calls, prefills, retries and hedges choose their runner right before they are sent.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -128,7 +128,7 @@
 	// BlockedFor returns for how long requests with one of the traits are refused;
 	// zero if they aren't.
 	BlockedFor(now time.Time, traits []isolator.Trait) time.Duration
-	// RefusesNew reports whether a runner leaves, or asked for a pause that isn't over.
+	// RefusesNew reports whether a runner has left or leaves, or asked for a pause that isn't over.
 	RefusesNew(now time.Time, r tracker.Runner) bool
 	// TakeSend reports whether a request may be sent to a runner by the rate that the
 	// runner takes. It has to be sent then, or given back by ReturnSend. The methods that
--- a/tracker/pause.go
+++ b/tracker/pause.go
@@ -67,10 +67,10 @@
 	return u != nil && now.Before(u.pausedUntil)
 }
 
-// RefusesNew reports whether a runner leaves or is paused.
+// RefusesNew reports whether a runner has left, leaves or is paused.
 func (t *Tracker) RefusesNew(now time.Time, r Runner) bool {
 	u := t.current(r)
-	return u != nil && (u.Leaving || now.Before(u.pausedUntil))
+	return u == nil || u.Leaving || now.Before(u.pausedUntil)
 }
 
 // PauseLeft returns the time until one of a pool's runners that answer requests may
