--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,9 +23,9 @@
 	// each further one.
 	InitialRetryDelay = 50 * time.Millisecond
 	// MaxRetryDelay bounds the time from a failed call to the next, so that the end of an
-	// outage is noticed soon; refused calls are charged like others. Entries that
-	// expired are back two seconds after the end of an outage, and the latest failed call
-	// may have been made that much before it: the sum is less than Settings.Contact.
+	// outage is noticed soon; refused calls are charged like others. Runners whose entries
+	// expired in an outage are used until Settings.Contact after the latest failed call, and
+	// entries are back two seconds after the store: the rest is for this delay.
 	MaxRetryDelay = 900 * time.Millisecond
 	// MaxFirstRetryDelay is the bound before the first list, without which a VM
 	// can't serve.
@@ -37,7 +37,7 @@
 	// UnavailableAfter is how long calls have to fail until the store counts as
 	// unavailable. Replacing a lost connection takes less time.
 	UnavailableAfter = time.Second
-	// actMargin is the time that a request takes from the choice of its runner to there.
+	// actMargin is the time that a request takes from the choice of its runner until it is there.
 	actMargin = 100 * time.Millisecond
 	// removalTime is how long after its removal a runner may get requests.
 	removalTime = 2 * time.Second
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -166,13 +166,12 @@
 			t.handleAbsentEntry(now, u, Missing{Until: t.graceUntil, Reason: MissingSinceOutage, Removal: e.Age})
 		}
 	case StoreBack:
-		if t.graceUntil = now.Add(MissingGrace); e.ActBy.Before(t.graceUntil) {
-			t.graceUntil = e.ActBy
-		}
+		t.graceUntil = earlier(now.Add(MissingGrace), e.ActBy)
 	case EraChanged:
 		t.copyUntil = now.Add(EraGrace)
-		if t.absentUntil = t.copyUntil; !e.ActBy.IsZero() && e.ActBy.Before(t.absentUntil) {
-			t.absentUntil = e.ActBy
+		t.absentUntil = t.copyUntil
+		if !e.ActBy.IsZero() {
+			t.absentUntil = earlier(t.copyUntil, e.ActBy)
 		}
 		t.extendMissing(t.absentUntil)
 	case RoleOrdered:
@@ -191,6 +190,13 @@
 	return t.out
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // extendMissing lets the entries that are missing already be absent until a time.
 func (t *Tracker) extendMissing(until time.Time) {
 	for _, u := range t.upstreams {
