quarantiner: a death that another VM reports first counts against the requests in flight here

Callers saw nothing of it; one request ended engines that its first two crashes should have saved.

Cause: a VM forgets the incarnation of an engine when another VM's marks say that it has died. If its own connection to the engine broke after that, the break was recorded for incarnation 0, to which no run belongs, so the request got no mark and ran on as after one death. Evidence, with the fleet's log on a copy: in a run with a third crash the VM that ran the request logs UpstreamDied with Incarnation 0 for the first engine, the VM that reported it with Incarnation 1, and places the request a third time 10 ms after the second death.

Change: the incarnation that has died is remembered until the next one is known, and stands for it, for a broken connection and for a run alike.

Ruled out: runs that match any incarnation, as a late report would accuse requests on the next process.

--- a/quarantiner/guarding.go
+++ b/quarantiner/guarding.go
@@ -20,7 +20,8 @@
 	}
 	incarnation := s.lookUpIncarnation(ctx, r.Upstream)
 	s.enqueue(func(now time.Time) {
-		s.step(now, nil, Started{Run: r, Incarnation: incarnation, Fingerprint: f, Alone: alone})
+		known := cmp.Or(incarnation, s.died[r.Upstream])
+		s.step(now, nil, Started{Run: r, Incarnation: known, Fingerprint: f, Alone: alone})
 	})
 	return true
 }
@@ -145,12 +146,20 @@
 		return
 	}
 	for _, m := range received.Marks {
-		if m.State == StateDied && s.incarnations[m.Death.Upstream] == m.Death.Incarnation {
-			delete(s.incarnations, m.Death.Upstream)
+		if m.State == StateDied {
+			s.forget(m.Death)
 		}
 	}
 }
 
+// forget forgets an incarnation that has died, if it is the known one.
+func (s *Shell) forget(d Death) {
+	if d.Incarnation != 0 && s.incarnations[d.Upstream] == d.Incarnation {
+		s.died[d.Upstream] = d.Incarnation
+		delete(s.incarnations, d.Upstream)
+	}
+}
+
 // SendAllMarks sends all marks that this VM knows to a VM that has started.
 func (s *Shell) SendAllMarks(vm identifier.VM) {
 	s.enqueue(func(now time.Time) { s.step(now, nil, VMJoined{VM: vm}) })
@@ -160,7 +169,7 @@
 // request was in flight, and starts probing whether the upstream has died.
 func (s *Shell) ReportConnectionLost(ctx context.Context, u identifier.Upstream) {
 	s.enqueue(func(now time.Time) {
-		death := Death{Upstream: u, Incarnation: s.incarnations[u]}
+		death := Death{Upstream: u, Incarnation: cmp.Or(s.incarnations[u], s.died[u])}
 		s.step(now, nil, UpstreamLost{Death: death})
 		if s.probing[u] {
 			return
@@ -188,7 +197,7 @@
 			return
 		}
 		if _, died := found.(UpstreamDied); died {
-			delete(s.incarnations, death.Upstream)
+			s.forget(death)
 			s.log.Warn().Str("Upstream", string(death.Upstream)).Uint64("Incarnation", uint64(death.Incarnation)).Msg("UpstreamDied")
 		}
 		s.step(now, nil, found)
--- a/quarantiner/shell.go
+++ b/quarantiner/shell.go
@@ -51,6 +51,9 @@
 	// incarnations holds the last known incarnation of each upstream that this
 	// VM has used. An upstream is removed when it has died.
 	incarnations map[identifier.Upstream]identifier.Incarnation
+	// died holds the last incarnation of each upstream that has died. It stands for the next
+	// one until incarnations has that, so that a run and the end of its connection agree.
+	died map[identifier.Upstream]identifier.Incarnation
 	// probing holds the lost upstreams that confirmDeath is probing.
 	probing map[identifier.Upstream]bool
 	// lastVerdict and lastGuardAnswer are the latest outcomes of their kind.
@@ -80,6 +83,7 @@
 		inputs:       make(chan input, inputQueueSize),
 		core:         New(),
 		incarnations: make(map[identifier.Upstream]identifier.Incarnation),
+		died:         make(map[identifier.Upstream]identifier.Incarnation),
 		probing:      make(map[identifier.Upstream]bool),
 	}
 }
