versioner: no event of a stream is passed on before others can know its version

Cause: from certainAfter on others take an unlisted stream of a moving bucket for one of the new version. They rely on each VM to list those that it still begins at the former one, but nothing tells them that a list is complete. The VM that is cut off notices that after up to 3.5 s and goes on beginning streams meanwhile. The streams that joined began after the cut, before the VM had noticed it (in the simulation as well).

Change: from its word that it has read the change until all VMs in touch are certain, a VM passes no event of a new stream on before the store has its list; if the last list didn't get there it begins none in the moving buckets. Streams that others would continue without waiting for lists are held until these have read the list. The list is written while the stream waits for its runner. A VM that starts keeps the list of its former process, which its own would replace before all had read it. Logs: StreamHeld, DivisionShared, and in TakenUp whether a list was awaited.

Test: TestCutOffVMsInReleaseJoinVersions. The simulation notices a cut as late as real VMs do, and reads two lists in quick succession as the last one.

Ruled out: buckets that begin at the new version already and go on while cut off. The others are certain by then in time, so that these streams are taken up rightly.

--- a/router/cores.go
+++ b/router/cores.go
@@ -239,6 +239,7 @@
 			continue
 		}
 		if lists, err := readEntry(f.steps, entry, decodeStreams); err == nil {
+			lists.IsOwn = key == streamsKey(f.ownVM())
 			call(lists)
 		}
 	}
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -23,7 +23,7 @@
 
 // deliver passes the answer on to the caller. It returns nil if the caller has
 // received all of it.
-func (p *proxiedRequest) deliver() attempter.Event {
+func (p *proxiedRequest) deliver(ctx context.Context) attempter.Event {
 	a := p.answer
 	p.answer = nil
 	defer a.Body.Close()
@@ -32,7 +32,9 @@
 	case !p.hasBody(a):
 		err = p.beginAnswer(a)
 	case p.job.IsStream && a.isSuccess():
-		err = p.relayEvents(a)
+		if err = p.awaitListed(ctx); err == nil {
+			err = p.relayEvents(a)
+		}
 	default:
 		err = p.relayBody(a)
 	}
--- a/router/passage.go
+++ b/router/passage.go
@@ -201,7 +201,7 @@
 		case attempter.Run:
 			next = p.send(ctx, o)
 		case attempter.Deliver:
-			next = p.deliver()
+			next = p.deliver(ctx)
 		case attempter.Rest:
 			next = p.pause(ctx, o)
 		case attempter.Release:
--- a/router/versions.go
+++ b/router/versions.go
@@ -24,6 +24,8 @@
 	listWait = 600 * time.Millisecond
 	// listPollInterval is the interval at which it looks for that.
 	listPollInterval = 50 * time.Millisecond
+	// holdPollInterval is the interval at which a new stream looks whether its hold has ended.
+	holdPollInterval = 10 * time.Millisecond
 )
 
 // reasonUnknownSoftware means that the version that began a stream isn't known.
@@ -40,12 +42,13 @@
 		return r.fleet.beginAt(pool, q.ID)
 	}
 	origin := r.fleet.takeUp(pool, q.Resumes)
+	isListed := false
 	for until := time.Now().Add(listWait); !origin.IsKnown && q.Resumes != "" && time.Now().Before(until); {
 		if !looper.Sleep(ctx, listPollInterval) {
 			break
 		}
 		if listed, ok := r.fleet.listedOrigin(q.Resumes); ok {
-			origin = listed
+			origin, isListed = listed, true
 		}
 	}
 	r.metrics.takenUp.WithLabelValues(either(origin.IsKnown, "Known", "Unknown")).Inc()
@@ -54,16 +57,47 @@
 		Str("Resumes", string(q.Resumes)).
 		Str("LastEvent", q.LastEvent).
 		Bool("IsKnown", origin.IsKnown).
+		Bool("WasAwaited", isListed).
 		Str("Software", string(origin.Software)).
 		Msg("TakenUp")
 	return origin.Software, origin.IsKnown
 }
 
 func (f *Fleet) beginAt(pool identifier.Pool, id identifier.Request) (at identifier.Software, ok bool) {
-	f.step(coreVersions, id, func() { at, ok = f.versions.Begin(time.Now(), pool, id) })
+	mustList := false
+	f.step(coreVersions, id, func() {
+		now := time.Now()
+		at, ok = f.versions.Begin(now, pool, id)
+		mustList = ok && at != "" && f.versions.MustList(now, pool, id, at)
+	})
+	if mustList { // The list is written while the stream waits for its runner.
+		f.stepVersions(versioner.Begun{Pool: pool, Stream: id, At: at})
+	}
 	return at, ok
 }
 
+// awaitListed returns once the first event of a new stream may be passed on.
+func (p *proxiedRequest) awaitListed(ctx context.Context) error {
+	if !p.route.Resumable || p.q.LastEvent != "" || p.headSent {
+		return nil
+	}
+	since := time.Now()
+	for p.fleet.isHeld(p.q.ID) {
+		if !looper.Sleep(ctx, holdPollInterval) {
+			return ctx.Err()
+		}
+	}
+	if took := time.Since(since); took >= holdPollInterval {
+		p.log.Info().Str("Request", string(p.q.ID)).Dur("Took", took).Msg("StreamHeld")
+	}
+	return nil
+}
+
+func (f *Fleet) isHeld(id identifier.Request) (is bool) {
+	f.step(coreVersions, id, func() { is = f.versions.IsHeld(time.Now(), id) })
+	return is
+}
+
 func (f *Fleet) takeUp(pool identifier.Pool, id identifier.Request) (o versioner.Origin) {
 	f.step(coreVersions, id, func() { o = f.versions.TakeUp(time.Now(), pool, id) })
 	return o
@@ -116,6 +150,8 @@
 				line = line.Int("Buckets."+string(software), o.Buckets[software])
 			}
 			line.Msg("StreamsDivided")
+		case versioner.Shared:
+			f.log.Info().Str("Pool", string(o.Pool)).Int("Buckets", o.Buckets).Msg("DivisionShared")
 		}
 	}
 }
@@ -133,7 +169,8 @@
 // handleStreams handles a list of streams that a VM has begun.
 func (f *Fleet) handleStreams(entry keeper.Entry) {
 	f.mu.Lock()
-	if entry.Key == streamsKey(f.ownVM()) {
+	isOwn := entry.Key == streamsKey(f.ownVM())
+	if isOwn {
 		f.streamsVersion = entry.Version
 	}
 	f.mu.Unlock()
@@ -142,6 +179,7 @@
 		f.logUnreadable(entry, err)
 		return
 	}
+	read.IsOwn = isOwn
 	f.stepVersions(read)
 }
 
--- a/versioner/bucket.go
+++ b/versioner/bucket.go
@@ -22,6 +22,9 @@
 	// isInherited is true if the change was already shared when this VM first read the
 	// record: others may have begun streams by it for long.
 	isInherited bool
+	// isBehind is true if others may have been further with the change for any time, as this VM
+	// was out of touch or has just started.
+	isBehind bool
 	// isUntold is true while this VM can't tell whether the change was in force before it
 	// read it: others may begin streams at either version.
 	isUntold bool
@@ -78,6 +81,11 @@
 	return len(b.versions) == 1 || b.isShared && inTouchAt.Sub(b.sharedAt) >= cfg.certainAfter()
 }
 
+// isSettled reports whether all VMs in touch are certain.
+func (b *bucket) isSettled(now time.Time, cfg Settings) bool {
+	return len(b.versions) == 1 || b.isShared && now.Sub(b.sharedAt) >= cfg.settledAfter()
+}
+
 // stated returns the bucket without empty versions, which earlier records have.
 func (b Bucket) stated() Bucket {
 	all := make(Bucket, len(b))
@@ -124,7 +132,7 @@
 func (p *pool) doubt(in keeper.Age) {
 	for i := range p.buckets {
 		b := &p.buckets[i]
-		b.changedIn, b.isShared, b.isInherited, b.isUntold = in, false, false, true
+		b.changedIn, b.isShared, b.isInherited, b.isUntold, b.isBehind = in, false, false, true, true
 	}
 }
 
@@ -142,6 +150,7 @@
 	for i := range p.buckets {
 		b := &p.buckets[i]
 		if isNew || b.versions[0] != a[i][0].Stated() {
+			b.isBehind = isNew || b.changedIn.Era != in.Era
 			b.changedIn, b.isShared, b.isInherited = in, false, isFirst
 			isMoved = true
 		}
--- /dev/null
+++ b/versioner/cut_test.go
@@ -0,0 +1,103 @@
+package versioner_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// cutSchedule is a release in which VMs are cut off from the store and killed before the cut heals.
+type cutSchedule struct {
+	name                              string
+	vms, streamsPerSecond, cut, seeds int
+	maxDelay                          time.Duration
+	// hasSecond is true if another release begins in the cut.
+	hasSecond bool
+	// at are the seconds from the begin of the release to the cut.
+	at []float64
+}
+
+var cutSchedules = []cutSchedule{
+	{"one of six", 6, 60, 1, 4, lag, false, []float64{0, 0.8, 1.6, 2.4, 3.2, 4, 5, 5.5, 6, 7, 8, 9}},
+	{"two of six", 6, 60, 2, 4, lag, false, []float64{0.5, 3, 5, 6.5, 7, 8}},
+	{"quick store", 6, 60, 1, 4, lag / 4, false, []float64{0.5, 3, 5, 6.5, 7, 8}},
+	{"second release", 6, 60, 1, 4, lag, true, []float64{0.5, 3, 5, 6.5, 7, 8}},
+	{"three of 64", 64, 240, 3, 1, lag, false, []float64{3, 7}},
+}
+
+func (c cutSchedule) play(seed uint64, at float64) *world {
+	o := defaults(seed)
+	o.vms, o.streamsPerSecond, o.broken, o.maxDelay = c.vms, c.streamsPerSecond, 0, c.maxDelay
+	o.minTakeUp, o.maxTakeUp = 10*time.Millisecond, 100*time.Millisecond
+	w := newWorld(o)
+	w.run(time.Second)
+	w.release("v2", 0.5, 8, 400*time.Millisecond)
+	w.run(time.Duration(at * float64(time.Second)))
+	for _, i := range w.rng.Perm(c.vms)[:c.cut] {
+		v := w.vms[i]
+		w.cut(v, 5500*time.Millisecond)
+		w.after(w.between(3500*time.Millisecond, 5*time.Second), func() { w.kill(v, 500*time.Millisecond) })
+	}
+	if c.hasSecond {
+		w.run(time.Second)
+		w.release("v3", 0.25, 8, 400*time.Millisecond)
+	}
+	w.run(20 * time.Second)
+	return w
+}
+
+// cutResult is what the seeds of a schedule add up to.
+type cutResult struct {
+	name                                     string
+	joined, servable, wentOn, begun, refused int
+	worst                                    float64
+	report                                   string
+	writeFault                               error
+}
+
+var playCuts = sync.OnceValue(func() (all []cutResult) {
+	for _, c := range cutSchedules {
+		for _, at := range c.at {
+			r := cutResult{name: fmt.Sprintf("%s, cut after %v s", c.name, at), worst: 1}
+			for seed := range max(c.seeds, *seedsFlag) {
+				w := c.play(uint64(seed)+1, at)
+				r.joined, r.servable, r.wentOn = r.joined+len(w.joined), r.servable+w.servable, r.wentOn+w.wentOn
+				r.begun, r.refused = r.begun+w.begun, r.refused+w.refusedInTouch
+				if w.servable >= 12 {
+					r.worst = min(r.worst, float64(w.wentOn)/float64(w.servable))
+				}
+				if r.report == "" && len(w.joined) > 0 {
+					r.report = w.report()
+				}
+				if err := w.writeFault(); err != nil {
+					r.writeFault = err
+				}
+			}
+			all = append(all, r)
+		}
+	}
+	return all
+})
+
+func (r cutResult) String() string {
+	return fmt.Sprintf("%s: %d joined; %d of %d taken up went on, at worst %.2f; %d new streams began, VMs in touch refused %d",
+		r.name, r.joined, r.wentOn, r.servable, r.worst, r.begun, r.refused)
+}
+
+// Guards against review/11: a VM that is cut off goes on beginning streams at the former version,
+// which others take for streams of the new one.
+func TestCutOffVMsInReleaseJoinVersions(t *testing.T) {
+	for _, r := range playCuts() {
+		t.Log(r)
+		if r.joined > 0 {
+			t.Errorf("%v\n%s", r, r.report)
+		}
+		if r.writeFault != nil {
+			t.Errorf("%s: %v", r.name, r.writeFault)
+		}
+		if r.refused*100 > r.begun {
+			t.Errorf("%v: over one in a hundred", r)
+		}
+	}
+}
--- a/versioner/event.go
+++ b/versioner/event.go
@@ -80,6 +80,8 @@
 	Streams Streams
 	// Seen is the age of the shared record that the VM had read.
 	Seen keeper.Age
+	// IsOwn is true for the list of this VM, maybe of an earlier process.
+	IsOwn bool
 }
 
 // Published reports the end of the last Publish. It is tried again if it failed.
@@ -128,6 +130,14 @@
 	Buckets map[identifier.Software]int
 }
 
+// Shared reports that all VMs of the roster have read the last change of some buckets.
+type Shared struct {
+	Pool identifier.Pool
+	// Buckets is their number.
+	Buckets int
+}
+
 func (Write) outcome()   {}
 func (Publish) outcome() {}
 func (Moved) outcome()   {}
+func (Shared) outcome()  {}
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -12,14 +12,20 @@
 // Then the change comes into force in two steps, for which only time in touch with the store
 // counts: for two Lags all VMs still begin the bucket's streams at the former version, then
 // they begin them at the new one, and two Lags later any stream that isn't listed is taken
-// as begun there. Until then each VM lists its streams of the bucket in the store, and an
-// unlisted one is unknown: it is refused rather than continued at the wrong version.
+// as begun there.
+//
+// From its word that it has read the change until one Lag later each VM lists the streams that it
+// begins, and passes no event of one on before its list is in the store. One that is cut off
+// begins none. An unlisted stream is unknown until then: it is refused rather than continued at the
+// wrong version.
+//
 // Changes are therefore few: the shares of the versions follow their capacity in large
 // steps, and other streams make up the difference.
 package versioner
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -70,6 +76,10 @@
 // the change, one until its last list is read.
 func (s Settings) certainAfter() time.Duration { return s.adoptAfter() + 2*s.Lag + 2*PublishInterval }
 
+// settledAfter is the same until they begin unlisted streams at the new version. All VMs in
+// touch are certain by then.
+func (s Settings) settledAfter() time.Duration { return s.certainAfter() + s.Lag }
+
 // maxGap is the longest time between two moments in touch that counts as in touch.
 func (s Settings) maxGap() time.Duration { return s.Lag / 2 }
 
@@ -115,10 +125,14 @@
 	// publishedSeen is the age of the record in the last one: others may have read that
 	// this VM knows it.
 	publishedSeen keeper.Age
-	isListing     bool
-	publishAt     time.Time
-	// isUnpublished is true if the list in the store lacks a stream.
-	isUnpublished bool
+	// hasPublished is true once this process has replaced the list of an earlier one.
+	hasPublished bool
+	isListing    bool
+	publishAt    time.Time
+	// isUnpublished is true if the list in the store lacks a stream, isPublishFailing if the
+	// last Publish failed. publishing holds the streams of the one in progress.
+	isUnpublished, isPublishFailing bool
+	publishing                      []Hash
 	// isRewriteUnseen is true if the record was written again in a new era, and others may
 	// not know that this VM has read it.
 	isRewriteUnseen bool
@@ -130,6 +144,11 @@
 	pool     identifier.Pool
 	software identifier.Software
 	until    time.Time
+	hold     hold
+	// listedAt is when it was known to be listed in the store; zero before.
+	listedAt time.Time
+	// isOfFormerProcess is true if the list of an earlier process of this VM has it.
+	isOfFormerProcess bool
 }
 
 // New returns a core that knows no pools.
@@ -161,8 +180,8 @@
 		return "", false
 	}
 	software := b.beginsAt(c.inTouchAt, c.cfg, p.capacity)
-	if software != b.versions[0] && now.Sub(c.inTouchAt) > c.cfg.maxGap() && c.publishedSeen.Compare(b.changedIn) >= 0 {
-		return "", false
+	if c.holdOf(now, b, software) == holdUntilListed && !c.canList(now) {
+		return software, false
 	}
 	if p.capacity[software] == 0 && now.Sub(p.lastServed(software)) >= c.cfg.Lag {
 		return "", true
@@ -177,14 +196,82 @@
 		return
 	}
 	h := hashOf(e.Stream)
-	c.begun[h] = stream{e.Pool, e.At.Stated(), now.Add(p.longest)}
-	c.isUnpublished = c.isUnpublished || c.isAmbiguous(h, c.begun[h])
+	s := stream{pool: e.Pool, software: e.At.Stated(), until: now.Add(p.longest)}
+	if known, ok := c.begun[h]; ok && known.software == s.software {
+		s.hold, s.listedAt = known.hold, known.listedAt
+	} else if len(p.buckets) > 0 {
+		s.hold = c.holdOf(now, &p.buckets[h.bucket()], s.software)
+	}
+	c.begun[h] = s
+	c.isUnpublished = c.isUnpublished || s.listedAt.IsZero() && c.isAmbiguous(now, h, s)
+}
+
+// hold tells how long no event of a new stream may be passed on. Its caller may come back to
+// another VM after the first.
+type hold int
+
+const (
+	// noHold is that of a stream whose version follows from its bucket.
+	noHold hold = iota
+	// holdUntilListed ends when the list in the store has the stream.
+	holdUntilListed
+	// holdUntilRead ends when all VMs in touch have read that list. It is for streams that
+	// they would else continue without a wait for lists. One VM alone sees no runner of the
+	// right version then, so it doesn't hold while the VM can't write.
+	holdUntilRead
+	// holdOfLateVM is the same for streams begun at the former version.
+	holdOfLateVM
+)
+
+// holdOf returns the hold of a new stream in a bucket.
+func (c *Core) holdOf(now time.Time, b *bucket, software identifier.Software) hold {
+	isMoving := len(b.versions) > 1
+	switch {
+	case c.isDoubtful():
+		return noHold
+	case software == b.versions[0] && (!isMoving || b.isSettled(now, c.cfg)):
+		return noHold
+	case software == b.versions[0] && b.isShared:
+		return holdUntilListed
+	case software == b.versions[0], !isMoving, software != b.versions[1]:
+		return holdUntilRead
+	case !b.isShared && c.publishedSeen.Compare(b.changedIn) < 0:
+		return noHold // The change waits for this VM.
+	case b.isBehind, b.isShared && now.Sub(b.sharedAt) > c.cfg.adoptAfter():
+		return holdOfLateVM
+	default:
+		return holdUntilListed
+	}
+}
+
+// canList reports whether the next list will reach the store, as far as this VM knows.
+func (c *Core) canList(now time.Time) bool {
+	return !c.isPublishFailing && now.Sub(c.inTouchAt) <= c.cfg.maxGap()
+}
+
+// MustList reports whether a new stream of a version is held until it is listed, so that it is
+// worth listing early.
+func (c *Core) MustList(now time.Time, of identifier.Pool, id identifier.Request, at identifier.Software) bool {
+	p := c.pools[of]
+	return p != nil && len(p.buckets) > 0 && c.holdOf(now, &p.buckets[hashOf(id).bucket()], at.Stated()) != noHold
+}
+
+// IsHeld reports whether no event of a new stream may be passed on yet.
+func (c *Core) IsHeld(now time.Time, id identifier.Request) bool {
+	s, ok := c.begun[hashOf(id)]
+	if !ok || s.hold == noHold {
+		return false
+	}
+	if s.listedAt.IsZero() {
+		return s.hold != holdUntilRead || c.canList(now)
+	}
+	return s.hold != holdUntilListed && now.Sub(s.listedAt) < c.cfg.Lag
 }
 
 // isAmbiguous reports whether other VMs can't tell the version of a stream from its
 // bucket, or couldn't when it began.
-func (c *Core) isAmbiguous(h Hash, s stream) bool {
-	if c.isDoubtful() {
+func (c *Core) isAmbiguous(now time.Time, h Hash, s stream) bool {
+	if c.isDoubtful() || s.isOfFormerProcess {
 		return true
 	}
 	p := c.pools[s.pool]
@@ -192,7 +279,7 @@
 		return false
 	}
 	b := &p.buckets[h.bucket()]
-	return b.versions[0] != s.software || !b.isCertain(c.inTouchAt, c.cfg)
+	return b.versions[0] != s.software || !b.isCertain(c.inTouchAt, c.cfg) || !b.isSettled(now, c.cfg)
 }
 
 // Origin is what a VM knows of the version at which a stream began.
@@ -269,9 +356,7 @@
 	case StreamsRead:
 		c.handleStreams(now, e)
 	case Published:
-		c.isPublishing = false
-		c.isUnpublished = c.isUnpublished || e.Failed
-		c.isListing = e.Failed || c.published > 0
+		c.handlePublished(now, e)
 	case Wake:
 		if e.IsCertain {
 			c.handleInTouch(now)
@@ -289,6 +374,19 @@
 	return c.outcomes
 }
 
+func (c *Core) handlePublished(now time.Time, e Published) {
+	c.isPublishing, c.isPublishFailing = false, e.Failed
+	c.isUnpublished = c.isUnpublished || e.Failed
+	c.isListing = e.Failed || c.published > 0
+	for _, h := range c.publishing {
+		if s, ok := c.begun[h]; ok && !e.Failed && s.listedAt.IsZero() {
+			s.listedAt = now
+			c.begun[h] = s
+		}
+	}
+	c.publishing = nil
+}
+
 func (c *Core) emit(o Outcome) { c.outcomes = append(c.outcomes, o) }
 
 // handleInTouch begins the steps of changes anew that an outage has interrupted.
@@ -300,7 +398,9 @@
 	}
 	for _, p := range c.pools {
 		for i := range p.buckets {
-			p.buckets[i].restart(now, last, c.cfg)
+			b := &p.buckets[i]
+			b.isBehind = b.isBehind || b.isShared || c.publishedSeen.Compare(b.changedIn) >= 0
+			b.restart(now, last, c.cfg)
 		}
 	}
 }
@@ -391,15 +491,22 @@
 	if !c.isRosterKnown {
 		return
 	}
-	for _, p := range c.pools {
+	shared := map[identifier.Pool]int{}
+	for of, p := range c.pools {
 		for i := range p.buckets {
 			b := &p.buckets[i]
 			if len(b.versions) > 1 && !b.isShared {
 				b.share(now, c.haveAllSeen(b.changedIn), c.mayBeRewritten())
+				if b.isShared {
+					shared[of]++
+				}
 			}
 			b.isUntold = b.isUntold && !b.isAdopted(c.inTouchAt, c.cfg)
 		}
 	}
+	for _, of := range slices.Sorted(maps.Keys(shared)) {
+		c.emit(Shared{of, shared[of]})
+	}
 }
 
 func (c *Core) haveAllSeen(age keeper.Age) bool {
@@ -433,6 +540,9 @@
 	if e.Seen.Compare(c.seen[e.VM]) > 0 {
 		c.seen[e.VM] = e.Seen
 	}
+	if e.IsOwn && !c.hasPublished {
+		c.keepFormerList(now, e.Streams)
+	}
 	for software, hashes := range e.Streams {
 		software = software.Stated()
 		for _, h := range hashes {
@@ -445,6 +555,18 @@
 	}
 }
 
+// keepFormerList lists the streams of an earlier process of this VM again, whose list the next
+// Publish replaces. Others may not have read it.
+func (c *Core) keepFormerList(now time.Time, all Streams) {
+	for software, hashes := range all {
+		for _, h := range hashes {
+			if _, ok := c.begun[h]; !ok && len(c.begun) < MaxStreams {
+				c.begun[h] = stream{software: software.Stated(), until: now.Add(MaxLongest), isOfFormerProcess: true}
+			}
+		}
+	}
+}
+
 // forget drops the streams that have ended by now, and empties the list after the last.
 func (c *Core) forget(now time.Time) {
 	for _, known := range []map[Hash]stream{c.begun, c.listed} {
@@ -454,14 +576,14 @@
 			}
 		}
 	}
-	if c.isListing && !c.isPublishing && !c.hasAmbiguous() {
+	if c.isListing && !c.isPublishing && !c.hasAmbiguous(now) {
 		c.isUnpublished = true
 	}
 }
 
-func (c *Core) hasAmbiguous() bool {
+func (c *Core) hasAmbiguous(now time.Time) bool {
 	for h, s := range c.begun {
-		if c.isAmbiguous(h, s) {
+		if c.isAmbiguous(now, h, s) {
 			return true
 		}
 	}
@@ -475,9 +597,11 @@
 		return
 	}
 	all, n := Streams{}, 0
+	c.publishing = nil
 	for h, s := range c.begun {
-		if c.isAmbiguous(h, s) && now.Before(s.until) {
+		if c.isAmbiguous(now, h, s) && now.Before(s.until) {
 			all[s.software] = append(all[s.software], h)
+			c.publishing = append(c.publishing, h)
 			n++
 		}
 	}
@@ -489,6 +613,6 @@
 		slices.Sort(hashes)
 	}
 	c.isPublishing, c.isListing, c.published, c.publishAt = true, true, n, now.Add(PublishInterval)
-	c.publishedSeen, c.isRewriteUnseen = c.age(), false
+	c.publishedSeen, c.isRewriteUnseen, c.hasPublished = c.age(), false, true
 	c.emit(Publish{all, c.publishedSeen})
 }
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -23,11 +23,14 @@
 	lag = time.Second
 	// wakeInterval is that of the router.
 	wakeInterval = 100 * time.Millisecond
-	// listWait and listPollInterval are those of the router.
+	// listWait, listPollInterval and holdPollInterval are those of the router.
 	listWait         = 600 * time.Millisecond
 	listPollInterval = 50 * time.Millisecond
+	holdPollInterval = 10 * time.Millisecond
 	// maxViewAge is how long a VM relies on its view after the store was lost, as in router.
+	// maxPoll is how long a call to the store may have been waiting by then.
 	maxViewAge = time.Second
+	maxPoll    = 2500 * time.Millisecond
 	// eraGrace is how long views aren't certain after a copy, as in tracker.
 	eraGrace = 5 * time.Second
 	longest  = 10 * time.Second
@@ -93,6 +96,8 @@
 	roster    []identifier.VM
 	// This VM alone can't reach the store from cutAt to cutUntil.
 	cutAt, cutUntil time.Time
+	// noticeAfter is the time from the begin of the cut until the VM notices it.
+	noticeAfter time.Duration
 	// inbox holds the changes that this VM hasn't read yet, in order.
 	inbox          []delivery
 	uncertainUntil time.Time
@@ -114,6 +119,8 @@
 	software identifier.Software
 	history  []string
 	isJoined bool
+	// hasEvents is true once its caller has got an event.
+	hasEvents bool
 }
 
 // options are those of a world.
@@ -174,9 +181,13 @@
 	joined   []*stream
 	log      []string
 
-	begun, refusedNew              int
-	takenUp, servable, wentOn      int
-	unknown, gone                  int
+	begun, refusedNew         int
+	takenUp, servable, wentOn int
+	unknown, gone             int
+	// refusedInTouch counts new streams that VMs in touch refused, longestHold is the longest
+	// hold of one that ended.
+	refusedInTouch                 int
+	longestHold                    time.Duration
 	recordWrites, listWrites       int
 	recordConflicts, listedStreams int
 	// changes counts changes of the capacity and copies, moves the writes of the record
@@ -245,7 +256,7 @@
 
 // isCertain is what a VM thinks of its view: it notices late that the store is lost.
 func (w *world) isCertain(v *vm) bool {
-	isLost := w.now.Before(w.downUntil) && w.now.Sub(w.downAt) > maxViewAge || w.now.Before(v.cutUntil) && w.now.Sub(v.cutAt) > maxViewAge
+	isLost := w.now.Before(w.downUntil) && w.now.Sub(w.downAt) > maxViewAge || w.now.Before(v.cutUntil) && w.now.Sub(v.cutAt) > v.noticeAfter
 	return !isLost && !w.now.Before(v.uncertainUntil)
 }
 
@@ -379,7 +390,8 @@
 				read.Streams = nil
 			}
 			w.lists[v.index] = read
-			w.deliverAll(func(to *vm) { w.step(to, read) })
+			// Two writes in quick succession are read as the last one.
+			w.deliverAll(func(to *vm) { w.step(to, w.listOf(v.index, to)) })
 		}
 		w.after(w.between(time.Millisecond, w.maxWriteDelay), func() {
 			if v.life == life && v.core != nil {
@@ -389,6 +401,13 @@
 	})
 }
 
+// listOf returns what a VM reads of the streams that one has listed.
+func (w *world) listOf(index int, to *vm) versioner.StreamsRead {
+	read := w.lists[index]
+	read.IsOwn = index == to.index
+	return read
+}
+
 // wait returns how long a write of a VM has to wait for its share.
 func (w *world) wait(v *vm) time.Duration {
 	if w.writeBurst == 0 {
@@ -412,7 +431,7 @@
 	v.capacity = w.capacity()
 	v.uncertainUntil = time.Time{}
 	for _, i := range slices.Sorted(maps.Keys(w.lists)) {
-		w.step(v, w.lists[i])
+		w.step(v, w.listOf(i, v))
 	}
 	w.step(v, w.readRecord())
 	life := v.life
@@ -539,7 +558,7 @@
 
 func (w *world) cut(v *vm, d time.Duration) {
 	w.note("VM %d out of touch for %v", v.index, d)
-	v.cutAt, v.cutUntil = w.now, w.now.Add(d)
+	v.cutAt, v.cutUntil, v.noticeAfter = w.now, w.now.Add(d), w.between(maxViewAge, maxViewAge+maxPoll)
 }
 
 // copyStore keeps what the store has; restore brings it back in a new era.
@@ -562,7 +581,7 @@
 		}
 		v.uncertainUntil = w.now.Add(eraGrace)
 		for _, i := range slices.Sorted(maps.Keys(w.lists)) {
-			w.step(v, w.lists[i])
+			w.step(v, w.listOf(i, v))
 		}
 		w.step(v, w.readRecord())
 	})
@@ -613,6 +632,9 @@
 	software, ok := v.core.Begin(w.now, poolID, s.id)
 	if !ok {
 		w.refusedNew++
+		if w.isInTouch(v) {
+			w.refusedInTouch++
+		}
 		return
 	}
 	if software == "" {
@@ -626,6 +648,19 @@
 	s.software = software
 	w.add(s, "%s begins at VM %d, bucket %d: %s", s.id, v.index, bucketOf(s.id), software)
 	w.goOn(v, s, software)
+	w.awaitListed(v, s, v.life, w.now)
+}
+
+// awaitListed passes the first event of a new stream on once it isn't held any more.
+func (w *world) awaitListed(v *vm, s *stream, life int, since time.Time) {
+	switch {
+	case v.life != life || v.core == nil:
+	case v.core.IsHeld(w.now, s.id):
+		w.after(holdPollInterval, func() { w.awaitListed(v, s, life, since) })
+	default:
+		s.hasEvents = true
+		w.longestHold = max(w.longestHold, w.now.Sub(since))
+	}
 }
 
 // goOn has a stream run at a VM until it ends or breaks.
@@ -648,7 +683,7 @@
 
 // comeBack has a caller take its stream up at another VM.
 func (w *world) comeBack(s *stream, from *vm) {
-	if w.isEnding {
+	if w.isEnding || !s.hasEvents {
 		return
 	}
 	w.after(w.between(w.minTakeUp, w.maxTakeUp), func() {
@@ -715,8 +750,8 @@
 
 func (w *world) report() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d begun, %d new refused, %d taken up, %d servable, %d went on, %d unknown, %d gone, %d joined; %d record writes (%d conflicts), %d list writes of %d streams\n",
-		w.seed, w.begun, w.refusedNew, w.takenUp, w.servable, w.wentOn, w.unknown, w.gone, len(w.joined), w.recordWrites, w.recordConflicts, w.listWrites, w.listedStreams)
+	fmt.Fprintf(&b, "seed %d: %d begun, %d new refused (%d in touch), held for up to %v, %d taken up, %d servable, %d went on, %d unknown, %d gone, %d joined; %d record writes (%d conflicts), %d list writes of %d streams\n",
+		w.seed, w.begun, w.refusedNew, w.refusedInTouch, w.longestHold, w.takenUp, w.servable, w.wentOn, w.unknown, w.gone, len(w.joined), w.recordWrites, w.recordConflicts, w.listWrites, w.listedStreams)
 	for i, s := range w.joined {
 		if i == 5 {
 			fmt.Fprintf(&b, "and %d more\n", len(w.joined)-i)
