isolator: a blocked trait is probed, over all VMs, at most twice

Cause: three ends of engines on what the prompts share block it. Only a whole answer clears it, and none can come as no request is sent, for an hour. The ends at one moment can't be told from those of a part that does crash engines and arrives at several at once, so the third crash still blocks.

Change: 2 s after the last crash a VM claims a probe by a write of the shared record, and the request that asked for it is sent once; a second probe follows 8 s after the first, then none. A whole answer, or a second of events, clears the trait on all VMs. A probe that can't be sent is returned for any VM to claim. Prefill traits are probed too. Blocked callers are told when the next probe is due. The head of an answer alone no longer shows that an engine lives: it may be that of a new process with its id, which crashes next, and took back a crash that had been counted. ProbeClaimed is logged.

Ruled out: not counting ends at one moment. A part that crashes engines from the first second on, or beside a crash of all, would be sent on.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -23,6 +23,10 @@
 	// MaxSends is the most runners to which a request is sent, counting those
 	// that refuse it; each further send delays the refusal.
 	MaxSends = 3
+	// MaxProbeWait is how long a request with a blocked trait waits to become a probe, which
+	// takes a write of the store; ProbePause is the pause between two looks.
+	MaxProbeWait = time.Second
+	ProbePause   = 50 * time.Millisecond
 	// MaxPrefills is the most prefill engines that are tried.
 	MaxPrefills = 2
 	// HoldTTL is the lifetime of a hold, the longest that engines allow.
@@ -128,6 +132,10 @@
 	// BlockedFor returns for how long requests with one of the traits are refused;
 	// zero if they aren't.
 	BlockedFor(now time.Time, traits []isolator.Trait) time.Duration
+	// TakeProbe asks to let a request through some of whose traits are blocked. It may be sent
+	// to one engine then, else ReturnProbe gives the probe back.
+	TakeProbe(now time.Time, traits []isolator.Trait) isolator.Admission
+	ReturnProbe(traits []isolator.Trait)
 	// RefusesNew reports whether a runner has left or leaves, or asked for a pause that isn't over.
 	RefusesNew(now time.Time, r tracker.Runner) bool
 	// TakeSend reports whether a request may be sent to a runner by the rate that the
@@ -206,6 +214,10 @@
 	isShrunk bool
 	// waitUntil is when a request without memory is refused.
 	waitUntil time.Time
+	// probe is what the request does while its traits are blocked. probeUntil is when it stops
+	// waiting for a probe to be claimed; zero before it waits.
+	probe      isolator.Admission
+	probeUntil time.Time
 	// lastEvent is the id of the last event that the caller has; empty if it
 	// has none. headSent is true if the caller has the head of an answer.
 	lastEvent string
@@ -278,6 +290,7 @@
 	}
 	if c.phase == phaseEnded {
 		c.returnSend(now)
+		c.returnProbe()
 	}
 	return c.outcomes
 }
@@ -472,6 +485,9 @@
 // endBlocked ends a request on whose traits engines crash, and reports whether it
 // did. Nothing may be sent to an engine then.
 func (c *Core) endBlocked(now time.Time) bool {
+	if c.probe == isolator.Probing {
+		return false
+	}
 	blockedFor := c.fleet.BlockedFor(now, c.job.Traits)
 	if blockedFor <= 0 {
 		return false
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -41,6 +41,11 @@
 	// blockedFrom is the time after the start from which blockedTrait is blocked;
 	// zero for never.
 	blockedFrom time.Duration
+	// probeFrom is the time after the start from which one request may be a probe, which is
+	// claimed until then; zero for none.
+	probeFrom time.Duration
+	// taking is the number of probes that were taken.
+	taking int
 	// paused holds the runners that are paused between two times after the start. If
 	// empty is set too, all are.
 	paused                  []identifier.Upstream
@@ -135,6 +140,19 @@
 	return 0
 }
 
+func (f *fleet) TakeProbe(now time.Time, _ []isolator.Trait) isolator.Admission {
+	if f.probeFrom == 0 || f.taking > 0 {
+		return isolator.Refused
+	}
+	if now.Sub(start) < f.probeFrom {
+		return isolator.Awaited
+	}
+	f.taking++
+	return isolator.Probing
+}
+
+func (f *fleet) ReturnProbe([]isolator.Trait) { f.taking-- }
+
 func (f *fleet) RetryAfter(time.Time, identifier.Pool, time.Duration) time.Duration {
 	return 300 * time.Millisecond
 }
@@ -278,6 +296,17 @@
 		{0, attempter.Begin{}}, {ms(1), attempter.Reserved{Hold: "h"}}, {ms(100), attempter.Abandoned{}},
 	}},
 	{"a stream with a blocked trait is refused at once", suspectStream(false), fleet{blockedFrom: ms(1)}, []step{{ms(1), attempter.Begin{}}}},
+	{"a stream with a blocked trait is the probe once that is claimed, and runs once", suspectStream(true), fleet{blockedFrom: ms(1), probeFrom: ms(100)}, []step{
+		{ms(1), attempter.Begin{}},
+		{ms(51), attempter.Rested{}},
+		{ms(101), attempter.Rested{}},
+		{ms(110), attempter.Reserved{Hold: "h"}},
+		{ms(200), attempter.Prefilled{Handle: "k"}},
+		{ms(250), lost},
+	}},
+	{"a stream with a blocked trait doesn't wait for ever to be the probe", suspectStream(false), fleet{blockedFrom: ms(1), probeFrom: time.Hour}, []step{
+		{ms(1), attempter.Begin{}}, {ms(1002), attempter.Rested{}},
+	}},
 	{"a stream on whose prefill engines crash runs without one", unprefillableStream(), fleet{blockedFrom: ms(1)}, []step{{ms(1), attempter.Begin{}}, {ms(10), attempter.Reserved{Hold: "h1"}}}},
 	{"a call beyond the rates of all runners is refused at once", plain(true), fleet{empty: true, isRateReached: true}, []step{{0, attempter.Begin{}}}},
 	{"a stream beyond the rates of all engines is refused at once", stream(false), fleet{empty: true, isRateReached: true}, []step{{0, attempter.Begin{}}}},
--- a/attempter/event.go
+++ b/attempter/event.go
@@ -118,6 +118,8 @@
 	// Limit is the time without the head of an answer after which Overdue is
 	// expected; zero for never.
 	Limit time.Duration
+	// IsProbe is true if the request runs though its traits are blocked.
+	IsProbe bool
 }
 
 // Await lets an overdue run go on and asks for Overdue again after For.
--- a/attempter/place.go
+++ b/attempter/place.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/isolator"
 	"github.com/figtrack/figtrack/tracker"
 )
 
 // chooseRunner finds the runner of the next run; in a pool of engines it first
 // reserves memory on one.
 func (c *Core) chooseRunner(now time.Time) {
-	if c.endBlocked(now) {
+	if c.awaitProbe(now) || c.endBlocked(now) {
 		return
 	}
 	if c.software != "" && !c.fleet.Serves(c.job.Pool, c.software) {
@@ -127,7 +128,15 @@
 	if c.endBlocked(now) {
 		return
 	}
-	if c.prefills >= MaxPrefills || c.fleet.BlockedFor(now, c.job.PrefillTraits) > 0 {
+	isProbe := false
+	if c.fleet.BlockedFor(now, c.job.PrefillTraits) > 0 {
+		isProbe = c.prefills == 0 && c.probe != isolator.Probing && c.fleet.TakeProbe(now, c.job.PrefillTraits) == isolator.Probing
+		if !isProbe {
+			c.run(now)
+			return
+		}
+	}
+	if c.prefills >= MaxPrefills {
 		c.run(now)
 		return
 	}
@@ -137,6 +146,9 @@
 		ok = false
 	}
 	if !ok {
+		if isProbe {
+			c.fleet.ReturnProbe(c.job.PrefillTraits)
+		}
 		// The decode engine computes the prefill itself, at half the speed.
 		c.run(now)
 		return
@@ -164,7 +176,38 @@
 	c.sends++
 	c.runs++
 	c.phase = phaseRunning
-	c.emit(Run{To: c.runner, Source: c.source, Hold: c.hold, After: c.lastEvent, Limit: c.headTimeout()})
+	isProbe := c.probe == isolator.Probing
+	c.probe = isolator.Refused
+	c.emit(Run{To: c.runner, Source: c.source, Hold: c.hold, After: c.lastEvent, Limit: c.headTimeout(), IsProbe: isProbe})
+}
+
+// awaitProbe lets a request whose traits are blocked become a probe. It reports whether the request
+// has to wait until that is claimed.
+func (c *Core) awaitProbe(now time.Time) bool {
+	if c.probe == isolator.Probing || c.sends > 0 || c.headSent || c.fleet.BlockedFor(now, c.job.Traits) <= 0 {
+		return false
+	}
+	c.probe = c.fleet.TakeProbe(now, c.job.Traits)
+	if c.probe != isolator.Awaited {
+		return false
+	}
+	if c.probeUntil.IsZero() {
+		c.probeUntil = now.Add(MaxProbeWait)
+	}
+	if !now.Before(c.probeUntil) {
+		return false
+	}
+	c.phase = phaseResting
+	c.emit(Rest{ProbePause})
+	return true
+}
+
+// returnProbe gives back a probe that was not sent.
+func (c *Core) returnProbe() {
+	if c.probe == isolator.Probing {
+		c.fleet.ReturnProbe(c.job.Traits)
+	}
+	c.probe = isolator.Refused
 }
 
 // check returns which runners may be chosen if nothing is sent to them yet.
--- a/isolator/blame.go
+++ b/isolator/blame.go
@@ -25,7 +25,7 @@
 	blocked := map[Trait]int{}
 	rest := make(Record, 0, len(record))
 	for _, s := range record {
-		rest = append(rest, Suspect{s.Trait, s.Depth, slices.Clone(s.Crashes)})
+		rest = append(rest, Suspect{Trait: s.Trait, Depth: s.Depth, Crashes: slices.Clone(s.Crashes)})
 	}
 	for len(rest) > 0 {
 		blamed := mostBlamed(rest)
--- a/isolator/event.go
+++ b/isolator/event.go
@@ -24,6 +24,9 @@
 	Depth int
 	// Crashes holds each crash once, in the order of the reports.
 	Crashes []Crash
+	// Probes is how many probes VMs have claimed since the trait was blocked, Returned how many of
+	// these were not sent. Both only grow.
+	Probes, Returned int
 }
 
 // Record is the list of suspects that all VMs share, ordered by trait. Its zero
@@ -125,8 +128,15 @@
 // Unblocked reports that requests with a trait are no longer refused.
 type Unblocked struct{ Trait Trait }
 
-func (Write) outcome()     {}
-func (Check) outcome()     {}
-func (Suspected) outcome() {}
-func (Blocked) outcome()   {}
-func (Unblocked) outcome() {}
+// ProbeClaimed reports that this VM may let one request with a blocked trait through.
+type ProbeClaimed struct {
+	Trait  Trait
+	Probes int
+}
+
+func (Write) outcome()        {}
+func (Check) outcome()        {}
+func (Suspected) outcome()    {}
+func (Blocked) outcome()      {}
+func (Unblocked) outcome()    {}
+func (ProbeClaimed) outcome() {}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -8,6 +8,11 @@
 // engines faster than these come back. So the VMs count crashes together, in one
 // record in the store, and a whole answer to any request with a trait clears it.
 //
+// A trait may be blocked by mistake, as engines also crash at one moment for other reasons: all of
+// those that run one kind of request. While it is blocked, no whole answer could clear it. So at
+// growing intervals one VM claims a probe in the record and lets a request with the trait through.
+// Few are allowed, as each ends an engine if the block is right.
+//
 // Connections are also closed where no engine crashes, so a broken run counts only
 // once its engine is known to have ended. A write of the record wakes all VMs: what
 // blocks no trait yet waits for others to be written with it.
@@ -56,6 +61,13 @@
 	// suspects what requests share: without them, a crash counts against all that ran on
 	// the engine.
 	LearnTime = 3 * time.Second
+	// ProbeDelay is the time from the last crash on a blocked trait to the first probe. Each
+	// further one waits ProbeBackoff times as long since the one before.
+	ProbeDelay   = 2 * time.Second
+	ProbeBackoff = 4
+	// MaxProbes is the most probes of all VMs while a trait is blocked. Callers may send three
+	// requests to engines after its third crash, and one may be on its way.
+	MaxProbes = 2
 	// maxBroken is the most broken runs that wait for the end of their engines.
 	maxBroken = 256
 	// maxSurvivors is the most traits that are remembered as survivors for one
@@ -92,6 +104,12 @@
 	// current and in the last SurvivorTime, which began at survivorsSince.
 	survivors, formerSurvivors map[Trait]bool
 	survivorsSince             time.Time
+	// probes holds the probes of each blocked trait. wanted are those that this VM wants to
+	// claim, claiming those in the Write in progress, permits those that it has claimed and not
+	// yet used. returned and returning are the same for those that it gives back.
+	probes                    map[Trait]probes
+	wanted, claiming, permits map[Trait]bool
+	returned, returning       map[Trait]bool
 	// writing is the record of the Write in progress; nil without one.
 	writing map[Trait]Suspect
 	// writeAt is when the next Write is due; zero while none is. None follows before
@@ -118,6 +136,8 @@
 		shared: map[Trait]Suspect{}, added: map[Trait]Suspect{}, removed: map[Trait]bool{},
 		changedAt: map[Trait]time.Time{}, survivors: map[Trait]bool{}, blocked: map[Trait]int{},
 		knownSince: map[Crash]time.Time{}, voided: map[Crash]bool{}, isMissing: true,
+		probes: map[Trait]probes{}, wanted: map[Trait]bool{}, claiming: map[Trait]bool{}, permits: map[Trait]bool{},
+		returned: map[Trait]bool{}, returning: map[Trait]bool{},
 	}
 }
 
@@ -144,9 +164,13 @@
 // blocked.
 func (c *Core) FindBlocked(traits []Trait) (t Trait, until time.Time, found bool) {
 	for _, t := range traits {
-		if _, ok := c.blocked[t]; ok {
-			return t, c.changedAt[t].Add(SuspectTTL), true
+		if _, ok := c.blocked[t]; !ok {
+			continue
 		}
+		if c.probes[t].sent() < MaxProbes {
+			return t, c.probeDue(t), true
+		}
+		return t, c.changedAt[t].Add(SuspectTTL), true
 	}
 	return "", time.Time{}, false
 }
@@ -169,15 +193,21 @@
 	case RecordRead:
 		c.handleRead(now, e)
 	case Written:
-		c.handleWritten(e)
+		c.grantPermits()
+		c.handleWritten(now, e)
 	case Conflicted:
 		c.writing = nil
+		clear(c.claiming)
+		maps.Copy(c.returned, c.returning)
+		clear(c.returning)
 		if e.IsMissing && e.Era == c.era {
 			c.version = 0 // The record was removed at an unknown version.
 		}
 		c.handleRead(now, e.RecordRead)
 	case WriteFailed:
 		c.writing, c.retryAt = nil, now.Add(RetryInterval)
+		clear(c.claiming)
+		clear(c.returning)
 	case Wake:
 		c.expire(now)
 	default:
@@ -254,7 +284,7 @@
 			continue
 		}
 		s := c.added[t]
-		c.added[t] = Suspect{t, depth, append(slices.Clone(s.Crashes), e.On)}
+		c.added[t] = Suspect{Trait: t, Depth: depth, Crashes: append(slices.Clone(s.Crashes), e.On)}
 		delete(c.removed, t)
 		c.changedAt[t], c.isChanged = now, true
 		c.recordKnown(now, e.On)
@@ -340,6 +370,7 @@
 	former := c.shared
 	c.version, c.era, c.isMissing = e.Version, e.Era, e.IsMissing
 	c.setShared(toMap(e.Record))
+	c.recordProbes(now)
 	c.rotateSurvivors(now)
 	for t, s := range c.shared {
 		if len(s.Crashes) > len(former[t].Crashes) {
@@ -356,7 +387,7 @@
 
 // handleWritten takes over the record that was written, unless RecordRead has
 // brought it or a later one.
-func (c *Core) handleWritten(e Written) {
+func (c *Core) handleWritten(now time.Time, e Written) {
 	shared := c.writing
 	c.writing = nil
 	if e.Era != c.era || e.Version <= c.version {
@@ -364,6 +395,7 @@
 	}
 	c.version, c.isMissing = e.Version, false
 	c.setShared(shared)
+	c.recordProbes(now)
 }
 
 // setShared sets the record in the store and forgets the changes that it has.
@@ -411,12 +443,14 @@
 		s, isShared = Suspect{}, false
 	}
 	s.Crashes = slices.DeleteFunc(slices.Clone(s.Crashes), func(one Crash) bool { return c.voided[one] })
+	known := c.probes[t] // A copy of the store may lack some.
+	s.Probes, s.Returned = max(s.Probes, known.claimed), max(s.Returned, known.returned)
 	added, isAdded := c.added[t]
 	if !isAdded {
 		return s
 	}
 	if !isShared {
-		added.Crashes = slices.Clone(added.Crashes)
+		added.Crashes, added.Probes, added.Returned = slices.Clone(added.Crashes), s.Probes, s.Returned
 		return added
 	}
 	s.Crashes = append(s.Crashes, added.Crashes...)
@@ -470,6 +504,7 @@
 		}
 	}
 	c.blocked, c.isChanged = blocked, false
+	c.forgetProbes()
 }
 
 // writeDelay returns the time from now to the next write; false if no change needs
@@ -481,6 +516,9 @@
 			delay = MinWriteDelay
 		}
 	}
+	if len(c.wanted)+len(c.returned) > 0 || c.lacksProbes() {
+		return MinWriteDelay, true
+	}
 	isNeeded = len(c.added)+len(c.voided) > 0
 	for t := range c.removed {
 		isNeeded = isNeeded || len(c.shared[t].Crashes) >= BlockThreshold-1
@@ -502,13 +540,14 @@
 		return
 	}
 	r := c.record()
+	c.claimProbes(r)
 	next := toMap(r)
 	for t := range c.added {
 		if _, ok := next[t]; !ok {
 			delete(c.added, t) // The record has no room for it.
 		}
 	}
-	if _, isNeeded := c.writeDelay(); !isNeeded {
+	if _, isNeeded := c.writeDelay(); !isNeeded && len(c.claiming)+len(c.returning) == 0 {
 		return
 	}
 	c.writing, c.writeAt = next, time.Time{}
--- a/replayer/routing.go
+++ b/replayer/routing.go
@@ -358,6 +358,14 @@
 // BlockedFor implements attempter.Fleet. No trace has requests that crash engines.
 func (r *routingPolicy) BlockedFor(time.Time, []isolator.Trait) time.Duration { return 0 }
 
+// TakeProbe implements attempter.Fleet.
+func (r *routingPolicy) TakeProbe(time.Time, []isolator.Trait) isolator.Admission {
+	return isolator.Refused
+}
+
+// ReturnProbe implements attempter.Fleet.
+func (r *routingPolicy) ReturnProbe([]isolator.Trait) {}
+
 // RefusesNew implements attempter.Fleet. No trace has runners that ask for a pause or
 // say that they leave.
 func (r *routingPolicy) RefusesNew(time.Time, tracker.Runner) bool { return false }
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -76,6 +76,21 @@
 	return max(until.Sub(now), defaultRetryAfter)
 }
 
+// TakeProbe implements attempter.Fleet.
+func (f *Fleet) TakeProbe(now time.Time, traits []isolator.Trait) (a isolator.Admission) {
+	f.step(coreIsolation, traits, func() { a = f.isolation.TakeProbe(now, traits) })
+	if a == isolator.Awaited {
+		f.stepIsolation(isolator.Wake{}) // Asks for the write that claims it.
+	}
+	return a
+}
+
+// ReturnProbe implements attempter.Fleet.
+func (f *Fleet) ReturnProbe(traits []isolator.Trait) {
+	f.step(coreIsolation, traits, func() { f.isolation.ReturnProbe(traits) })
+	f.stepIsolation(isolator.Wake{})
+}
+
 // recordBroken records that a runner closed the connection of a prefill or run early.
 func (f *Fleet) recordBroken(traits []isolator.Trait, by tracker.Runner, lived time.Duration) {
 	f.stepIsolation(isolator.RunBroken{Traits: traits, On: crashOf(by), Lived: lived})
@@ -151,6 +166,8 @@
 			f.log.Warn().Str("Trait", string(o.Trait)).Int("Crashes", o.Crashes).Msg("TraitBlocked")
 		case isolator.Unblocked:
 			f.log.Info().Str("Trait", string(o.Trait)).Msg("TraitUnblocked")
+		case isolator.ProbeClaimed:
+			f.log.Info().Str("Trait", string(o.Trait)).Int("Probes", o.Probes).Msg("ProbeClaimed")
 		}
 	}
 }
@@ -196,7 +213,7 @@
 		return read, err
 	}
 	for _, one := range e.Suspects {
-		s := isolator.Suspect{Trait: isolator.Trait(one.Trait), Depth: int(one.Depth)}
+		s := isolator.Suspect{Trait: isolator.Trait(one.Trait), Depth: int(one.Depth), Probes: int(one.Probes), Returned: int(one.Returned)}
 		for _, c := range one.Crashes {
 			s.Crashes = append(s.Crashes, isolator.Crash{Upstream: identifier.Upstream(c.Upstream), Start: identifier.Incarnation(c.Incarnation)})
 		}
@@ -208,7 +225,7 @@
 func encodeCrashes(r isolator.Record) ([]byte, error) {
 	e := &wire.CrashRecord{}
 	for _, s := range r {
-		one := &wire.CrashSuspect{Trait: string(s.Trait), Depth: uint32(s.Depth)}
+		one := &wire.CrashSuspect{Trait: string(s.Trait), Depth: uint32(s.Depth), Probes: uint32(s.Probes), Returned: uint32(s.Returned)}
 		for _, c := range s.Crashes {
 			one.Crashes = append(one.Crashes, &wire.EngineStart{Upstream: string(c.Upstream), Incarnation: uint64(c.Start)})
 		}
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -30,6 +30,7 @@
 	var err error
 	switch {
 	case !p.hasBody(a):
+		p.recordRunAnswered()
 		err = p.beginAnswer(a)
 	case p.job.IsStream && a.isSuccess():
 		if err = p.awaitListed(ctx); err == nil {
@@ -117,6 +118,7 @@
 	if len(first) == 0 && a.Framing == FramingClose && a.isSuccess() {
 		return errors.Wrap(io.ErrUnexpectedEOF, "the connection of the answer was closed before its body")
 	}
+	p.recordRunAnswered()
 	if err := p.beginAnswer(a); err != nil {
 		return err
 	}
@@ -160,6 +162,10 @@
 	return nil
 }
 
+// probeLife is the life of a run from which on its engine has not crashed on its traits: engines
+// crash when they begin an answer.
+const probeLife = time.Second
+
 // runLife returns the time from the first to the last part of run's answer.
 func (p *proxiedRequest) runLife() time.Duration {
 	if p.runBeganAt.IsZero() {
@@ -173,6 +179,11 @@
 	now := time.Now()
 	if p.runBeganAt.IsZero() {
 		p.runBeganAt = now
+		p.recordRunAnswered()
+	}
+	if p.run.IsProbe && now.Sub(p.runBeganAt) >= probeLife {
+		p.run.IsProbe = false
+		p.fleet.recordCompleted(p.job.Traits)
 	}
 	if !p.lastPartAt.IsZero() {
 		p.longestGap = max(p.longestGap, now.Sub(p.lastPartAt))
--- a/router/passage.go
+++ b/router/passage.go
@@ -56,8 +56,9 @@
 	answer *Answer
 	// run is the run that returned answer.
 	run attempter.Run
-	// runBeganAt is when the first part of run's answer was read; zero before.
-	runBeganAt time.Time
+	// runSentAt is when run was sent, runBeganAt when the first part of its answer was read;
+	// zero before.
+	runSentAt, runBeganAt time.Time
 	// reservedAt and prefilledAt are the engines of the last Reserve and
 	// Prefill calls.
 	reservedAt, prefilledAt tracker.Runner
@@ -334,6 +335,10 @@
 		cancel()
 		p.removeLoad(o.To, load)
 	}}
+	p.runSentAt = sent
+	if !answer.isSuccess() {
+		p.recordRunAnswered()
+	}
 	if answer.IsUnmarkedRefusal {
 		p.metrics.unmarkedRefusals.WithLabelValues(strconv.Itoa(answer.Status)).Inc()
 	}
@@ -420,6 +425,7 @@
 		AnErr("Error", err).
 		Msg("Called")
 	switch {
+	case err == nil && call == callRun: // recordRunAnswered follows.
 	case err == nil || driver.KindOf(err) == driver.KindFull:
 		p.fleet.recordAnswered(to, began)
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -430,6 +436,10 @@
 	})
 }
 
+// recordRunAnswered records that the runner has answered the run with more than a head. It may
+// crash right after that, and the head may be of a new process that has taken its id.
+func (p *proxiedRequest) recordRunAnswered() { p.fleet.recordAnswered(p.run.To, p.runSentAt) }
+
 // applyCallResult updates the view with the result of a call to a runner.
 // mayBeLong is true for calls that include work on the prompt: a single one
 // without an answer doesn't make the runner suspect.
