versioner: a VM counts as cut off a second after the last answer while buckets move

Change: while buckets move, a VM is in touch only if the store has answered it in the last second; after 0.75 s without an answer it asks the store. A presumed version needs touch when the wait for lists is over.

Ruled out: notice by failed calls alone, as a call that waits for changes hides a cut for 2.5 s.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -106,6 +106,10 @@
 	streamsVersion keeper.Version
 	// These hold the writes that isolation, rates and versions ask for, at most one each.
 	crashWrites, rateWrites, versionWrites, streamWrites chan recordWrite
+	// reachedAt is when the latest call to the store was made that was answered, as far as that
+	// is recorded; nil before. storeChecks asks for one.
+	reachedAt   atomic.Pointer[time.Time]
+	storeChecks chan struct{}
 	// isListed is true once the entries of the store were read for the first
 	// time.
 	isListed bool
@@ -117,6 +121,7 @@
 		reader: reader, runners: runners, view: view, budget: budget, steps: steps, metrics: metrics, log: log, roster: newRoster(), registered: map[string]tracker.Runner{}, entries: map[string]keeper.Entry{}, rebuilds: map[stepper.Core]rebuildCount{}, incompleteSince: map[stepper.Core]time.Time{}, tokenMeans: map[identifier.Pool]*tokenMeans{}, waiting: waiting{},
 		isolation: isolator.NewStarting(time.Now()), rates: apportioner.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		versions: versions, listWait: versions.ListWait(), crashWrites: make(chan recordWrite, 1), rateWrites: make(chan recordWrite, 1),
+		storeChecks:   make(chan struct{}, 1),
 		versionWrites: make(chan recordWrite, 1), streamWrites: make(chan recordWrite, 1),
 	}
 	f.quotas = newQuotas(steps, metrics, log, f.RequestExchange)
@@ -196,6 +201,7 @@
 
 // TakeAll implements follower.Receiver with the entries of a complete listing.
 func (f *Fleet) TakeAll(o follower.TakeAll) {
+	f.recordReached(time.Now())
 	var runners []tracker.Runner
 	registered := map[string]tracker.Runner{}
 	vms := map[identifier.VM]bool{}
@@ -320,6 +326,7 @@
 
 // Take implements follower.Receiver with a single changed entry.
 func (f *Fleet) Take(entry keeper.Entry) {
+	f.recordReached(time.Now())
 	if isOwnKey(entry.Key) {
 		f.mu.Lock()
 		f.entries[entry.Key] = entry
@@ -451,7 +458,42 @@
 	f.mu.Lock()
 	isRelisting := f.isRelisting
 	f.mu.Unlock()
-	f.stepVersions(versioner.Wake{IsCertain: !isRelisting && f.IsCertain(time.Now())})
+	now := time.Now()
+	f.stepVersions(versioner.Wake{IsCertain: !isRelisting && f.IsCertain(now) && f.isReached(now)})
+}
+
+const (
+	// maxUnreached is the age of the last answer of the store from which on a VM counts as cut
+	// off while buckets move. A call that waits for changes may hide a cut for longer.
+	maxUnreached = time.Second
+	// checkStoreAfter is the age from which on it is checked whether the store answers.
+	checkStoreAfter = 750 * time.Millisecond
+)
+
+func (f *Fleet) recordReached(at time.Time) {
+	if last := f.reachedAt.Load(); last == nil || at.After(*last) {
+		f.reachedAt.Store(&at)
+	}
+}
+
+// isReached reports whether the store has answered lately, which counts only while buckets move.
+func (f *Fleet) isReached(now time.Time) bool {
+	isMoving := false
+	f.step(coreVersions, "IsMoving", func() { isMoving = f.versions.IsMoving(now) })
+	if !isMoving {
+		return true
+	}
+	var age time.Duration
+	if last := f.reachedAt.Load(); last != nil {
+		age = now.Sub(*last)
+	}
+	if age >= checkStoreAfter {
+		select {
+		case f.storeChecks <- struct{}{}:
+		default: // One waits already.
+		}
+	}
+	return age <= maxUnreached
 }
 
 // HandleLeaving implements AnnouncementListener.
--- a/router/records.go
+++ b/router/records.go
@@ -29,28 +29,44 @@
 	failed     func()
 }
 
-// RecordWriter writes one record to the store.
+// RecordStore reads and writes records.
+type RecordStore interface {
+	Swapper
+	Snapshot(ctx context.Context, purpose keeper.Purpose, prefix, after string) (keeper.Snapshot, error)
+}
+
+// checkStoreTimeout bounds a call that only tells whether the store answers.
+const checkStoreTimeout = 500 * time.Millisecond
+
+// RecordWriter writes one record to the store. When it is asked to, it also checks whether the store
+// answers.
 type RecordWriter struct {
 	key    string
 	writes <-chan recordWrite
+	// checks asks for such a check; nil for never. answered gets the time of each call that
+	// the store answered.
+	checks   <-chan struct{}
+	answered func(sentAt time.Time)
 	// maxDelay bounds the random delay of a write; zero for none.
 	maxDelay time.Duration
-	store    Swapper
+	store    RecordStore
 	steps    *stepper.Stepper
 	log      zerolog.Logger
 }
 
 // NewRecordWriters returns the writers of the records that a fleet shares and of the list
 // of streams of a VM. They do nothing before Run.
-func NewRecordWriters(f *Fleet, store Swapper, vm identifier.VM, log zerolog.Logger) []*RecordWriter {
+func NewRecordWriters(f *Fleet, store RecordStore, vm identifier.VM, log zerolog.Logger) []*RecordWriter {
 	writer := func(key string, writes <-chan recordWrite, maxDelay time.Duration) *RecordWriter {
-		return &RecordWriter{key: key, writes: writes, maxDelay: maxDelay, store: store, steps: f.steps, log: log}
+		return &RecordWriter{key: key, writes: writes, answered: f.recordReached, maxDelay: maxDelay, store: store, steps: f.steps, log: log}
 	}
+	streams := writer(streamsKey(vm), f.streamWrites, 0)
+	streams.checks = f.storeChecks
 	return []*RecordWriter{
 		writer(crashesKey, f.crashWrites, maxRecordWriteDelay),
 		writer(ratesKey, f.rateWrites, maxRecordWriteDelay),
 		writer(versionsKey, f.versionWrites, maxRecordWriteDelay),
-		writer(streamsKey(vm), f.streamWrites, 0),
+		streams,
 	}
 }
 
@@ -60,6 +76,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.checks:
+			w.steps.Call(coreRecords, "check", func() { w.check(ctx) })
 		case one := <-w.writes:
 			if w.maxDelay == 0 || looper.Sleep(ctx, rand.N(w.maxDelay)) {
 				w.attempt(ctx, one)
@@ -68,6 +86,15 @@
 	}
 }
 
+func (w *RecordWriter) check(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, checkStoreTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	if _, err := w.store.Snapshot(ctx, keeper.PurposeFence, versionsKey, ""); err == nil {
+		w.answered(sentAt)
+	}
+}
+
 // attempt writes a record. A write that panics has failed.
 func (w *RecordWriter) attempt(ctx context.Context, one recordWrite) {
 	if !w.steps.Call(coreRecords, w.key, func() { w.write(ctx, one) }) {
@@ -76,6 +103,7 @@
 }
 
 func (w *RecordWriter) write(ctx context.Context, one recordWrite) {
+	sentAt := time.Now()
 	entry, done, err := w.store.Swap(ctx, keeper.PurposeFence, w.key, one.expected, one.value)
 	if err == nil && !done && !one.conflicted(entry) {
 		w.log.Warn().Str("Key", w.key).Int64("Version", int64(entry.Version)).Msg("EntryReplaced")
@@ -90,6 +118,7 @@
 		one.failed()
 		return
 	}
+	w.answered(sentAt)
 	if done {
 		one.written(entry)
 	}
--- a/router/versions.go
+++ b/router/versions.go
@@ -49,7 +49,7 @@
 			origin, isListed = listed, true
 		}
 	}
-	isPresumed := !origin.IsKnown
+	isPresumed := !origin.IsKnown && r.fleet.isInTouch()
 	if isPresumed {
 		origin = presumed
 	}
@@ -101,6 +101,11 @@
 	return is
 }
 
+func (f *Fleet) isInTouch() (is bool) {
+	f.step(coreVersions, "IsInTouch", func() { is = f.versions.IsInTouch(time.Now()) })
+	return is
+}
+
 func (f *Fleet) takeUp(pool identifier.Pool, id identifier.Request) (o, presumed versioner.Origin) {
 	f.step(coreVersions, id, func() {
 		now := time.Now()
--- a/versioner/bucket.go
+++ b/versioner/bucket.go
@@ -81,9 +81,10 @@
 	return len(b.versions) == 1 || b.isShared && inTouchAt.Sub(b.sharedAt) >= cfg.certainAfter()
 }
 
-// isSettled reports whether all VMs in touch are certain.
+// isSettled reports whether no VM takes unlisted streams for ones of the former version. Unlike
+// isCertain it counts time out of touch, in which others go on.
 func (b *bucket) isSettled(now time.Time, cfg Settings) bool {
-	return len(b.versions) == 1 || b.isShared && now.Sub(b.sharedAt) >= cfg.settledAfter()
+	return len(b.versions) == 1 || b.isShared && now.Sub(b.sharedAt) >= cfg.certainAfter()
 }
 
 // stated returns the bucket without empty versions, which earlier records have.
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -14,8 +14,8 @@
 // they begin them at the new one, and two Lags later any stream that isn't listed is taken
 // as begun there.
 //
-// From its word that it has read the change until one Lag later each VM lists the streams that it
-// begins, and passes no event of one on before its list is in the store. One that is cut off
+// From its word that it has read the change until then each VM lists the streams that it begins, and
+// passes no event of one on before its list is in the store. One that is cut off
 // begins none. So every stream of the bucket is listed but those of processes that ended before
 // they gave their word, which began at the former version. An unlisted stream waits for lists that
 // are still to be read, and is then taken as one of these.
@@ -77,12 +77,9 @@
 // the change, one until its last list is read.
 func (s Settings) certainAfter() time.Duration { return s.adoptAfter() + 2*s.Lag + 2*PublishInterval }
 
-// settledAfter is the same until they begin unlisted streams at the new version. All VMs in
-// touch are certain by then.
-func (s Settings) settledAfter() time.Duration { return s.certainAfter() + s.Lag }
-
 // presumeFor is the time from the word of the last VM in which unlisted streams can only have begun
-// at the former version. A VM may learn of that word one Lag after another.
+// at the former version. A VM may learn of that word one Lag after another that begins unlisted ones
+// at the new version once it is certain.
 func (s Settings) presumeFor() time.Duration { return s.certainAfter() - s.Lag }
 
 // maxGap is the longest time between two moments in touch that counts as in touch.
@@ -251,7 +248,7 @@
 
 // canList reports whether the next list will reach the store, as far as this VM knows.
 func (c *Core) canList(now time.Time) bool {
-	return !c.isPublishFailing && now.Sub(c.inTouchAt) <= c.cfg.maxGap()
+	return !c.isPublishFailing && c.IsInTouch(now)
 }
 
 // MustList reports whether a new stream of a version is held until it is listed, so that it is
@@ -261,6 +258,20 @@
 	return p != nil && len(p.buckets) > 0 && c.holdOf(now, &p.buckets[hashOf(id).bucket()], at.Stated()) != noHold
 }
 
+// IsMoving reports whether the versions of some streams follow from what VMs tell each other now,
+// so that it matters whether this one is in touch.
+func (c *Core) IsMoving(now time.Time) bool {
+	for _, p := range c.pools {
+		if slices.ContainsFunc(p.buckets, func(b bucket) bool { return !b.isSettled(now, c.cfg) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsInTouch reports whether this VM can have read the lists of the last Lag.
+func (c *Core) IsInTouch(now time.Time) bool { return now.Sub(c.inTouchAt) <= c.cfg.maxGap() }
+
 // IsHeld reports whether no event of a new stream may be passed on yet.
 func (c *Core) IsHeld(now time.Time, id identifier.Request) bool {
 	s, ok := c.begun[hashOf(id)]
@@ -325,14 +336,14 @@
 func (c *Core) ListWait() time.Duration { return c.cfg.Lag }
 
 // Presume returns at which version a stream began that TakeUp doesn't know, if it isn't listed one
-// ListWait later either.
+// ListWait later either and this VM IsInTouch then.
 func (c *Core) Presume(now time.Time, of identifier.Pool, id identifier.Request) Origin {
 	p := c.pools[of]
 	if c.isDoubtful() || p == nil || len(p.buckets) == 0 || id == "" {
 		return Origin{}
 	}
 	b := &p.buckets[hashOf(id).bucket()]
-	isOut := now.Sub(c.inTouchAt) > c.cfg.maxGap() && c.publishedSeen.Compare(b.changedIn) >= 0
+	isOut := !c.IsInTouch(now) && c.publishedSeen.Compare(b.changedIn) >= 0
 	if isOut || len(b.versions) < 2 || b.isBehind || b.isInherited || b.isUntold || b.isShared && now.Sub(b.sharedAt) >= c.cfg.presumeFor() {
 		return Origin{}
 	}
