--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -14,11 +14,11 @@
 // they begin them at the new one, and two Lags later any stream that isn't listed is taken
 // as begun there.
 //
-// From its word that it has read the change until then each VM lists the streams that it begins, and
-// passes no event of one on before its list is in the store. One that is cut off
-// begins none. So every stream of the bucket is listed but those of processes that ended before
-// they gave their word, which began at the former version. An unlisted stream waits for lists that
-// are still to be read, and is then taken as one of these.
+// From its word that it has read the change until then, each VM lists the streams that it begins and
+// passes no event of one on before its list is in the store. One that is cut off begins none. So every
+// stream of the bucket is listed but those of processes that ended before they gave their word, which
+// began at the former version. An unlisted stream waits for lists that are still to be read, and is
+// then taken as one of these.
 //
 // Changes are therefore few: the shares of the versions follow their capacity in large
 // steps, and other streams make up the difference.
@@ -217,11 +217,13 @@
 	noHold hold = iota
 	// holdUntilListed ends when the list in the store has the stream.
 	holdUntilListed
-	// holdUntilRead ends when all VMs in touch have read that list. It is for streams that
-	// they would else continue without a wait for lists. One VM alone sees no runner of the
-	// right version then, so it doesn't hold while the VM can't write.
+	// holdUntilRead ends when all VMs in touch have read that list: they would else continue
+	// the stream at another version without a wait for lists. It is for streams that begin
+	// elsewhere than their bucket says, as no runner of its version serves. A VM that
+	// can't list them begins them nevertheless.
 	holdUntilRead
-	// holdOfLateVM is the same for streams begun at the former version.
+	// holdOfLateVM is the same for streams that a VM begins at the former version when others
+	// may be certain of the new one. It lasts while the VM can't list them.
 	holdOfLateVM
 )
 
