--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -61,9 +61,9 @@
 	// suspects what requests share: without them, a crash counts against all that ran on
 	// the engine.
 	LearnTime = 3 * time.Second
-	// ProbeDelay is the time from the last crash on a blocked trait to the first probe. Each
-	// further one waits ProbeBackoff times as long since the one before.
-	ProbeDelay   = 2 * time.Second
+	// ProbeDelay is the time from the last crash on a blocked trait to the first probe.
+	ProbeDelay = 2 * time.Second
+	// ProbeBackoff is how many times as long each further probe waits, since the one before.
 	ProbeBackoff = 4
 	// MaxProbes is the most probes of all VMs while a trait is blocked. Callers may send three
 	// requests to engines after its third crash, and one may be on its way.
