--- a/versioner/cut_test.go
+++ b/versioner/cut_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figtrack/figtrack/identifier"
+	"github.com/figtrack/figtrack/versioner"
 )
 
 // minWentOn is the share of the streams taken up that have to go on over all seeds,
@@ -163,3 +166,23 @@
 		t.Errorf("%d streams hold events of two versions; %d of %d that could go on did", joined, wentOn, servable)
 	}
 }
+
+// Guards against streams that a VM out of touch begins in a moving bucket and then holds until their
+// deadline: it has to refuse them at once.
+func TestVMOutOfTouchBeginsStreamsThatAreHeld(t *testing.T) {
+	var fault error
+	for _, d := range []time.Duration{3 * lag, 10 * lag} {
+		c := divided()
+		wakeUntil(c, -time.Minute, 0)
+		c.Step(at(0), read(2, assignment("v2", "v1")))
+		wakeUntil(c, 0, lag)
+		c.Step(at(d), versioner.Wake{})
+		if software, ok := c.Begin(at(d), poolID, "a"); ok {
+			c.Step(at(d), versioner.Begun{Pool: poolID, Stream: "a", At: software})
+			if c.IsHeld(at(d), "a") {
+				fault = errors.Errorf("%v after the change, and out of touch since %v after it, a stream begins at %s and is held", d, lag, software)
+			}
+		}
+	}
+	failUnlessKnownRed(t, fault)
+}
